--- /dev/null
+++ b/packages/daemon/src/telemetry/logger.ts
@@ -0,0 +1,66 @@
+import {Logger as TsLogger, type ILogObjMeta, type IMeta} from 'tslog';
+import type {Logger} from '../common/types.js';
+
+/** Least level that is written. */
+export type LogLevel = 'info' | 'warn' | 'error';
+
+/** Levels of tslog. */
+const minLevels = {info: 3, warn: 4, error: 5} as const;
+
+type Fields = Readonly<Record<string, unknown>>;
+
+/** Reads the second argument of a log call. */
+function fieldsOf(value: unknown): Readonly<Record<string, unknown>> {
+	return typeof value === 'object' && value !== null ? {...value} : {};
+}
+
+/** Writes one JSON line for each change of state. */
+export class JsonLogger implements Logger {
+	static create(
+		level: LogLevel,
+		hostId: string,
+		write: (line: string) => void,
+	): JsonLogger {
+		return new JsonLogger(level, hostId, write);
+	}
+
+	private readonly logger: TsLogger<unknown>;
+
+	private constructor(
+		level: LogLevel,
+		private readonly hostId: string,
+		write: (line: string) => void,
+	) {
+		this.logger = new TsLogger<unknown>({
+			type: 'hidden',
+			minLevel: minLevels[level],
+			hideLogPositionForProduction: true,
+		});
+		this.logger.attachTransport(record => {
+			write(this.lineOf(record));
+		});
+	}
+
+	info(event: string, fields: Fields = {}): void {
+		this.logger.info(event, fields);
+	}
+
+	warn(event: string, fields: Fields = {}): void {
+		this.logger.warn(event, fields);
+	}
+
+	error(event: string, fields: Fields = {}): void {
+		this.logger.error(event, fields);
+	}
+
+	private lineOf(record: ILogObjMeta): string {
+		const meta = record._meta!;
+		return JSON.stringify({
+			time: meta.date.toISOString(),
+			level: meta.logLevelName.toLowerCase(),
+			host: this.hostId,
+			event: record['0'],
+			...fieldsOf(record['1']),
+		});
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/telemetry/metrics.ts
@@ -0,0 +1,63 @@
+import {StatsD} from 'hot-shots';
+import type {Metrics} from '../common/types.js';
+import type {SocketAddress} from '../settings/schemas.js';
+
+type Tags = Readonly<Record<string, string>>;
+
+/** Metrics that go nowhere. */
+export const noMetrics: Metrics = {
+	increment() {
+		// Without a collector there is nobody to tell.
+	},
+	gauge() {
+		// Without a collector there is nobody to tell.
+	},
+	timing() {
+		// Without a collector there is nobody to tell.
+	},
+};
+
+/** Sends metrics to a StatsD collector over UDP, in batches. */
+export class StatsdMetrics implements Metrics {
+	static create(
+		address: SocketAddress,
+		globalTags: Tags,
+		onError: (err: Error) => void,
+	): StatsdMetrics {
+		return new StatsdMetrics(
+			new StatsD({
+				host: address.address,
+				port: address.port,
+				prefix: 'balsamtray.',
+				globalTags: {...globalTags},
+				maxBufferSize: 1400,
+				bufferFlushInterval: 1000,
+				errorHandler: onError,
+			}),
+		);
+	}
+
+	private constructor(private readonly client: StatsD) {
+}
+
+	increment(name: string, tags: Tags = {}): void {
+		this.client.increment(name, 1, {...tags});
+	}
+
+	gauge(name: string, value: number, tags: Tags = {}): void {
+		this.client.gauge(name, value, {...tags});
+	}
+
+	timing(name: string, milliseconds: number, tags: Tags = {}): void {
+		this.client.timing(name, milliseconds, {...tags});
+	}
+
+	/** Sends what is left and closes the socket. */
+	async close(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.client.close(() => {
+				resolve();
+			});
+		});
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/telemetry/tracer.ts
@@ -0,0 +1,118 @@
+import {
+	ROOT_CONTEXT,
+	SpanStatusCode,
+	defaultTextMapGetter,
+	defaultTextMapSetter,
+	trace,
+	type Span as OtelSpan,
+	type Tracer as OtelTracer,
+} from '@opentelemetry/api';
+import {W3CTraceContextPropagator} from '@opentelemetry/core';
+import {OTLPTraceExporter} from '@opentelemetry/exporter-trace-otlp-http';
+import {resourceFromAttributes} from '@opentelemetry/resources';
+import {
+	BasicTracerProvider,
+	BatchSpanProcessor,
+	ConsoleSpanExporter,
+	SimpleSpanProcessor,
+	type SpanProcessor,
+} from '@opentelemetry/sdk-trace-base';
+import type {Span, Tracer} from '../common/types.js';
+
+const propagator = new W3CTraceContextPropagator();
+
+/** Outcomes that count as good in a trace. Any other marks the span as an error. */
+const goodOutcomes = new Set(['ok', 'answered', 'granted', 'reserved']);
+
+/** Hands the caller's trace context on and records nothing. */
+export const noTracer: Tracer = {
+	startSpan: (_name, parentTraceparent) => ({
+		traceparent: parentTraceparent ?? '',
+		setAttribute() {
+			// Nothing is recorded.
+		},
+		end() {
+			// Nothing is recorded.
+		},
+	}),
+};
+
+/** A span of OpenTelemetry. */
+class OpenTelemetrySpan implements Span {
+	static create(span: OtelSpan): OpenTelemetrySpan {
+		return new OpenTelemetrySpan(span);
+	}
+
+	private constructor(private readonly span: OtelSpan) {
+}
+
+	get traceparent(): string {
+		const carrier: Record<string, string> = {};
+		propagator.inject(
+			trace.setSpan(ROOT_CONTEXT, this.span),
+			carrier,
+			defaultTextMapSetter,
+		);
+		return carrier.traceparent ?? '';
+	}
+
+	setAttribute(name: string, value: string | number | boolean): void {
+		this.span.setAttribute(name, value);
+	}
+
+	end(outcome: string): void {
+		this.span.setAttribute('outcome', outcome);
+		if (!goodOutcomes.has(outcome)) {
+			this.span.setStatus({code: SpanStatusCode.ERROR, message: outcome});
+		}
+
+		this.span.end();
+	}
+}
+
+/** Records spans with OpenTelemetry and carries the W3C trace context from hop to hop. */
+export class OpenTelemetryTracer implements Tracer {
+	/** Writes each span to the console as it ends. */
+	static createForConsole(hostId: string): OpenTelemetryTracer {
+		return new OpenTelemetryTracer(
+			hostId,
+			new SimpleSpanProcessor(new ConsoleSpanExporter()),
+		);
+	}
+
+	/** Sends spans in batches to an OTLP collector. */
+	static createForOtlp(hostId: string, url: string): OpenTelemetryTracer {
+		return new OpenTelemetryTracer(
+			hostId,
+			new BatchSpanProcessor(new OTLPTraceExporter({url: `${url}/v1/traces`})),
+		);
+	}
+
+	private readonly provider: BasicTracerProvider;
+	private readonly tracer: OtelTracer;
+
+	private constructor(hostId: string, processor: SpanProcessor) {
+		this.provider = new BasicTracerProvider({
+			resource: resourceFromAttributes({
+				'service.name': 'balsamtray',
+				'host.id': hostId,
+			}),
+			spanProcessors: [processor],
+		});
+		this.tracer = this.provider.getTracer('balsamtray');
+	}
+
+	startSpan(name: string, parentTraceparent?: string): Span {
+		const parent = propagator.extract(
+			ROOT_CONTEXT,
+			{traceparent: parentTraceparent},
+			defaultTextMapGetter,
+		);
+		return OpenTelemetrySpan.create(this.tracer.startSpan(name, {}, parent));
+	}
+
+	/** Sends what is left. */
+	async close(): Promise<void> {
+		await this.provider.shutdown();
+	}
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,12 +1,47 @@
+/** Names of environment variables and of outside protocols, which are not ours to choose. */
+const outsideName = String.raw`[_\- .]`;
+
 /** @type {import('xo').FlatXoConfig} */
 const config = [
 	{ignores: ['**/dist/**']},
 	{
+		files: ['**/*.{js,ts}'],
 		prettier: 'compat',
 		rules: {
 			// The house style keeps the customary short names.
 			'unicorn/prevent-abbreviations': 'off',
-			// Tests assert on events in nested `describe` blocks of node:test, which return promises.
+			// XO's rule, but for properties that bear an outside name.
+			'@typescript-eslint/naming-convention': [
+				'error',
+				{
+					selector: [
+						'variable',
+						'function',
+						'classProperty',
+						'parameterProperty',
+						'classMethod',
+						'objectLiteralMethod',
+						'typeMethod',
+						'accessor',
+					],
+					format: ['strictCamelCase'],
+					leadingUnderscore: 'allowSingleOrDouble',
+					trailingUnderscore: 'allow',
+				},
+				{
+					selector: 'objectLiteralProperty',
+					format: ['strictCamelCase'],
+					filter: {regex: outsideName, match: false},
+				},
+				{selector: 'typeLike', format: ['StrictPascalCase']},
+				{
+					selector: 'variable',
+					types: ['boolean'],
+					format: ['StrictPascalCase'],
+					prefix: ['is', 'has', 'can', 'should', 'will', 'did'],
+				},
+			],
+			// Tests stand in nested `describe` blocks of node:test, which return promises.
 			'@typescript-eslint/no-floating-promises': [
 				'error',
 				{
