--- /dev/null
+++ b/packages/daemon/src/main/role-command.ts
@@ -0,0 +1,91 @@
+import process from 'node:process';
+import {Command, Option} from 'clipanion';
+import {
+	definitionsOf,
+	flagOf,
+	shownSettings,
+	type FlagTexts,
+} from '../settings/settings.js';
+import type {Role, SettingsResult} from '../settings/types.js';
+
+/** Exit codes of `balsamtrayd`. */
+export const exitCodes = {
+	success: 0,
+	failure: 1,
+	/** The settings are faulty. */
+	usage: 2,
+} as const;
+
+/** The options of a role, one for each setting that may stand in a flag. */
+function optionsOf(role: Role): Readonly<Record<string, unknown>> {
+	const definitions = Object.entries(definitionsOf(role));
+	return Object.fromEntries(
+		definitions
+			.filter(([, definition]) => definition.isSecret !== true)
+			.map(([name, definition]) => [
+				name,
+				Option.String(flagOf(name), {
+					description: `${definition.description} (${definition.form})`,
+				}),
+			]),
+	);
+}
+
+/** Common part of the commands that start a role: reads, checks and shows the settings. */
+export abstract class RoleCommand<
+	T extends Readonly<Record<string, unknown>>,
+> extends Command {
+	readonly isCheckOnly = Option.Boolean('--check-settings', false, {
+		description: 'Check the settings, print them and exit',
+	});
+
+	protected constructor(private readonly role: Role) {
+		super();
+		// Clipanion finds the options of a command among its own properties.
+		Object.assign(this, optionsOf(role));
+	}
+
+	override async execute(): Promise<number> {
+		const result = this.readSettings(this.flagTexts(), process.env);
+		for (const warning of result.warnings) {
+			this.context.stderr.write(`warning: ${warning}\n`);
+		}
+
+		if (result.kind === 'faulty') {
+			for (const fault of result.faults) {
+				this.context.stderr.write(`${fault.setting} ${fault.message}\n`);
+			}
+
+			return exitCodes.usage;
+		}
+
+		if (this.isCheckOnly) {
+			this.print(result.settings);
+			return exitCodes.success;
+		}
+
+		return this.run(result.settings);
+	}
+
+	protected abstract readSettings(
+		flags: FlagTexts,
+		env: Readonly<Record<string, string | undefined>>,
+	): SettingsResult<T>;
+
+	/** Runs the role until a signal ends it, and returns the exit code. */
+	protected abstract run(settings: T): Promise<number>;
+
+	private flagTexts(): FlagTexts {
+		const names = Object.keys(definitionsOf(this.role));
+		const own = Object.entries(this).filter(
+			([name, value]) => names.includes(name) && typeof value === 'string',
+		);
+		return Object.fromEntries(own);
+	}
+
+	private print(settings: T): void {
+		for (const [name, value] of shownSettings(this.role, settings)) {
+			this.context.stdout.write(`${name}=${value}\n`);
+		}
+	}
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -41,6 +41,11 @@
 					prefix: ['is', 'has', 'can', 'should', 'will', 'did'],
 				},
 			],
+			// Clipanion declares the options of a command by calls such as `Option.String()`.
+			'new-cap': [
+				'error',
+				{capIsNewExceptionPattern: String.raw`^(?:Option|Command)\.`},
+			],
 			// Tests stand in nested `describe` blocks of node:test, which return promises.
 			'@typescript-eslint/no-floating-promises': [
 				'error',
