Mark private members with an underscore throughout the daemon

Cause: the packages mixed two ways of writing private members. Change: renames only. Result: type check and linter pass; no behaviour changed.

--- a/packages/daemon/src/main/role-command.ts
+++ b/packages/daemon/src/main/role-command.ts
@@ -39,14 +39,14 @@
 		description: 'Check the settings, print them and exit',
 	});
 
-	protected constructor(private readonly role: Role) {
+	protected constructor(private readonly _role: Role) {
 		super();
 		// Clipanion finds the options of a command among its own properties.
-		Object.assign(this, optionsOf(role));
+		Object.assign(this, optionsOf(_role));
 	}
 
 	override async execute(): Promise<number> {
-		const result = this.readSettings(this.flagTexts(), process.env);
+		const result = this.readSettings(this._flagTexts(), process.env);
 		for (const warning of result.warnings) {
 			this.context.stderr.write(`warning: ${warning}\n`);
 		}
@@ -60,7 +60,7 @@
 		}
 
 		if (this.isCheckOnly) {
-			this.print(result.settings);
+			this._print(result.settings);
 			return exitCodes.success;
 		}
 
@@ -75,16 +75,16 @@
 	/** Runs the role until a signal ends it, and returns the exit code. */
 	protected abstract run(settings: T): Promise<number>;
 
-	private flagTexts(): FlagTexts {
-		const names = Object.keys(definitionsOf(this.role));
+	private _flagTexts(): FlagTexts {
+		const names = Object.keys(definitionsOf(this._role));
 		const own = Object.entries(this).filter(
 			([name, value]) => names.includes(name) && typeof value === 'string',
 		);
 		return Object.fromEntries(own);
 	}
 
-	private print(settings: T): void {
-		for (const [name, value] of shownSettings(this.role, settings)) {
+	private _print(settings: T): void {
+		for (const [name, value] of shownSettings(this._role, settings)) {
 			this.context.stdout.write(`${name}=${value}\n`);
 		}
 	}
--- a/packages/daemon/src/telemetry/logger.ts
+++ b/packages/daemon/src/telemetry/logger.ts
@@ -24,41 +24,41 @@
 		return new JsonLogger(level, hostId, write);
 	}
 
-	private readonly logger: TsLogger<unknown>;
+	private readonly _logger: TsLogger<unknown>;
 
 	private constructor(
 		level: LogLevel,
-		private readonly hostId: string,
+		private readonly _hostId: string,
 		write: (line: string) => void,
 	) {
-		this.logger = new TsLogger<unknown>({
+		this._logger = new TsLogger<unknown>({
 			type: 'hidden',
 			minLevel: minLevels[level],
 			hideLogPositionForProduction: true,
 		});
-		this.logger.attachTransport(record => {
-			write(this.lineOf(record));
+		this._logger.attachTransport(record => {
+			write(this._lineOf(record));
 		});
 	}
 
 	info(event: string, fields: Fields = {}): void {
-		this.logger.info(event, fields);
+		this._logger.info(event, fields);
 	}
 
 	warn(event: string, fields: Fields = {}): void {
-		this.logger.warn(event, fields);
+		this._logger.warn(event, fields);
 	}
 
 	error(event: string, fields: Fields = {}): void {
-		this.logger.error(event, fields);
+		this._logger.error(event, fields);
 	}
 
-	private lineOf(record: ILogObjMeta): string {
+	private _lineOf(record: ILogObjMeta): string {
 		const meta = record._meta!;
 		return JSON.stringify({
 			time: meta.date.toISOString(),
 			level: meta.logLevelName.toLowerCase(),
-			host: this.hostId,
+			host: this._hostId,
 			event: record['0'],
 			...fieldsOf(record['1']),
 		});
--- a/packages/daemon/src/telemetry/metrics.ts
+++ b/packages/daemon/src/telemetry/metrics.ts
@@ -37,25 +37,25 @@
 		);
 	}
 
-	private constructor(private readonly client: StatsD) {
+	private constructor(private readonly _client: StatsD) {
 }
 
 	increment(name: string, tags: Tags = {}): void {
-		this.client.increment(name, 1, {...tags});
+		this._client.increment(name, 1, {...tags});
 	}
 
 	gauge(name: string, value: number, tags: Tags = {}): void {
-		this.client.gauge(name, value, {...tags});
+		this._client.gauge(name, value, {...tags});
 	}
 
 	timing(name: string, milliseconds: number, tags: Tags = {}): void {
-		this.client.timing(name, milliseconds, {...tags});
+		this._client.timing(name, milliseconds, {...tags});
 	}
 
 	/** Sends what is left and closes the socket. */
 	async close(): Promise<void> {
 		await new Promise<void>(resolve => {
-			this.client.close(() => {
+			this._client.close(() => {
 				resolve();
 			});
 		});
--- a/packages/daemon/src/telemetry/tracer.ts
+++ b/packages/daemon/src/telemetry/tracer.ts
@@ -43,13 +43,13 @@
 		return new OpenTelemetrySpan(span);
 	}
 
-	private constructor(private readonly span: OtelSpan) {
+	private constructor(private readonly _span: OtelSpan) {
 }
 
 	get traceparent(): string {
 		const carrier: Record<string, string> = {};
 		propagator.inject(
-			trace.setSpan(ROOT_CONTEXT, this.span),
+			trace.setSpan(ROOT_CONTEXT, this._span),
 			carrier,
 			defaultTextMapSetter,
 		);
@@ -57,16 +57,16 @@
 	}
 
 	setAttribute(name: string, value: string | number | boolean): void {
-		this.span.setAttribute(name, value);
+		this._span.setAttribute(name, value);
 	}
 
 	end(outcome: string): void {
-		this.span.setAttribute('outcome', outcome);
+		this._span.setAttribute('outcome', outcome);
 		if (!goodOutcomes.has(outcome)) {
-			this.span.setStatus({code: SpanStatusCode.ERROR, message: outcome});
+			this._span.setStatus({code: SpanStatusCode.ERROR, message: outcome});
 		}
 
-		this.span.end();
+		this._span.end();
 	}
 }
 
@@ -88,18 +88,18 @@
 		);
 	}
 
-	private readonly provider: BasicTracerProvider;
-	private readonly tracer: OtelTracer;
+	private readonly _provider: BasicTracerProvider;
+	private readonly _tracer: OtelTracer;
 
 	private constructor(hostId: string, processor: SpanProcessor) {
-		this.provider = new BasicTracerProvider({
+		this._provider = new BasicTracerProvider({
 			resource: resourceFromAttributes({
 				'service.name': 'balsamtray',
 				'host.id': hostId,
 			}),
 			spanProcessors: [processor],
 		});
-		this.tracer = this.provider.getTracer('balsamtray');
+		this._tracer = this._provider.getTracer('balsamtray');
 	}
 
 	startSpan(name: string, parentTraceparent?: string): Span {
@@ -108,11 +108,11 @@
 			{traceparent: parentTraceparent},
 			defaultTextMapGetter,
 		);
-		return OpenTelemetrySpan.create(this.tracer.startSpan(name, {}, parent));
+		return OpenTelemetrySpan.create(this._tracer.startSpan(name, {}, parent));
 	}
 
 	/** Sends what is left. */
 	async close(): Promise<void> {
-		await this.provider.shutdown();
+		await this._provider.shutdown();
 	}
 }
--- a/packages/daemon/src/transport/tls-material.ts
+++ b/packages/daemon/src/transport/tls-material.ts
@@ -39,55 +39,55 @@
 		return new TlsMaterial(files, onReadFailed);
 	}
 
-	private current: TlsCredentials;
-	private readonly listeners = new Set<(c: TlsCredentials) => void>();
+	private _current: TlsCredentials;
+	private readonly _listeners = new Set<(c: TlsCredentials) => void>();
 
 	private constructor(
-		private readonly files: TlsFiles,
-		private readonly onReadFailed: (err: unknown) => void,
+		private readonly _files: TlsFiles,
+		private readonly _onReadFailed: (err: unknown) => void,
 	) {
-		this.current = readCredentials(files);
-		for (const file of Object.values(files)) {
+		this._current = readCredentials(_files);
+		for (const file of Object.values(_files)) {
 			watchFile(
 				file,
 				{interval: watchIntervalMs, persistent: false},
-				this.reread,
+				this._reread,
 			);
 		}
 	}
 
 	credentials(): TlsCredentials {
-		return this.current;
+		return this._current;
 	}
 
 	onChanged(listener: (credentials: TlsCredentials) => void): Disposable {
-		this.listeners.add(listener);
+		this._listeners.add(listener);
 		return {
 			dispose: () => {
-				this.listeners.delete(listener);
+				this._listeners.delete(listener);
 			},
 		};
 	}
 
 	dispose(): void {
-		for (const file of Object.values(this.files)) {
-			unwatchFile(file, this.reread);
+		for (const file of Object.values(this._files)) {
+			unwatchFile(file, this._reread);
 		}
 
-		this.listeners.clear();
+		this._listeners.clear();
 	}
 
-	private readonly reread = () => {
+	private readonly _reread = () => {
 		try {
-			this.current = readCredentials(this.files);
+			this._current = readCredentials(this._files);
 		} catch (error) {
 			// A file may be half replaced; the watcher calls again when it is whole.
-			this.onReadFailed(error);
+			this._onReadFailed(error);
 			return;
 		}
 
-		for (const listener of this.listeners) {
-			listener(this.current);
+		for (const listener of this._listeners) {
+			listener(this._current);
 		}
 	};
 }
--- a/packages/daemon/src/transport/transport.ts
+++ b/packages/daemon/src/transport/transport.ts
@@ -34,17 +34,17 @@
 		return new Transport(tls);
 	}
 
-	private dispatcher: Agent;
-	private readonly subscriptions: Disposable[] = [];
-
-	private constructor(private readonly tls: TlsMaterial | undefined) {
-		this.dispatcher = peerDispatcher(tls?.credentials());
-		if (tls !== undefined) {
-			this.subscriptions.push(
-				tls.onChanged(credentials => {
+	private _dispatcher: Agent;
+	private readonly _subscriptions: Disposable[] = [];
+
+	private constructor(private readonly _tls: TlsMaterial | undefined) {
+		this._dispatcher = peerDispatcher(_tls?.credentials());
+		if (_tls !== undefined) {
+			this._subscriptions.push(
+				_tls.onChanged(credentials => {
 					// Requests that run on the old dispatcher finish there.
-					void this.dispatcher.close();
-					this.dispatcher = peerDispatcher(credentials);
+					void this._dispatcher.close();
+					this._dispatcher = peerDispatcher(credentials);
 				}),
 			);
 		}
@@ -52,12 +52,12 @@
 
 	/** Address of a peer for HTTP clients. */
 	peerUrl(address: string): string {
-		return `${this.tls === undefined ? 'http' : 'https'}://${address}`;
+		return `${this._tls === undefined ? 'http' : 'https'}://${address}`;
 	}
 
 	/** Dispatcher of undici for calls to peers. Take it anew for each call: it changes with the certificates. */
 	peerDispatcher(): Dispatcher {
-		return this.dispatcher;
+		return this._dispatcher;
 	}
 
 	/** Creates an HTTP server that does not listen yet. */
@@ -69,19 +69,19 @@
 			forceCloseConnections: 'idle' as const,
 			http: {headersTimeout: limits.headerTimeoutMs},
 		};
-		if (this.tls === undefined) {
+		if (this._tls === undefined) {
 			return fastify(options);
 		}
 
 		const app = fastify({
 			...options,
 			https: {
-				...serverCredentials(this.tls.credentials(), kind),
+				...serverCredentials(this._tls.credentials(), kind),
 				headersTimeout: limits.headerTimeoutMs,
 			},
 		});
-		this.subscriptions.push(
-			this.tls.onChanged(credentials => {
+		this._subscriptions.push(
+			this._tls.onChanged(credentials => {
 				const {server} = app;
 				server.setSecureContext(credentials);
 			}),
@@ -91,11 +91,11 @@
 	}
 
 	dispose(): void {
-		for (const subscription of this.subscriptions) {
+		for (const subscription of this._subscriptions) {
 			subscription.dispose();
 		}
 
-		void this.dispatcher.destroy();
+		void this._dispatcher.destroy();
 	}
 }
 
