Add stand-ins for engine, plain service and the platform

Cause: the daemons need engines, plain services and the platform's services to talk to in the demo and the scenarios. Change: table service, object store, host list, weight store, engine and plain service as separate fastify programs with fault switches, orders and a record of what they ran.

--- /dev/null
+++ b/packages/standins/src/engine/adapter-loader.ts
@@ -0,0 +1,52 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request} from 'undici';
+import type {FaultGate} from '../common/fault-gate.js';
+import type {EngineFaults} from '../common/fault-schemas.js';
+import type {EngineSettings} from './engine-settings.js';
+
+/** Outcome of fetching an adapter's weights. */
+export type FetchResult = 'fetched' | 'missing' | 'failed';
+
+/** Fetches an adapter's weights from the weight store, or waits where none is named. */
+export async function fetchWeights(
+	settings: EngineSettings,
+	faults: FaultGate<EngineFaults>,
+	weights: string,
+): Promise<FetchResult> {
+	const {loadDelayMs = 0, loadErrorShare = 0} = faults.switches;
+	if (loadDelayMs > 0) {
+		await sleep(loadDelayMs);
+	}
+
+	if (faults.take('failLoads') || Math.random() < loadErrorShare) {
+		return 'failed';
+	}
+
+	if (settings.weightsUrl === undefined) {
+		await sleep(settings.loadMs);
+		return 'fetched';
+	}
+
+	return fetchFromStore(settings.weightsUrl, weights);
+}
+
+async function fetchFromStore(
+	weightsUrl: string,
+	weights: string,
+): Promise<FetchResult> {
+	const path = weights
+		.split('/')
+		.map(part => encodeURIComponent(part))
+		.join('/');
+	try {
+		const res = await request(`${weightsUrl}/v1/weights/${path}`);
+		await res.body.dump();
+		if (res.statusCode === 404) {
+			return 'missing';
+		}
+
+		return res.statusCode === 200 ? 'fetched' : 'failed';
+	} catch {
+		return 'failed';
+	}
+}
--- /dev/null
+++ b/packages/standins/src/engine/adapter-slots.ts
@@ -0,0 +1,82 @@
+/** Outcome of reserving a slot for an adapter load. */
+export type SlotResult = 'reserved' | 'alreadyLoaded' | 'full';
+
+type Slot = {
+	readonly weights: string;
+	readonly isLoaded: boolean;
+	readonly users: number;
+};
+
+/** The adapter slots of an engine. */
+export class AdapterSlots {
+	static create(count: number): AdapterSlots {
+		return new AdapterSlots(count);
+	}
+
+	private readonly _slots = new Map<string, Slot>();
+	private readonly _count: number;
+
+	private constructor(count: number) {
+		this._count = count;
+	}
+
+	/** Takes a slot for an adapter that is about to be loaded. */
+	reserve(servedName: string, weights: string): SlotResult {
+		if (this._slots.has(servedName)) {
+			return 'alreadyLoaded';
+		}
+
+		if (this._slots.size >= this._count) {
+			return 'full';
+		}
+
+		this._slots.set(servedName, {weights, isLoaded: false, users: 0});
+		return 'reserved';
+	}
+
+	completeLoad(servedName: string): void {
+		const slot = this._slots.get(servedName);
+		if (slot !== undefined) {
+			this._slots.set(servedName, {...slot, isLoaded: true});
+		}
+	}
+
+	/** Frees the slot. Returns undefined if there is none, else whether a request was using it. */
+	free(servedName: string): {readonly wasInUse: boolean} | undefined {
+		const slot = this._slots.get(servedName);
+		this._slots.delete(servedName);
+		return slot === undefined ? undefined : {wasInUse: slot.users > 0};
+	}
+
+	/** Weights of a loaded adapter. */
+	weightsOf(servedName: string): string | undefined {
+		const slot = this._slots.get(servedName);
+		return slot?.isLoaded ? slot.weights : undefined;
+	}
+
+	beginUse(servedName: string): void {
+		this._changeUsers(servedName, 1);
+	}
+
+	endUse(servedName: string): void {
+		this._changeUsers(servedName, -1);
+	}
+
+	loaded(): readonly string[] {
+		return [...this._slots].flatMap(([name, slot]) =>
+			slot.isLoaded ? [name] : [],
+		);
+	}
+
+	clear(): void {
+		this._slots.clear();
+	}
+
+	private _changeUsers(servedName: string, difference: number): void {
+		const slot = this._slots.get(servedName);
+		if (slot !== undefined) {
+			const users = Math.max(0, slot.users + difference);
+			this._slots.set(servedName, {...slot, users});
+		}
+	}
+}
--- /dev/null
+++ b/packages/standins/src/engine/batch.ts
@@ -0,0 +1,112 @@
+/** A request in the engine's batch. */
+export type BatchJob = {
+	readonly id: string;
+	/** Lower runs first. */
+	readonly priority: number;
+	/** Steps before the first token. */
+	readonly prefillSteps: number;
+	readonly tokens: number;
+};
+
+/** What one step of the batch produced. */
+export type StepResult = {
+	/** Jobs that got a token, with its number from 1. */
+	readonly tokens: ReadonlyArray<{readonly id: string; readonly token: number}>;
+	readonly completed: readonly string[];
+};
+
+/** Settings of the continuous batching model. */
+export type BatchOptions = {
+	/** Time of a step with one running request, in milliseconds. */
+	readonly tokenMs: number;
+	readonly maxRunning: number;
+};
+
+type Running = {readonly job: BatchJob; readonly step: number};
+
+/** Growth of the step's time for each further request in the batch. */
+const slowdownPerRequest = 0.02;
+
+/** Continuous batching: each step gives each running request one token; waiting requests join between steps. */
+export class Batch {
+	static create(options: BatchOptions): Batch {
+		return new Batch(options);
+	}
+
+	private readonly _options: BatchOptions;
+	private readonly _running = new Map<string, Running>();
+	private _waiting: readonly BatchJob[] = [];
+
+	private constructor(options: BatchOptions) {
+		this._options = options;
+	}
+
+	get runningCount(): number {
+		return this._running.size;
+	}
+
+	get waitingCount(): number {
+		return this._waiting.length;
+	}
+
+	isRunning(id: string): boolean {
+		return this._running.has(id);
+	}
+
+	runningIds(): readonly string[] {
+		return [...this._running.keys()];
+	}
+
+	/** Time of the next step. */
+	stepMs(): number {
+		const others = Math.max(0, this._running.size - 1);
+		return this._options.tokenMs * (1 + slowdownPerRequest * others);
+	}
+
+	add(job: BatchJob): void {
+		this._waiting = [...this._waiting, job].toSorted(
+			(a, b) => a.priority - b.priority,
+		);
+		this._fill();
+	}
+
+	remove(id: string): void {
+		this._waiting = this._waiting.filter(job => job.id !== id);
+		this._running.delete(id);
+		this._fill();
+	}
+
+	step(): StepResult {
+		const tokens: Array<{readonly id: string; readonly token: number}> = [];
+		const completed: string[] = [];
+		for (const [id, {job, step}] of this._running) {
+			const token = step + 1 - job.prefillSteps;
+			this._running.set(id, {job, step: step + 1});
+			if (token >= 1) {
+				tokens.push({id, token});
+			}
+
+			if (token >= job.tokens) {
+				completed.push(id);
+				this._running.delete(id);
+			}
+		}
+
+		this._fill();
+		return {tokens, completed};
+	}
+
+	clear(): void {
+		this._running.clear();
+		this._waiting = [];
+	}
+
+	private _fill(): void {
+		const free = this._options.maxRunning - this._running.size;
+		const next = this._waiting.slice(0, Math.max(0, free));
+		this._waiting = this._waiting.slice(next.length);
+		for (const job of next) {
+			this._running.set(job.id, {job, step: 0});
+		}
+	}
+}
--- /dev/null
+++ b/packages/standins/src/engine/engine-app.ts
@@ -0,0 +1,77 @@
+/* eslint-disable @typescript-eslint/naming-convention -- The field names are those of the health report. */
+import {AppServer} from '../common/app-server.js';
+import {BackendProcess} from '../common/backend-process.js';
+import {BackendRecorder} from '../common/backend-recorder.js';
+import {registerControl} from '../common/control.js';
+import {FaultGate} from '../common/fault-gate.js';
+import type {Flags} from '../common/flags.js';
+import {
+	engineFaultsSchema,
+	type ControlOrder,
+} from '../common/fault-schemas.js';
+import {AdapterRoutes} from './adapter-routes.js';
+import {CompletionRoutes} from './completion-routes.js';
+import {readEngineSettings} from './engine-settings.js';
+import {Engine} from './engine.js';
+
+/** Builds an engine. */
+export function createEngineApp(flags: Flags): AppServer {
+	const settings = readEngineSettings(flags);
+	const server = AppServer.create();
+	const faults = FaultGate.create(engineFaultsSchema);
+	const recorder = BackendRecorder.create();
+	const engine = Engine.create(settings, faults, recorder);
+	const process = BackendProcess.create(
+		server,
+		recorder,
+		settings.restartMs,
+		() => {
+			engine.reset();
+		},
+	);
+	const options = {
+		engine,
+		process,
+		settings,
+		faults,
+		recorder,
+		baseModel: settings.baseModel,
+	};
+	faults.register(server.app);
+	registerControl(server.app, recorder, order => {
+		carryOut(order, engine, process);
+	});
+	AdapterRoutes.create(options).register(server.app);
+	CompletionRoutes.create(options).register(server.app);
+	server.app.get('/health', () => ({}));
+	server.app.get('/server_info', () => ({
+		boot_id: process.bootId,
+		uptime_ms: process.uptimeMs(Date.now()),
+		loaded_adapters: engine.slots.loaded(),
+		...engine.load.report(Date.now()),
+	}));
+	return server;
+}
+
+function carryOut(
+	order: ControlOrder,
+	engine: Engine,
+	process: BackendProcess,
+): void {
+	switch (order.order) {
+		case 'crash': {
+			process.crash(order.downMs);
+			break;
+		}
+
+		case 'restart': {
+			process.boot();
+			break;
+		}
+
+		case 'goCold': {
+			engine.goCold();
+			break;
+		}
+	}
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,2 @@
 export type * from './common/types.js';
+export type * from './common/fault-schemas.js';
