Decide what one backend server runs, loads and refuses

Cause: the agent is the one owner of its backend server. Change: AgentCore with adapter slots, a fair queue by tokens, a window that starts cold, a load limiter by the load times seen, attempts at most once, quarantine after crashes, and refusals at once.

--- /dev/null
+++ b/packages/core/src/agent/adapter-loader.ts
@@ -0,0 +1,268 @@
+import type {AgentPolicy} from './agent-policy.js';
+import {AdapterSlots} from './adapter-slots.js';
+import {
+	loadFailureBackoffMs,
+	loadTriesBeforeRefusal,
+	unloadRetryMs,
+} from './constants.js';
+import type {LoadLimiter} from './load-limiter.js';
+import type {AgentCommand, AgentLimits, AgentSettings} from './types.js';
+
+/** An adapter version that waiting requests need. */
+export type WantedAdapter = {
+	readonly servedName: string;
+	readonly weights: string;
+};
+
+type LoadFailures = {
+	readonly count: number;
+	readonly lastAt: number;
+};
+
+/** Orders loads and unloads for waiting requests and keeps account of the slots. */
+export class AdapterLoader {
+	static create(settings: AgentSettings, policy: AgentPolicy): AdapterLoader {
+		return new AdapterLoader(settings.limits, settings.incarnation, policy);
+	}
+
+	readonly slots: AdapterSlots;
+
+	private readonly _limiter: LoadLimiter;
+	private readonly _startedAt = new Map<string, number>();
+	private readonly _failures = new Map<string, LoadFailures>();
+	private readonly _unloadRetries = new Map<string, number>();
+	private _orders = 0;
+	private _lastUnloadAt = Number.NEGATIVE_INFINITY;
+	private _wakeAt: number | undefined;
+
+	private constructor(
+		private readonly _limits: AgentLimits,
+		private readonly _incarnation: string,
+		private readonly _policy: AgentPolicy,
+	) {
+		this.slots = AdapterSlots.create(_limits.adapterSlots);
+		this._limiter = _policy.createLoadLimiter();
+	}
+
+	/** Time at which a load or a repeated unload may be ordered, if one waits for its time. */
+	get wakeAt(): number | undefined {
+		return this._wakeAt;
+	}
+
+	/** Expected time until an absent adapter version is resident. */
+	expectedLoadMs(): number {
+		return this._limiter.expectedLoadMs();
+	}
+
+	/** Milliseconds for which an adapter version whose loads failed is not tried again. */
+	failingForMs(servedName: string, now: number): number {
+		const failures = this._failures.get(servedName);
+		if (!failures || failures.count < loadTriesBeforeRefusal) {
+			return 0;
+		}
+
+		return Math.max(0, failures.lastAt + loadFailureBackoffMs - now);
+	}
+
+	/** Orders what the wanted adapter versions need, the most urgent one first. */
+	plan(
+		wanted: Iterable<WantedAdapter>,
+		hasWaiters: (servedName: string) => boolean,
+		now: number,
+	): readonly AgentCommand[] {
+		this._wakeAt = undefined;
+		const commands = [...this._retryUnloads(now)];
+		let freeing = this.slots.unloading;
+		for (const adapter of wanted) {
+			if (!this._mayStartLoad(now)) {
+				break;
+			}
+
+			if (this.slots.has(adapter.servedName)) {
+				continue;
+			}
+
+			if (this.slots.free > 0) {
+				commands.push(this._load(adapter, now));
+			} else if (freeing > 0) {
+				freeing--;
+			} else {
+				const unload = this._evict(hasWaiters, now);
+				if (!unload) {
+					break;
+				}
+
+				commands.push(unload);
+			}
+		}
+
+		return commands;
+	}
+
+	onLoadCompleted(loadId: string, now: number): void {
+		const slot = this.slots.completeLoad(loadId, now);
+		if (slot) {
+			this._limiter.onCompleted(now - this._takeStart(loadId, now));
+			this._failures.delete(slot.servedName);
+		}
+	}
+
+	/** Returns the adapter version whose load failed, with the order that makes sure of its absence. */
+	onLoadFailed(
+		loadId: string,
+		now: number,
+	): {readonly servedName: string; readonly command: AgentCommand} | undefined {
+		const unloadId = this._nextOrderId();
+		const slot = this.slots.failLoad(loadId, unloadId);
+		if (!slot) {
+			return undefined;
+		}
+
+		this._takeStart(loadId, now);
+		this._limiter.onFailed();
+		this._noteFailure(slot.servedName, now);
+		return {
+			servedName: slot.servedName,
+			command: unloadCommand(unloadId, slot.servedName),
+		};
+	}
+
+	onUnloadCompleted(orderId: string, now: number): void {
+		if (this.slots.completeUnload(orderId)) {
+			this._lastUnloadAt = now;
+		}
+
+		this._unloadRetries.delete(orderId);
+	}
+
+	onUnloadFailed(orderId: string, now: number): void {
+		if (this.slots.findUnload(orderId)) {
+			this._unloadRetries.set(orderId, now + unloadRetryMs);
+		}
+	}
+
+	/** The backend server started anew and holds nothing; orders to the earlier boot are void. */
+	onRestart(): void {
+		this.slots.clear();
+		this._startedAt.clear();
+		this._unloadRetries.clear();
+		this._failures.clear();
+	}
+
+	/** Brings the account in line with what the backend server said that it holds when asked. */
+	reconcile(loadedAdapters: readonly string[], askedAt: number): void {
+		const loaded = new Set(loadedAdapters);
+		for (const slot of this.slots.all()) {
+			const isMissing =
+				slot.state === 'resident' &&
+				slot.loadedAt < askedAt &&
+				!loaded.has(slot.servedName);
+			if (isMissing) {
+				this.slots.forget(slot.servedName);
+			}
+		}
+
+		if (askedAt <= this._lastUnloadAt) {
+			return;
+		}
+
+		for (const servedName of loaded) {
+			if (!this.slots.has(servedName)) {
+				this.slots.adopt(servedName, askedAt);
+			}
+		}
+	}
+
+	private _mayStartLoad(now: number): boolean {
+		const startAt = this._limiter.nextStartAt(this.slots.loading);
+		if (startAt === undefined) {
+			return false;
+		}
+
+		if (startAt > now) {
+			this._wakeBy(startAt);
+			return false;
+		}
+
+		return true;
+	}
+
+	private _load({servedName, weights}: WantedAdapter, now: number) {
+		const loadId = this._nextOrderId();
+		this.slots.beginLoad(servedName, loadId, now);
+		this._limiter.onStarted(now);
+		this._startedAt.set(loadId, now);
+		const {loadTimeoutMs: timeoutMs} = this._limits;
+		return {
+			type: 'loadAdapter',
+			loadId,
+			servedName,
+			weights,
+			timeoutMs,
+		} as const;
+	}
+
+	private _evict(
+		hasWaiters: (servedName: string) => boolean,
+		now: number,
+	): AgentCommand | undefined {
+		const idle = this.slots
+			.idle()
+			.filter(({servedName}) => !hasWaiters(servedName));
+		if (idle.length === 0) {
+			return undefined;
+		}
+
+		const {servedName} = this._policy.pickVictim(idle, now);
+		const orderId = this._nextOrderId();
+		this.slots.beginUnload(servedName, orderId);
+		return unloadCommand(orderId, servedName);
+	}
+
+	private _retryUnloads(now: number): readonly AgentCommand[] {
+		const commands: AgentCommand[] = [];
+		for (const [orderId, retryAt] of this._unloadRetries) {
+			const slot = this.slots.findUnload(orderId);
+			if (!slot) {
+				this._unloadRetries.delete(orderId);
+			} else if (retryAt <= now) {
+				this._unloadRetries.delete(orderId);
+				commands.push(unloadCommand(orderId, slot.servedName));
+			} else {
+				this._wakeBy(retryAt);
+			}
+		}
+
+		return commands;
+	}
+
+	private _noteFailure(servedName: string, now: number): void {
+		for (const [name, {lastAt}] of this._failures) {
+			if (lastAt + loadFailureBackoffMs < now) {
+				this._failures.delete(name);
+			}
+		}
+
+		const count = (this._failures.get(servedName)?.count ?? 0) + 1;
+		this._failures.set(servedName, {count, lastAt: now});
+	}
+
+	private _takeStart(loadId: string, now: number): number {
+		const startedAt = this._startedAt.get(loadId) ?? now;
+		this._startedAt.delete(loadId);
+		return startedAt;
+	}
+
+	private _nextOrderId(): string {
+		this._orders++;
+		return `${this._incarnation}-${this._orders}`;
+	}
+
+	private _wakeBy(at: number): void {
+		this._wakeAt = Math.min(this._wakeAt ?? at, at);
+	}
+}
+
+function unloadCommand(loadId: string, servedName: string): AgentCommand {
+	return {type: 'unloadAdapter', loadId, servedName};
+}
--- /dev/null
+++ b/packages/core/src/agent/adapter-slots.ts
@@ -0,0 +1,209 @@
+import type {AdapterState} from './types.js';
+
+/** State of an adapter version that takes up a slot. */
+export type SlotState = 'loading' | 'resident' | 'unloading';
+
+/** One occupied adapter slot of the backend server. */
+export type Slot = {
+	readonly servedName: string;
+	readonly state: SlotState;
+	/** Identifier of the load or unload order in progress, or of the last one. */
+	readonly orderId: string;
+	/** Requests that run on the adapter version. */
+	readonly users: number;
+	/** Requests that ran on it since it was loaded. */
+	readonly uses: number;
+	readonly lastUsedAt: number;
+	readonly loadedAt: number;
+};
+
+type MutableSlot = {-readonly [K in keyof Slot]: Slot[K]};
+
+/**
+ * The adapter slots of one backend server, counted from the agent's own orders.
+ * A slot counts as taken from the load order until the unload order has been confirmed.
+ */
+export class AdapterSlots {
+	static create(capacity: number): AdapterSlots {
+		return new AdapterSlots(capacity);
+	}
+
+	private readonly _slots = new Map<string, MutableSlot>();
+	private readonly _counts = {loading: 0, resident: 0, unloading: 0};
+
+	private constructor(private readonly _capacity: number) {}
+
+	get free(): number {
+		return Math.max(0, this._capacity - this._slots.size);
+	}
+
+	get loading(): number {
+		return this._counts.loading;
+	}
+
+	get unloading(): number {
+		return this._counts.unloading;
+	}
+
+	/** State of an adapter version for a new request. One that is being unloaded counts as absent. */
+	stateOf(servedName: string): AdapterState {
+		const state = this._slots.get(servedName)?.state;
+		return state === undefined || state === 'unloading' ? 'absent' : state;
+	}
+
+	has(servedName: string): boolean {
+		return this._slots.has(servedName);
+	}
+
+	get(servedName: string): Slot | undefined {
+		return this._slots.get(servedName);
+	}
+
+	all(): Iterable<Slot> {
+		return this._slots.values();
+	}
+
+	beginLoad(servedName: string, orderId: string, now: number): void {
+		if (this._slots.has(servedName) || this.free === 0) {
+			throw new Error(`no free slot to load ${servedName}`);
+		}
+
+		this._slots.set(servedName, {
+			servedName,
+			state: 'loading',
+			orderId,
+			users: 0,
+			uses: 0,
+			lastUsedAt: now,
+			loadedAt: now,
+		});
+		this._counts.loading++;
+	}
+
+	/** Returns the slot that became resident, or undefined where the order is not the present one. */
+	completeLoad(orderId: string, now: number): Slot | undefined {
+		const slot = this._findOrder(orderId, 'loading');
+		if (slot) {
+			this._setState(slot, 'resident');
+			slot.loadedAt = now;
+			slot.lastUsedAt = now;
+		}
+
+		return slot;
+	}
+
+	/** Takes note of an adapter version that the backend server holds without a known order. */
+	adopt(servedName: string, now: number): void {
+		this._slots.set(servedName, {
+			servedName,
+			state: 'resident',
+			orderId: '',
+			users: 0,
+			uses: 0,
+			lastUsedAt: now,
+			loadedAt: now,
+		});
+		this._counts.resident++;
+	}
+
+	/** Starts to give a slot up. An adapter version in use is never given up. */
+	beginUnload(servedName: string, orderId: string): void {
+		const slot = this._slots.get(servedName);
+		if (!slot || slot.users > 0) {
+			throw new Error(`can't unload ${servedName}: absent or in use`);
+		}
+
+		this._setState(slot, 'unloading');
+		slot.orderId = orderId;
+	}
+
+	/** The failed load may still take effect, so that its slot stays taken until an unload was confirmed. */
+	failLoad(orderId: string, unloadOrderId: string): Slot | undefined {
+		const slot = this._findOrder(orderId, 'loading');
+		if (slot) {
+			this._setState(slot, 'unloading');
+			slot.orderId = unloadOrderId;
+		}
+
+		return slot;
+	}
+
+	findUnload(orderId: string): Slot | undefined {
+		return this._findOrder(orderId, 'unloading');
+	}
+
+	completeUnload(orderId: string): Slot | undefined {
+		const slot = this._findOrder(orderId, 'unloading');
+		if (slot) {
+			this.forget(slot.servedName);
+		}
+
+		return slot;
+	}
+
+	/** Drops a slot that the backend server has emptied by itself. */
+	forget(servedName: string): void {
+		const slot = this._slots.get(servedName);
+		if (slot) {
+			this._counts[slot.state]--;
+			this._slots.delete(servedName);
+		}
+	}
+
+	/** Starts a use. It ends by `release` with the returned slot. */
+	acquire(servedName: string, now: number): Slot {
+		const slot = this._slots.get(servedName);
+		if (slot?.state !== 'resident') {
+			throw new Error(`${servedName} is not resident`);
+		}
+
+		slot.users++;
+		slot.uses++;
+		slot.lastUsedAt = now;
+		return slot;
+	}
+
+	/**
+	 * Ends one use. Takes the slot itself and not its name: after a restart of the backend server
+	 * the name may have a new slot, whose uses must not be counted down for an old one.
+	 */
+	release(slot: Slot, now: number): void {
+		const mutable: MutableSlot = slot;
+		mutable.users--;
+		mutable.lastUsedAt = now;
+	}
+
+	/** Resident adapter versions that nothing runs on. */
+	idle(): readonly Slot[] {
+		return [...this._slots.values()].filter(
+			slot => slot.state === 'resident' && slot.users === 0,
+		);
+	}
+
+	/** The backend server started anew and holds nothing. */
+	clear(): void {
+		this._slots.clear();
+		this._counts.loading = 0;
+		this._counts.resident = 0;
+		this._counts.unloading = 0;
+	}
+
+	private _findOrder(
+		orderId: string,
+		state: SlotState,
+	): MutableSlot | undefined {
+		for (const slot of this._slots.values()) {
+			if (slot.orderId === orderId && slot.state === state) {
+				return slot;
+			}
+		}
+
+		return undefined;
+	}
+
+	private _setState(slot: MutableSlot, state: SlotState): void {
+		this._counts[slot.state]--;
+		slot.state = state;
+		this._counts[state]++;
+	}
+}
--- /dev/null
+++ b/packages/core/src/agent/agent-core.ts
@@ -0,0 +1,478 @@
+import type {ConfigView} from '../config/types.js';
+import type {Refusal} from '../refusal/types.js';
+import {checkConfiguration, isServedBy} from './admission.js';
+import {type AgentPolicy, defaultAgentPolicy} from './agent-policy.js';
+import {AgentRefusals} from './agent-refusals.js';
+import {AttemptRegistry} from './attempt-registry.js';
+import {BootWatch} from './boot-watch.js';
+import {attemptMemoryMs} from './constants.js';
+import {CrashQuarantine} from './crash-quarantine.js';
+import type {QueuedRequest} from './request-queue.js';
+import {isConnectionFault, Scheduler} from './scheduler.js';
+import type {
+	AgentCommand,
+	AgentEvent,
+	AgentSettings,
+	BackendFault,
+	BackendHealth,
+	Dispatch,
+	ServerStatus,
+} from './types.js';
+
+/** What an agent's decisions are created from. */
+export type AgentCoreOptions = {
+	readonly settings: AgentSettings;
+	/** The configuration that is in force at present. */
+	readonly config: () => ConfigView;
+	readonly policy?: AgentPolicy;
+};
+
+/**
+ * Decides everything that one backend server does: what runs, waits or is refused, and which adapter
+ * versions are loaded. The agent is the only process that gives its backend server work or orders.
+ */
+export class AgentCore {
+	static create(options: AgentCoreOptions): AgentCore {
+		return new AgentCore(
+			options.settings,
+			options.config,
+			options.policy ?? defaultAgentPolicy,
+		);
+	}
+
+	private readonly _attempts = AttemptRegistry.create(attemptMemoryMs);
+	private readonly _boot = BootWatch.create();
+	private readonly _quarantine = CrashQuarantine.create();
+	private readonly _refusals: AgentRefusals;
+	private readonly _scheduler: Scheduler;
+
+	/** Fingerprints that ran on connections which broke since the last health report. */
+	private _lostFingerprints: string[] = [];
+	private _commands: AgentCommand[] = [];
+	private _checkedConfigVersion: number;
+	private _isHealthAsked = false;
+	private _isHostLeaving = false;
+	private _isShuttingDown = false;
+	private _isDrainedTold = false;
+
+	private constructor(
+		private readonly _settings: AgentSettings,
+		private readonly _config: () => ConfigView,
+		policy: AgentPolicy,
+	) {
+		this._refusals = AgentRefusals.create(_settings.server);
+		this._scheduler = Scheduler.create(_settings, policy);
+		this._checkedConfigVersion = _config().version;
+	}
+
+	/** Takes in what happened and returns what is to be done. */
+	handle(event: AgentEvent, now: number): readonly AgentCommand[] {
+		this._recheckConfiguration();
+		this._apply(event, now);
+		this._giveUpHopeless(now);
+		this._giveWork(now);
+		this._askForHealth();
+		this._tellDrained();
+		const commands = this._commands;
+		this._commands = [];
+		return commands;
+	}
+
+	/** What the agent says of itself and of one adapter version. */
+	status(servedName: string | undefined, _now: number): ServerStatus {
+		const {server, zone, incarnation, backend} = this._settings;
+		const {window, running, waiting, loader} = this._scheduler;
+		return {
+			server,
+			zone,
+			incarnation,
+			configVersion: this._config().version,
+			backend,
+			isAcceptingWork: this._isAcceptingWork(),
+			running: running.size,
+			queued: waiting.size,
+			window: window.limit(),
+			expectedWaitMs: Math.ceil(this._scheduler.expectedDrainMs()),
+			adapterState:
+				servedName === undefined ? 'absent' : loader.slots.stateOf(servedName),
+		};
+	}
+
+	/** Time at which `tick` is due, or undefined where nothing waits for its time. */
+	nextWakeAt(): number | undefined {
+		return this._scheduler.nextWakeAt();
+	}
+
+	private _apply(event: AgentEvent, now: number): void {
+		const {loader, running} = this._scheduler;
+		switch (event.type) {
+			case 'dispatchArrived': {
+				this._admit(event.dispatch, now);
+				break;
+			}
+
+			case 'dispatchCancelled': {
+				this._cancel(event.attemptId);
+				break;
+			}
+
+			case 'backendHealthy': {
+				this._onHealth(event.health, event.askedAt, now);
+				break;
+			}
+
+			case 'backendUnreachable': {
+				this._onUnreachable(now);
+				break;
+			}
+
+			case 'loadCompleted': {
+				loader.onLoadCompleted(event.loadId, now);
+				break;
+			}
+
+			case 'loadFailed': {
+				this._onLoadFailed(event.loadId, now);
+				break;
+			}
+
+			case 'unloadCompleted': {
+				loader.onUnloadCompleted(event.loadId, now);
+				break;
+			}
+
+			case 'unloadFailed': {
+				loader.onUnloadFailed(event.loadId, now);
+				break;
+			}
+
+			case 'tokensGenerated': {
+				running.addTokens(event.attemptId, event.tokens);
+				break;
+			}
+
+			case 'answerCompleted': {
+				this._scheduler.onCompleted(event.attemptId, event.usage, now);
+				break;
+			}
+
+			case 'answerFailed': {
+				this._onFailed(event.attemptId, event.fault, now);
+				break;
+			}
+
+			case 'quarantineLearned': {
+				this._quarantine.refuse(event.fingerprint, event.forMs, now);
+				this._refuseQuarantined(now);
+				break;
+			}
+
+			case 'hostStateChanged': {
+				this._isHostLeaving = event.isLeaving;
+				this._recheckWaiting();
+				break;
+			}
+
+			case 'shutdownRequested': {
+				this._isShuttingDown = true;
+				break;
+			}
+
+			case 'configAdvanced':
+			case 'tick': {
+				break;
+			}
+		}
+	}
+
+	private _admit(dispatch: Dispatch, now: number): void {
+		const {attemptId} = dispatch;
+		if (!this._attempts.admit(attemptId, now)) {
+			const refusal = this._refusals.repeatedAttempt();
+			this._commands.push({
+				type: 'refuse',
+				attemptId,
+				refusal,
+				isRepetition: true,
+			});
+			return;
+		}
+
+		if (this._refuseByConfiguration(dispatch)) {
+			return;
+		}
+
+		const request = this._scheduler.requestOf(dispatch, now);
+		const refusal =
+			this._checkState(request, now) ?? this._checkDeadline(request, now);
+		if (refusal) {
+			this._refuse(dispatch, refusal);
+			return;
+		}
+
+		const drop = this._scheduler.add(request);
+		if (drop) {
+			const retryAfterMs = this._scheduler.expectedDrainMs();
+			this._refuse(drop.dispatch, this._refusals.overloaded(retryAfterMs));
+		}
+	}
+
+	/** What stands against running a request here, other than load. */
+	private _checkState(
+		{dispatch, servedName}: QueuedRequest,
+		now: number,
+	): Refusal | undefined {
+		if (this._isShuttingDown) {
+			return this._refusals.shuttingDown();
+		}
+
+		if (!isServedBy(dispatch, this._settings)) {
+			return this._refusals.wrongBackend();
+		}
+
+		const quarantinedMs = this._quarantine.refusedForMs(
+			dispatch.fingerprint,
+			now,
+		);
+		if (quarantinedMs > 0) {
+			return this._refusals.quarantined(quarantinedMs);
+		}
+
+		if (!this._boot.isUp) {
+			return this._refusals.backendDown();
+		}
+
+		const {loader} = this._scheduler;
+		const failingMs = servedName ? loader.failingForMs(servedName, now) : 0;
+		return failingMs > 0 ? this._refusals.loadFailed(failingMs) : undefined;
+	}
+
+	private _checkDeadline(
+		request: QueuedRequest,
+		now: number,
+	): Refusal | undefined {
+		if (request.deadlineAt <= now) {
+			return this._refusals.deadlineExceeded(0);
+		}
+
+		const waitMs = this._scheduler.expectedWaitMs(request);
+		const isHopeless =
+			this._scheduler.isEstimateReliable && now + waitMs > request.deadlineAt;
+		return isHopeless
+			? this._refusals.deadlineUnreachable(now + waitMs - request.deadlineAt)
+			: undefined;
+	}
+
+	private _cancel(attemptId: string): void {
+		const {waiting, running} = this._scheduler;
+		const request = waiting.get(attemptId);
+		if (request) {
+			waiting.remove(request);
+		} else if (running.cancel(attemptId)) {
+			this._commands.push({type: 'cancelOnBackend', attemptId});
+		}
+	}
+
+	private _onHealth(health: BackendHealth, askedAt: number, now: number): void {
+		const {loader, window} = this._scheduler;
+		const earlierBootId = this._boot.bootId;
+		const change = this._boot.onHealth(health);
+		this._isHealthAsked = false;
+		if (change === 'restarted') {
+			this._reportCrash(earlierBootId, now);
+			loader.onRestart();
+		}
+
+		if (change !== 'same') {
+			window.onRestart();
+		}
+
+		this._lostFingerprints = [];
+		window.onWitnessed();
+		loader.reconcile(health.loadedAdapters, askedAt);
+	}
+
+	private _onUnreachable(now: number): void {
+		this._boot.onUnreachable();
+		this._isHealthAsked = false;
+		this._scheduler.window.onSuspicion();
+		if (this._boot.isUp) {
+			return;
+		}
+
+		this._reportCrash(this._boot.bootId, now);
+		this._giveUpWaiting(() => this._refusals.backendDown());
+	}
+
+	/** Reports what ran on the backend server when it died. */
+	private _reportCrash(bootId: string, now: number): void {
+		const fingerprints = [
+			...new Set([
+				...this._lostFingerprints,
+				...this._scheduler.running.fingerprints(),
+			]),
+		];
+		this._lostFingerprints = [];
+		if (fingerprints.length === 0) {
+			return;
+		}
+
+		this._quarantine.noteCrash(fingerprints, bootId, now);
+		this._commands.push({type: 'reportSuspects', fingerprints, bootId});
+		this._refuseQuarantined(now);
+	}
+
+	private _onLoadFailed(loadId: string, now: number): void {
+		const {loader} = this._scheduler;
+		const failed = loader.onLoadFailed(loadId, now);
+		if (!failed) {
+			return;
+		}
+
+		this._commands.push(failed.command);
+		const failingMs = loader.failingForMs(failed.servedName, now);
+		this._giveUpWaiting(({servedName}) =>
+			failingMs > 0 && servedName === failed.servedName
+				? this._refusals.loadFailed(failingMs)
+				: undefined,
+		);
+	}
+
+	private _onFailed(attemptId: string, fault: BackendFault, now: number): void {
+		const failed = this._scheduler.takeFailed(attemptId, fault, now);
+		if (!failed || failed.isCancelled) {
+			return;
+		}
+
+		const {dispatch} = failed.request;
+		if (isConnectionFault(fault)) {
+			this._boot.onSuspicion();
+		}
+
+		if (fault === 'connection_lost') {
+			this._lostFingerprints.push(dispatch.fingerprint);
+		}
+
+		this._refuse(dispatch, this._refusals.ofFault(fault));
+	}
+
+	/** Refuses waiting requests that a newer configuration speaks against. */
+	private _recheckConfiguration(): void {
+		const {version} = this._config();
+		if (version !== this._checkedConfigVersion) {
+			this._checkedConfigVersion = version;
+			this._recheckWaiting();
+		}
+	}
+
+	private _recheckWaiting(): void {
+		const {waiting} = this._scheduler;
+		for (const request of waiting.all()) {
+			if (this._refuseByConfiguration(request.dispatch)) {
+				waiting.remove(request);
+			}
+		}
+	}
+
+	private _refuseByConfiguration(dispatch: Dispatch): boolean {
+		const found = checkConfiguration(
+			dispatch,
+			this._config(),
+			this._settings,
+			this._refusals,
+		);
+		if (found) {
+			this._refuse(dispatch, found.refusal, found.changesAfter);
+		} else if (this._isHostLeaving) {
+			this._refuse(dispatch, this._refusals.serverLeaving());
+		}
+
+		return found !== undefined || this._isHostLeaving;
+	}
+
+	private _refuseQuarantined(now: number): void {
+		this._giveUpWaiting(({dispatch}) => {
+			const forMs = this._quarantine.refusedForMs(dispatch.fingerprint, now);
+			return forMs > 0 ? this._refusals.quarantined(forMs) : undefined;
+		});
+	}
+
+	private _giveUpHopeless(now: number): void {
+		for (const {request, retryAfterMs} of this._scheduler.takeHopeless(now)) {
+			const refusal =
+				request.deadlineAt <= now
+					? this._refusals.deadlineExceeded(retryAfterMs)
+					: this._refusals.deadlineUnreachable(retryAfterMs);
+			this._refuse(request.dispatch, refusal);
+		}
+	}
+
+	/** Refuses the waiting requests for which there is a refusal. */
+	private _giveUpWaiting(
+		refusalOf: (request: QueuedRequest) => Refusal | undefined,
+	): void {
+		const {waiting} = this._scheduler;
+		for (const request of waiting.all()) {
+			const refusal = refusalOf(request);
+			if (refusal) {
+				waiting.remove(request);
+				this._refuse(request.dispatch, refusal);
+			}
+		}
+	}
+
+	/** Gives the backend server work and orders, unless it may be down. */
+	private _giveWork(now: number): void {
+		if (this._boot.isUp && !this._boot.isSuspicious) {
+			this._commands.push(
+				...this._scheduler.startReady(now),
+				...this._scheduler.orderAdapters(now),
+			);
+		}
+	}
+
+	/** Asks for a health report early where requests wait for one. */
+	private _askForHealth(): void {
+		const {waiting, running, window} = this._scheduler;
+		const isBlocked =
+			waiting.size > 0 &&
+			running.size >= window.limit() &&
+			window.wantsHealth();
+		const isDoubtful = this._boot.isUp && this._boot.isSuspicious;
+		if ((isBlocked || isDoubtful) && !this._isHealthAsked) {
+			this._isHealthAsked = true;
+			this._commands.push({type: 'checkHealth'});
+		}
+	}
+
+	private _tellDrained(): void {
+		const {waiting, running} = this._scheduler;
+		const isDrained =
+			this._isShuttingDown && waiting.size === 0 && running.size === 0;
+		if (isDrained && !this._isDrainedTold) {
+			this._isDrainedTold = true;
+			this._commands.push({type: 'drained'});
+		}
+	}
+
+	private _isAcceptingWork(): boolean {
+		const view = this._config();
+		const {zone, server} = this._settings;
+		const isOut = view.isZoneOut(zone) || view.isServerDrained(server);
+		const isLeaving = this._isHostLeaving || this._isShuttingDown;
+		return this._boot.isUp && !isOut && !isLeaving;
+	}
+
+	private _refuse(
+		{attemptId}: Dispatch,
+		refusal: Refusal,
+		changesAfter?: number,
+	): void {
+		this._commands.push({
+			type: 'refuse',
+			attemptId,
+			refusal,
+			...(changesAfter !== undefined && {changesAfter}),
+		});
+	}
+}
--- /dev/null
+++ b/packages/core/src/agent/ignore.ts
@@ -0,0 +1,4 @@
+/** Listener of policies that don't care about an event. */
+export function ignore(): void {
+	// Nothing to do.
+}
--- a/packages/core/src/agent/types.ts
+++ b/packages/core/src/agent/types.ts
@@ -96,7 +96,12 @@
 export type AgentEvent =
 	| {readonly type: 'dispatchArrived'; readonly dispatch: Dispatch}
 	| {readonly type: 'dispatchCancelled'; readonly attemptId: string}
-	| {readonly type: 'backendHealthy'; readonly health: BackendHealth}
+	| {
+			readonly type: 'backendHealthy';
+			readonly health: BackendHealth;
+			/** Time at which the question was sent. What happened since may be missing from the answer. */
+			readonly askedAt: number;
+	  }
 	| {readonly type: 'backendUnreachable'}
 	| {
 			readonly type: 'loadCompleted';
@@ -138,6 +143,10 @@
 			/** Milliseconds from now. */
 			readonly forMs: number;
 	  }
+	/** A newer configuration is in force. */
+	| {readonly type: 'configAdvanced'}
+	/** What the platform's list of hosts says of the own host. */
+	| {readonly type: 'hostStateChanged'; readonly isLeaving: boolean}
 	| {readonly type: 'shutdownRequested'}
 	| {readonly type: 'tick'};
 
@@ -171,7 +180,11 @@
 			readonly attemptId: string;
 			readonly refusal: Refusal;
 			readonly changesAfter?: number;
+			/** The refusal is for a repetition of an attempt, not for the attempt itself, which goes on. */
+			readonly isRepetition?: true;
 	  }
+	/** Ask the backend server's health endpoint now and not only at the next interval. */
+	| {readonly type: 'checkHealth'}
 	/** The fingerprints ran on a backend server when it died. */
 	| {
 			readonly type: 'reportSuspects';
@@ -180,3 +193,26 @@
 	  }
 	/** Nothing runs or waits any more after a shutdown was requested. */
 	| {readonly type: 'drained'};
+
+/** What an agent and its backend server bear. */
+export type AgentLimits = {
+	/** Adapter versions that the backend server holds at once. */
+	readonly adapterSlots: number;
+	/** Requests that the backend server bears at once right after a start. */
+	readonly coldWindow: number;
+	/** Requests that the backend server bears at once when it is warm. */
+	readonly maxWindow: number;
+	/** Requests that wait at the agent at most. */
+	readonly maxQueued: number;
+	readonly loadTimeoutMs: number;
+};
+
+/** What an agent is told of itself when it starts. */
+export type AgentSettings = {
+	readonly server: string;
+	readonly zone: string;
+	/** Differs for each start of the agent process. */
+	readonly incarnation: string;
+	readonly backend: BackendKind;
+	readonly limits: AgentLimits;
+};
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,3 +8,5 @@
 export type * from './claims/types.js';
 export * from './common/random.js';
 export * from './common/rendezvous.js';
+export * from './agent/agent-core.js';
+export * from './agent/agent-policy.js';
