Let the linter agree with Prettier on empty constructors

The house style constructs by static create methods, so that a class without state has an empty private constructor, which Prettier keeps on one line.

--- a/xo.config.js
+++ b/xo.config.js
@@ -10,6 +10,13 @@
 		rules: {
 			// The house style keeps the customary short names.
 			'unicorn/prevent-abbreviations': 'off',
+			// Prettier keeps an empty body on one line.
+			'@stylistic/curly-newline': 'off',
+			// The house style constructs by static `create` methods.
+			'@typescript-eslint/no-empty-function': [
+				'error',
+				{allow: ['private-constructors']},
+			],
 			// XO's rule, but for properties that bear an outside name.
 			'@typescript-eslint/naming-convention': [
 				'error',
