Decide in the entry: one state machine for each request, and routing

An entry takes each request through authorize, reserve, claim, route, dispatch and relay to exactly one final outcome. Routing ranks the servers of an adapter by rendezvous hashing, remembers the order as long as the group's members stay, and picks the cheapest by expected wait, residency and place. No tests yet: they follow the daemon's side.

--- /dev/null
+++ b/packages/core/src/entry/request-table.ts
@@ -0,0 +1,76 @@
+import type {Attempt, RequestState} from './request-state.js';
+
+/** The open requests of an entry, by request and by attempt. */
+export class RequestTable {
+	static create(): RequestTable {
+		return new RequestTable();
+	}
+
+	private readonly _requests = new Map<string, RequestState>();
+	private readonly _attempts = new Map<string, RequestState>();
+	/** Servers on which a suspect runs at present, with the number of suspects. */
+	private readonly _suspectServers = new Map<string, number>();
+
+	get size(): number {
+		return this._requests.size;
+	}
+
+	all(): Iterable<RequestState> {
+		return this._requests.values();
+	}
+
+	request(requestId: string): RequestState | undefined {
+		return this._requests.get(requestId);
+	}
+
+	requestOfAttempt(attemptId: string): RequestState | undefined {
+		return this._attempts.get(attemptId);
+	}
+
+	/** Servers on which a suspect runs. Suspects are kept apart from each other. */
+	suspectServers(): Iterable<string> {
+		return this._suspectServers.keys();
+	}
+
+	open(state: RequestState): void {
+		this._requests.set(state.id, state);
+	}
+
+	close(state: RequestState): void {
+		this._requests.delete(state.id);
+	}
+
+	startAttempt(state: RequestState, attempt: Attempt): void {
+		state.attempt = attempt;
+		state.attempts++;
+		this._attempts.set(attempt.id, state);
+		if (state.isSuspect) {
+			this._countSuspect(attempt.server, 1);
+		}
+	}
+
+	/** Ends the attempt of the request and returns it. */
+	endAttempt(state: RequestState): Attempt | undefined {
+		const {attempt} = state;
+		if (attempt === undefined) {
+			return undefined;
+		}
+
+		state.attempt = undefined;
+		this._attempts.delete(attempt.id);
+		if (state.isSuspect) {
+			this._countSuspect(attempt.server, -1);
+		}
+
+		return attempt;
+	}
+
+	private _countSuspect(server: string, change: number): void {
+		const count = (this._suspectServers.get(server) ?? 0) + change;
+		if (count > 0) {
+			this._suspectServers.set(server, count);
+		} else {
+			this._suspectServers.delete(server);
+		}
+	}
+}
--- a/packages/core/src/entry/types.ts
+++ b/packages/core/src/entry/types.ts
@@ -1,5 +1,6 @@
 import type {Dispatch, ServerStatus, Usage} from '../agent/types.js';
 import type {ConfigChange} from '../config/types.js';
+import type {Host} from '../membership/types.js';
 import type {Refusal} from '../refusal/types.js';
 
 /** What the caller asks for, after its HTTP form was checked. */
@@ -62,7 +63,9 @@
 	/** The agent surely did not run it. */
 	| {readonly kind: 'notDelivered'}
 	/** The agent may have run it. */
-	| {readonly kind: 'lost'};
+	| {readonly kind: 'lost'}
+	/** The answer belongs to another attempt. What became of this one is unknown. */
+	| {readonly kind: 'mismatched'};
 
 /** Input of the entry's decisions. */
 export type EntryEvent =
@@ -103,13 +106,27 @@
 			/** Given for calls that may not be repeated, to be recorded. */
 			readonly outcome?: RecordedOutcome;
 	  }
-	| {readonly type: 'answerCut'; readonly attemptId: string}
+	| {
+			readonly type: 'answerCut';
+			readonly attemptId: string;
+			/** Whether a byte of the answer went out to the caller. */
+			readonly hasReachedCaller: boolean;
+	  }
+	/** The view of the configuration moved forward. */
+	| {readonly type: 'configAdvanced'}
+	| {readonly type: 'membershipChanged'; readonly hosts: readonly Host[]}
 	| {
 			readonly type: 'serverProbed';
 			readonly server: string;
 			/** Absent when the probe failed. */
 			readonly status?: ServerStatus;
 	  }
+	/** An agent reports the fingerprints that ran on its back end as it died. */
+	| {
+			readonly type: 'suspectsReported';
+			readonly fingerprints: readonly string[];
+			readonly bootId: string;
+	  }
 	| {readonly type: 'shutdownRequested'}
 	| {readonly type: 'tick'};
 
@@ -162,6 +179,18 @@
 			readonly requestId: string;
 			readonly attemptId: string;
 	  }
+	/** Read the answer to its end without a caller, to record its outcome. */
+	| {
+			readonly type: 'collectAnswer';
+			readonly requestId: string;
+			readonly attemptId: string;
+	  }
+	/** The relayed answer was whole: end it towards the caller, or send it where it was held until now. */
+	| {
+			readonly type: 'finishAnswer';
+			readonly requestId: string;
+			readonly attemptId: string;
+	  }
 	| {
 			readonly type: 'refuse';
 			readonly requestId: string;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,3 +8,17 @@
 export type * from './claims/types.js';
 export * from './common/random.js';
 export * from './common/rendezvous.js';
+export * from './refusal/refusals.js';
+export * from './refusal/http-status.js';
+export type * from './routing/types.js';
+export * from './routing/router.js';
+export * from './routing/default-routing-policy.js';
+export * from './routing/naive-routing-policy.js';
+export * from './entry/entry-core.js';
+export * from './entry/resolve-target.js';
+export {
+	authorize,
+	isKeyValid,
+	type Authorization,
+	type Admission,
+} from './entry/authorize.js';
--- /dev/null
+++ b/packages/core/src/refusal/http-status.ts
@@ -0,0 +1,41 @@
+import type {RefusalCode} from './types.js';
+
+// Codes are tags of the API and keep its form.
+/* eslint-disable @typescript-eslint/naming-convention */
+const statusOfCode: Readonly<Record<RefusalCode, number>> = {
+	invalid_request: 400,
+	body_too_large: 413,
+	method_not_allowed: 405,
+	unknown_route: 404,
+	unknown_model: 404,
+	unauthorized: 401,
+	forbidden: 403,
+	rate_exceeded: 429,
+	exceeds_burst: 400,
+	idempotency_key_required: 400,
+	idempotency_mismatch: 422,
+	in_progress: 409,
+	outcome_unknown: 502,
+	store_unavailable: 503,
+	configuration_behind: 503,
+	configuration_unavailable: 503,
+	no_server: 503,
+	server_leaving: 503,
+	zone_out: 503,
+	overloaded: 503,
+	deadline_unreachable: 503,
+	deadline_exceeded: 504,
+	quarantined: 422,
+	load_failed: 503,
+	backend_failed: 502,
+	answer_cut: 502,
+	answer_mismatch: 502,
+	shutting_down: 503,
+	cancelled: 499,
+};
+/* eslint-enable @typescript-eslint/naming-convention */
+
+/** HTTP status with which callers see a refusal. */
+export function httpStatusOf(code: RefusalCode): number {
+	return statusOfCode[code];
+}
--- /dev/null
+++ b/packages/core/src/routing/naive-routing-policy.ts
@@ -0,0 +1,26 @@
+import type {AgentHost} from '../membership/types.js';
+import type {RoutingFleet, RoutingPolicy, RoutingQuery} from './types.js';
+
+/** Least connections over all servers. The yardstick of the experiments. */
+export const naiveRoutingPolicy: RoutingPolicy = {
+	name: 'naive',
+	choose: chooseLeastConnections,
+};
+
+function chooseLeastConnections(
+	query: RoutingQuery,
+	fleet: RoutingFleet,
+	now: number,
+): AgentHost | undefined {
+	let best: AgentHost | undefined;
+	let leastInFlight = Infinity;
+	for (const host of fleet.all(query, now)) {
+		const {inFlight} = fleet.load(host.id, now);
+		if (inFlight < leastInFlight) {
+			best = host;
+			leastInFlight = inFlight;
+		}
+	}
+
+	return best;
+}
