--- /dev/null
+++ b/packages/core/src/common/persistent-map.ts
@@ -0,0 +1,125 @@
+import {hashString} from './rendezvous.js';
+
+const firstBucketCount = 8;
+const entriesPerBucket = 16;
+
+type Bucket<V> = ReadonlyMap<string, V>;
+
+/**
+ * An immutable map from strings. A changed copy shares all but one bucket with its origin,
+ * so that a small change of a large map is cheap and earlier readers keep what they hold.
+ */
+export class PersistentMap<V> {
+	/** A map without entries. */
+	public static empty<V>(): PersistentMap<V> {
+		return new PersistentMap<V>(emptyBuckets(firstBucketCount), 0);
+	}
+
+	/** A map of the entries. A later entry replaces an earlier one of the same key. */
+	public static from<V>(
+		entries: Iterable<readonly [string, V]>,
+	): PersistentMap<V> {
+		const unique = new Map(entries);
+		return build(unique, bucketCountFor(unique.size));
+	}
+
+	/** @internal */
+	public constructor(
+		private readonly buckets: ReadonlyArray<Bucket<V> | undefined>,
+		public readonly size: number,
+	) {
+}
+
+	public get(key: string): V | undefined {
+		return this.buckets[bucketOf(key, this.buckets.length)]?.get(key);
+	}
+
+	public has(key: string): boolean {
+		return this.buckets[bucketOf(key, this.buckets.length)]?.has(key) ?? false;
+	}
+
+	/** Returns a map in which the key has the value. */
+	public set(key: string, value: V): PersistentMap<V> {
+		const index = bucketOf(key, this.buckets.length);
+		const old = this.buckets[index];
+		const size = old?.has(key) ? this.size : this.size + 1;
+		const bucket = new Map(old).set(key, value);
+		const changed = new PersistentMap(this.buckets.with(index, bucket), size);
+		return size > this.buckets.length * entriesPerBucket
+			? build(changed.entries(), this.buckets.length * 2)
+			: changed;
+	}
+
+	/** Returns a map without the key. */
+	public delete(key: string): PersistentMap<V> {
+		const index = bucketOf(key, this.buckets.length);
+		const old = this.buckets[index];
+		if (!old?.has(key)) {
+			return this;
+		}
+
+		const bucket = new Map(old);
+		bucket.delete(key);
+		return new PersistentMap(
+			this.buckets.with(index, bucket.size === 0 ? undefined : bucket),
+			this.size - 1,
+		);
+	}
+
+	public *entries(): IterableIterator<readonly [string, V]> {
+		for (const bucket of this.buckets) {
+			if (bucket) {
+				yield* bucket;
+			}
+		}
+	}
+
+	public *values(): IterableIterator<V> {
+		for (const bucket of this.buckets) {
+			if (bucket) {
+				yield* bucket.values();
+			}
+		}
+	}
+
+	/** Keys in ascending order. */
+	public sortedKeys(): readonly string[] {
+		return [...this.entries()].map(([key]) => key).toSorted();
+	}
+}
+
+function emptyBuckets<V>(count: number): Array<Bucket<V> | undefined> {
+	return Array.from<Bucket<V> | undefined>({length: count}).fill(undefined);
+}
+
+function bucketOf(key: string, bucketCount: number): number {
+	return hashString(key) % bucketCount;
+}
+
+function bucketCountFor(size: number): number {
+	let count = firstBucketCount;
+	while (size > count * entriesPerBucket) {
+		count *= 2;
+	}
+
+	return count;
+}
+
+function build<V>(
+	entries: Iterable<readonly [string, V]>,
+	bucketCount: number,
+): PersistentMap<V> {
+	const buckets: Array<Map<string, V> | undefined> = Array.from({
+		length: bucketCount,
+	});
+	let size = 0;
+	for (const [key, value] of entries) {
+		const index = bucketOf(key, bucketCount);
+		const bucket = buckets[index] ?? new Map<string, V>();
+		buckets[index] = bucket;
+		bucket.set(key, value);
+		size++;
+	}
+
+	return new PersistentMap<V>(buckets, size);
+}
--- /dev/null
+++ b/packages/core/src/config/config-state.ts
@@ -0,0 +1,299 @@
+import {PersistentMap} from '../common/persistent-map.js';
+import type {
+	Adapter,
+	ConfigChange,
+	ConfigOp,
+	ConfigSnapshot,
+	ConfigView,
+	Customer,
+	KeyRecord,
+	Route,
+} from './types.js';
+import {subjectOf} from './subjects.js';
+
+/** What became of a change that was offered to a state. */
+export type ApplyResult =
+	| {readonly kind: 'applied'; readonly state: ConfigState}
+	/** The state has this version already or a higher one. */
+	| {readonly kind: 'old'}
+	/** Changes between the state's version and this change are missing. */
+	| {readonly kind: 'gap'; readonly missingFrom: number};
+
+type Parts = {
+	readonly documentDigest: string;
+	readonly customers: PersistentMap<Customer>;
+	readonly adapters: PersistentMap<Adapter>;
+	readonly routes: PersistentMap<Route>;
+	readonly keys: PersistentMap<KeyRecord>;
+	readonly withdrawnKeyIds: PersistentMap<true>;
+	readonly zonesOut: PersistentMap<true>;
+	readonly drainedServers: PersistentMap<true>;
+};
+
+/**
+ * The configuration at one version. Immutable: a change gives a new state that shares
+ * all that the change did not touch, so that a reader may hold a state as long as it likes.
+ */
+export class ConfigState implements ConfigView {
+	/** The configuration before the first change. */
+	public static empty(): ConfigState {
+		return new ConfigState(0, emptyParts, PersistentMap.empty(), 0);
+	}
+
+	/** The configuration of a snapshot. */
+	public static fromSnapshot(snapshot: ConfigSnapshot): ConfigState {
+		return new ConfigState(
+			snapshot.version,
+			partsOf(snapshot),
+			PersistentMap.empty(),
+			snapshot.version,
+		);
+	}
+
+	private constructor(
+		public readonly version: number,
+		private readonly parts: Parts,
+		private readonly touched: PersistentMap<number>,
+		private readonly baseVersion: number,
+	) {
+}
+
+	public get documentDigest(): string {
+		return this.parts.documentDigest;
+	}
+
+	/** Applies the next change. A change that is not the next one leaves the state as it is. */
+	public applyChange(change: ConfigChange): ApplyResult {
+		if (change.version <= this.version) {
+			return {kind: 'old'};
+		}
+
+		if (change.version !== this.version + 1) {
+			return {kind: 'gap', missingFrom: this.version + 1};
+		}
+
+		let {parts, touched} = this;
+		for (const op of change.ops) {
+			parts = applyOp(parts, op);
+			touched = touched.set(subjectOf(op), change.version);
+		}
+
+		const state = new ConfigState(
+			change.version,
+			parts,
+			touched,
+			this.baseVersion,
+		);
+		return {kind: 'applied', state};
+	}
+
+	public customer(name: string): Customer | undefined {
+		return this.parts.customers.get(name);
+	}
+
+	public adapter(name: string): Adapter | undefined {
+		return this.parts.adapters.get(name);
+	}
+
+	public route(name: string): Route | undefined {
+		return this.parts.routes.get(name);
+	}
+
+	public key(id: string): KeyRecord | undefined {
+		return this.parts.keys.get(id);
+	}
+
+	public isKeyWithdrawn(id: string): boolean {
+		return this.parts.withdrawnKeyIds.has(id);
+	}
+
+	public isZoneOut(zone: string): boolean {
+		return this.parts.zonesOut.has(zone);
+	}
+
+	public isServerDrained(server: string): boolean {
+		return this.parts.drainedServers.has(server);
+	}
+
+	public lastTouched(subject: string): number {
+		return this.touched.get(subject) ?? this.baseVersion;
+	}
+
+	public customers(): Iterable<Customer> {
+		return this.parts.customers.values();
+	}
+
+	public adapters(): Iterable<Adapter> {
+		return this.parts.adapters.values();
+	}
+
+	public routes(): Iterable<Route> {
+		return this.parts.routes.values();
+	}
+
+	public keys(): Iterable<KeyRecord> {
+		return this.parts.keys.values();
+	}
+
+	public zonesOut(): readonly string[] {
+		return this.parts.zonesOut.sortedKeys();
+	}
+
+	public drainedServers(): readonly string[] {
+		return this.parts.drainedServers.sortedKeys();
+	}
+
+	public toSnapshot(): ConfigSnapshot {
+		return {
+			version: this.version,
+			documentDigest: this.documentDigest,
+			customers: byName(this.customers()),
+			adapters: byName(this.adapters()),
+			routes: byName(this.routes()),
+			keys: [...this.keys()].toSorted((a, b) => (a.id < b.id ? -1 : 1)),
+			withdrawnKeyIds: this.parts.withdrawnKeyIds.sortedKeys(),
+			zonesOut: this.zonesOut(),
+			drainedServers: this.drainedServers(),
+		};
+	}
+}
+
+const emptyParts: Parts = {
+	documentDigest: '',
+	customers: PersistentMap.empty(),
+	adapters: PersistentMap.empty(),
+	routes: PersistentMap.empty(),
+	keys: PersistentMap.empty(),
+	withdrawnKeyIds: PersistentMap.empty(),
+	zonesOut: PersistentMap.empty(),
+	drainedServers: PersistentMap.empty(),
+};
+
+function partsOf(snapshot: ConfigSnapshot): Parts {
+	return {
+		documentDigest: snapshot.documentDigest,
+		customers: mapByName(snapshot.customers),
+		adapters: mapByName(snapshot.adapters),
+		routes: mapByName(snapshot.routes),
+		keys: PersistentMap.from(snapshot.keys.map(key => [key.id, key])),
+		withdrawnKeyIds: setOf(snapshot.withdrawnKeyIds),
+		zonesOut: setOf(snapshot.zonesOut),
+		drainedServers: setOf(snapshot.drainedServers),
+	};
+}
+
+function applyOp(parts: Parts, op: ConfigOp): Parts {
+	switch (op.op) {
+		case 'putCustomer':
+		case 'deleteCustomer':
+		case 'putAdapter':
+		case 'deleteAdapter':
+		case 'putRoute':
+		case 'deleteRoute':
+		case 'setDocumentDigest': {
+			return applyDocumentOp(parts, op);
+		}
+
+		case 'issueKey':
+		case 'withdrawKey': {
+			return applyKeyOp(parts, op);
+		}
+
+		case 'takeZoneOut': {
+			return {...parts, zonesOut: parts.zonesOut.set(op.zone, true)};
+		}
+
+		case 'bringZoneIn': {
+			return {...parts, zonesOut: parts.zonesOut.delete(op.zone)};
+		}
+
+		case 'drainServer': {
+			const drainedServers = parts.drainedServers.set(op.server, true);
+			return {...parts, drainedServers};
+		}
+
+		case 'undrainServer': {
+			const drainedServers = parts.drainedServers.delete(op.server);
+			return {...parts, drainedServers};
+		}
+	}
+}
+
+type KeyOp = Extract<ConfigOp, {op: 'issueKey' | 'withdrawKey'}>;
+
+/** A withdrawn identifier stays withdrawn: no later change issues it again. */
+function applyKeyOp(parts: Parts, op: KeyOp): Parts {
+	if (op.op === 'withdrawKey') {
+		return {
+			...parts,
+			keys: parts.keys.delete(op.keyId),
+			withdrawnKeyIds: parts.withdrawnKeyIds.set(op.keyId, true),
+		};
+	}
+
+	return parts.withdrawnKeyIds.has(op.key.id)
+		? parts
+		: {...parts, keys: parts.keys.set(op.key.id, op.key)};
+}
+
+type DocumentOp = Extract<
+	ConfigOp,
+	{
+		op:
+			| 'putCustomer'
+			| 'deleteCustomer'
+			| 'putAdapter'
+			| 'deleteAdapter'
+			| 'putRoute'
+			| 'deleteRoute'
+			| 'setDocumentDigest';
+	}
+>;
+
+function applyDocumentOp(parts: Parts, op: DocumentOp): Parts {
+	switch (op.op) {
+		case 'putCustomer': {
+			const customers = parts.customers.set(op.customer.name, op.customer);
+			return {...parts, customers};
+		}
+
+		case 'deleteCustomer': {
+			return {...parts, customers: parts.customers.delete(op.name)};
+		}
+
+		case 'putAdapter': {
+			const adapters = parts.adapters.set(op.adapter.name, op.adapter);
+			return {...parts, adapters};
+		}
+
+		case 'deleteAdapter': {
+			return {...parts, adapters: parts.adapters.delete(op.name)};
+		}
+
+		case 'putRoute': {
+			return {...parts, routes: parts.routes.set(op.route.name, op.route)};
+		}
+
+		case 'deleteRoute': {
+			return {...parts, routes: parts.routes.delete(op.name)};
+		}
+
+		case 'setDocumentDigest': {
+			return {...parts, documentDigest: op.digest};
+		}
+	}
+}
+
+type Named = {readonly name: string};
+
+function mapByName<T extends Named>(items: readonly T[]): PersistentMap<T> {
+	return PersistentMap.from(items.map(item => [item.name, item] as const));
+}
+
+function setOf(names: readonly string[]): PersistentMap<true> {
+	return PersistentMap.from(names.map(name => [name, true] as const));
+}
+
+function byName<T extends Named>(items: Iterable<T>): readonly T[] {
+	return [...items].toSorted((a, b) => (a.name < b.name ? -1 : 1));
+}
--- /dev/null
+++ b/packages/core/src/config/keys.ts
@@ -0,0 +1,84 @@
+import {Buffer} from 'node:buffer';
+import {createHash, timingSafeEqual} from 'node:crypto';
+import type {Credential} from '../entry/types.js';
+import type {ConfigView, KeyRecord} from './types.js';
+
+const keyIdBytes = 8;
+const secretBytes = 32;
+const saltBytes = 16;
+const keyPattern = /^bt_(?<id>[0-9a-f]{16})_(?<secret>[0-9a-f]{64})$/v;
+
+/** Compared with when a key's identifier is unknown, so that an unknown key takes as long as a wrong one. */
+const unknownKey = {salt: '00'.repeat(saltBytes), digest: '00'.repeat(32)};
+
+/** Source of cryptographically strong random bytes. */
+export type RandomBytes = (count: number) => Uint8Array;
+
+/** A new key: its text, shown once, and the record that is kept. */
+export type IssuedKey = {
+	readonly text: string;
+	readonly record: KeyRecord;
+};
+
+/** Creates a key of the form `bt_KEYID_SECRET` for a customer. */
+export function createKey(
+	customer: string,
+	randomBytes: RandomBytes,
+	now: number,
+): IssuedKey {
+	const id = hex(randomBytes(keyIdBytes));
+	const secret = hex(randomBytes(secretBytes));
+	const salt = hex(randomBytes(saltBytes));
+	return {
+		text: `bt_${id}_${secret}`,
+		record: {
+			id,
+			customer,
+			salt,
+			digest: digestSecret(salt, secret),
+			issuedAt: now,
+		},
+	};
+}
+
+/** Checks the text of a caller's key, in constant time with regard to its secret. */
+export function checkKey(
+	view: ConfigView,
+	text: string | undefined,
+): Credential {
+	if (text === undefined || text === '') {
+		return {kind: 'none'};
+	}
+
+	const groups = keyPattern.exec(text)?.groups;
+	const id = groups?.id ?? '';
+	const record = view.key(id);
+	const {salt, digest} = record ?? unknownKey;
+	const isRight = equalTexts(digest, digestSecret(salt, groups?.secret ?? ''));
+	const isValid =
+		isRight &&
+		record !== undefined &&
+		!view.isKeyWithdrawn(id) &&
+		view.customer(record.customer) !== undefined;
+	return isValid
+		? {kind: 'key', keyId: id, customer: record.customer}
+		: {kind: 'invalid'};
+}
+
+/** Compares two secrets in a time that does not depend on where they differ. */
+export function equalTexts(left: string, right: string): boolean {
+	const leftDigest = createHash('sha256').update(left).digest();
+	const rightDigest = createHash('sha256').update(right).digest();
+	return timingSafeEqual(leftDigest, rightDigest);
+}
+
+function digestSecret(salt: string, secret: string): string {
+	return createHash('sha256')
+		.update(Buffer.from(salt, 'hex'))
+		.update(secret)
+		.digest('hex');
+}
+
+function hex(bytes: Uint8Array): string {
+	return Buffer.from(bytes).toString('hex');
+}
--- a/packages/core/src/config/types.ts
+++ b/packages/core/src/config/types.ts
@@ -115,8 +115,9 @@
 	isZoneOut(zone: string): boolean;
 	isServerDrained(server: string): boolean;
 	/**
-	 * Version of the last change that touched the subject, 0 if none did since the snapshot's start.
-	 * Subjects are written `customer:NAME`, `adapter:NAME`, `route:NAME`, `key:ID`, `zone:NAME`, `server:NAME`.
+	 * Version of the last change that touched the subject. Where none is known to have, the version of the snapshot
+	 * with which this process began: an earlier change may have touched the subject unknown to this process.
+	 * Subjects are written `customer:NAME`, `adapter:NAME`, `route:NAME`, `key:ID`, `zone:NAME`, `server:NAME`, `document`.
 	 */
 	lastTouched(subject: string): number;
 	customers(): Iterable<Customer>;
--- a/packages/core/src/spread/types.ts
+++ b/packages/core/src/spread/types.ts
@@ -19,7 +19,16 @@
 			readonly source: string;
 			readonly snapshot: ConfigSnapshot;
 	  }
+	/** A poll of the store or a pull from a peer failed. */
 	| {readonly type: 'fetchFailed'; readonly source: string}
+	/** A peer answered an exchange of versions with its own. */
+	| {
+			readonly type: 'exchangeAnswered';
+			readonly peer: string;
+			readonly version: number;
+	  }
+	/** A peer did not answer an exchange of versions. */
+	| {readonly type: 'exchangeFailed'; readonly peer: string}
 	| {
 			readonly type: 'peersChanged';
 			/** Identifiers of the other processes that may be asked. */
