Add the document's schema and the operators' calls to the protocol

Cause: operators drive the system through one document and need its faults by path and line. The router has no test yet.

--- /dev/null
+++ b/packages/protocol/src/document/parse-document.ts
@@ -0,0 +1,122 @@
+import {
+	isMap,
+	isNode,
+	isPair,
+	isScalar,
+	isSeq,
+	LineCounter,
+	parseDocument as parseYaml,
+	type Document,
+	type Node,
+} from 'yaml';
+import {checkDocument} from './check-document.js';
+import {longestDocumentCharacters} from './constants.js';
+import type {DocumentFault, DocumentResult} from './types.js';
+
+/** Reads and checks a document in YAML or JSON. Every fault carries its line. */
+export function parseDocument(source: string): DocumentResult {
+	if (source.length > longestDocumentCharacters) {
+		return invalid([{path: [], message: 'is too long', line: 1}]);
+	}
+
+	const lines = new LineCounter();
+	let yaml: Document;
+	try {
+		yaml = parseYaml(source, {lineCounter: lines, stringKeys: true});
+	} catch (error) {
+		return invalid([{path: [], message: messageOf(error), line: 1}]);
+	}
+
+	if (yaml.errors.length > 0) {
+		return invalid(
+			yaml.errors.map(error => ({
+				path: [],
+				message: firstLine(error.message),
+				line: lines.linePos(error.pos[0]).line,
+			})),
+		);
+	}
+
+	return checkYaml(yaml, lines);
+}
+
+/** Writes a fault as one line: line, path and message. */
+export function formatFault(fault: DocumentFault): string {
+	const line = fault.line === undefined ? '' : `line ${fault.line}: `;
+	const path = fault.path.length === 0 ? 'document' : fault.path.join('.');
+	return `${line}${path}: ${fault.message}`;
+}
+
+function checkYaml(yaml: Document, lines: LineCounter): DocumentResult {
+	let value: unknown;
+	try {
+		value = yaml.toJS();
+	} catch (error) {
+		return invalid([{path: [], message: messageOf(error), line: 1}]);
+	}
+
+	const result = checkDocument(value);
+	return result.kind === 'valid'
+		? result
+		: invalid(
+				result.faults.map(fault => ({
+					...fault,
+					line: lineOf(yaml, lines, fault.path),
+				})),
+			);
+}
+
+function invalid(faults: readonly DocumentFault[]): DocumentResult {
+	return {kind: 'invalid', faults};
+}
+
+/** Line of the deepest part of the path that the text has. */
+function lineOf(
+	yaml: Document,
+	lines: LineCounter,
+	path: DocumentFault['path'],
+): number {
+	let node: unknown = yaml.contents;
+	let offset = offsetOf(node) ?? 0;
+	for (const part of path) {
+		const child = childOf(node, part);
+		if (child === undefined) {
+			break;
+		}
+
+		offset = child.offset ?? offset;
+		node = child.value;
+	}
+
+	return Math.max(1, lines.linePos(offset).line);
+}
+
+type Child = {readonly offset: number | undefined; readonly value: unknown};
+
+function childOf(node: unknown, part: string | number): Child | undefined {
+	if (isSeq(node)) {
+		const value = node.items[Number(part)];
+		return value === undefined ? undefined : {offset: offsetOf(value), value};
+	}
+
+	if (!isMap(node)) {
+		return undefined;
+	}
+
+	const pair = node.items.find(
+		item => isPair(item) && isScalar(item.key) && item.key.value === part,
+	);
+	return pair && {offset: offsetOf(pair.key), value: pair.value};
+}
+
+function offsetOf(node: unknown): number | undefined {
+	return isNode(node) ? (node as Node).range?.[0] : undefined;
+}
+
+function messageOf(error: unknown): string {
+	return firstLine(error instanceof Error ? error.message : String(error));
+}
+
+function firstLine(text: string): string {
+	return text.split('\n', 1)[0] ?? '';
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,3 +1,10 @@
 export * from './dispatch-wire.js';
 export type * from './peer/types.js';
 export * from './peer/peer-router.js';
+export type * from './document/types.js';
+export * from './document/canonical.js';
+export * from './document/change-schema.js';
+export * from './document/check-document.js';
+export * from './document/parse-document.js';
+export type * from './operators/types.js';
+export * from './operators/operator-router.js';
