--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,3 +24,11 @@
 	type Authorization,
 	type Admission,
 } from './entry/authorize.js';
+export * from './common/persistent-map.js';
+export * from './config/config-state.js';
+export * from './config/document.js';
+export * from './config/keys.js';
+export * from './config/plan.js';
+export * from './config/subjects.js';
+export * from './spread/config-replica.js';
+export * from './spread/constants.js';
