--- a/packages/core/src/common/persistent-map.ts
+++ b/packages/core/src/common/persistent-map.ts
@@ -27,8 +27,7 @@
 	public constructor(
 		private readonly buckets: ReadonlyArray<Bucket<V> | undefined>,
 		public readonly size: number,
-	) {
-}
+	) {}
 
 	public get(key: string): V | undefined {
 		return this.buckets[bucketOf(key, this.buckets.length)]?.get(key);
--- a/packages/core/src/config/config-state.ts
+++ b/packages/core/src/config/config-state.ts
@@ -55,8 +55,7 @@
 		private readonly parts: Parts,
 		private readonly touched: PersistentMap<number>,
 		private readonly baseVersion: number,
-	) {
-}
+	) {}
 
 	public get documentDigest(): string {
 		return this.parts.documentDigest;
--- a/packages/core/src/entry/request-flow.ts
+++ b/packages/core/src/entry/request-flow.ts
@@ -32,8 +32,7 @@
 		return new RequestFlow(options);
 	}
 
-	private constructor(private readonly _options: RequestFlowOptions) {
-}
+	private constructor(private readonly _options: RequestFlowOptions) {}
 
 	/** Does the next step of a request. Each step is decided under the present configuration. */
 	proceed(state: RequestState, now: number): void {
--- a/packages/core/src/entry/request-state.ts
+++ b/packages/core/src/entry/request-state.ts
@@ -45,8 +45,7 @@
 	lastRefusal: Refusal | undefined;
 	readonly triedServers = new Set<string>();
 
-	private constructor(readonly request: EntryRequest) {
-}
+	private constructor(readonly request: EntryRequest) {}
 
 	get id(): string {
 		return this.request.requestId;
--- a/packages/core/src/routing/preference-memo.ts
+++ b/packages/core/src/routing/preference-memo.ts
@@ -18,8 +18,7 @@
 	private constructor(
 		private readonly _maxSubjects: number,
 		private readonly _serversEach: number,
-	) {
-}
+	) {}
 
 	get size(): number {
 		return this._remembered.size;
--- a/packages/core/src/routing/residency-memo.ts
+++ b/packages/core/src/routing/residency-memo.ts
@@ -16,8 +16,7 @@
 	private constructor(
 		private readonly _maxSubjects: number,
 		private readonly _serversEach: number,
-	) {
-}
+	) {}
 
 	get size(): number {
 		return this._subjects.size;
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -53,8 +53,7 @@
 	private _zones: ReadonlySet<string> = new Set();
 	private _hasMembers = false;
 
-	private constructor(private readonly _options: RouterOptions) {
-}
+	private constructor(private readonly _options: RouterOptions) {}
 
 	/** Servers that failed several times in a row. */
 	get suspected(): ReadonlySet<string> {
--- a/packages/core/src/routing/server-table.ts
+++ b/packages/core/src/routing/server-table.ts
@@ -43,8 +43,7 @@
 	private readonly _records = new Map<string, ServerRecord>();
 	private readonly _suspected = new Set<string>();
 
-	private constructor(private readonly _maxServers: number) {
-}
+	private constructor(private readonly _maxServers: number) {}
 
 	get size(): number {
 		return this._records.size;
--- a/packages/core/src/spread/change-log.ts
+++ b/packages/core/src/spread/change-log.ts
@@ -10,8 +10,7 @@
 
 	private changes: ConfigChange[] = [];
 
-	private constructor(private lastVersion: number) {
-}
+	private constructor(private lastVersion: number) {}
 
 	/** Adds the next change. */
 	public push(change: ConfigChange): void {
--- a/packages/core/src/spread/poll-schedule.ts
+++ b/packages/core/src/spread/poll-schedule.ts
@@ -24,8 +24,7 @@
 	private constructor(
 		private readonly random: Random,
 		private dueAt: number,
-	) {
-}
+	) {}
 
 	public setFleetSize(fleetSize: number): void {
 		this.fleetSize = fleetSize;
--- a/packages/core/src/spread/start-gate.ts
+++ b/packages/core/src/spread/start-gate.ts
@@ -14,8 +14,7 @@
 	private isStoreDown = false;
 	private readonly answers = new Map<string, number>();
 
-	private constructor(private readonly startedAt: number) {
-}
+	private constructor(private readonly startedAt: number) {}
 
 	public get isReady(): boolean {
 		return this.isOpen;
--- a/packages/daemon/src/telemetry/metrics.ts
+++ b/packages/daemon/src/telemetry/metrics.ts
@@ -37,8 +37,7 @@
 		);
 	}
 
-	private constructor(private readonly _client: StatsD) {
-}
+	private constructor(private readonly _client: StatsD) {}
 
 	increment(name: string, tags: Tags = {}): void {
 		this._client.increment(name, 1, {...tags});
--- a/packages/daemon/src/telemetry/tracer.ts
+++ b/packages/daemon/src/telemetry/tracer.ts
@@ -43,8 +43,7 @@
 		return new OpenTelemetrySpan(span);
 	}
 
-	private constructor(private readonly _span: OtelSpan) {
-}
+	private constructor(private readonly _span: OtelSpan) {}
 
 	get traceparent(): string {
 		const carrier: Record<string, string> = {};
--- a/xo.config.js
+++ b/xo.config.js
@@ -68,17 +68,6 @@
 			],
 		},
 	},
-	{
-		files: ['**/*.test.ts'],
-		rules: {
-			// Test libraries are development dependencies of the workspace as a whole.
-			'import-x/no-extraneous-dependencies': [
-				'error',
-				{packageDir: import.meta.dirname, devDependencies: true},
-			],
-			'n/no-extraneous-import': ['error', {allowModules: ['fast-check']}],
-		},
-	},
 ];
 
 export default config;
