Carry dispatches between entries, the agent's core and its backend server

Cause: the core decides, but nothing carried its events and commands. Change: AgentTask owns the core, its timer and the health monitor; POST /dispatch takes a dispatch, streams the answer with backpressure and ends a whole one with its trailer; BackendClient builds headers from an allow list and checks each answer's id, model and end. Peers may probe an agent.

--- /dev/null
+++ b/packages/daemon/src/agent/agent-task.ts
@@ -0,0 +1,412 @@
+import {
+	AgentCore,
+	type AgentCommand,
+	type AgentEvent,
+	type BackendHealth,
+	type Refusal,
+	type ServerStatus,
+} from '@balsamtray/core';
+import type {ProbeRequest} from '@balsamtray/protocol';
+import type {FastifyInstance} from 'fastify';
+import type {Disposable} from '../common/types.js';
+import {BackendClient} from './backend-client.js';
+import {
+	heldBodiesLimitBytes,
+	overloadRetryAfterMs,
+	tokenReportIntervalMs,
+} from './constants.js';
+import type {DispatchExchange} from './dispatch-exchange.js';
+import {registerDispatchRoute} from './dispatch-route.js';
+import {HealthMonitor} from './health-monitor.js';
+import {type HeldAttempt, HeldAttempts} from './held-attempts.js';
+import type {AgentTaskOptions, AnswerSink} from './types.js';
+
+type CommandOf<T extends AgentCommand['type']> = Extract<
+	AgentCommand,
+	{readonly type: T}
+>;
+
+/** The task of an agent: carries events to the core, and the core's commands to the backend server and the entries. */
+export class AgentTask {
+	static create(options: AgentTaskOptions): AgentTask {
+		return new AgentTask(options);
+	}
+
+	private readonly _core: AgentCore;
+	private readonly _client: BackendClient;
+	private readonly _health: HealthMonitor;
+	private readonly _attempts: HeldAttempts;
+	private readonly _subscriptions: Disposable[] = [];
+	private readonly _drainListeners: Array<() => void> = [];
+	private _timer: NodeJS.Timeout | undefined;
+	private _isDrained = false;
+	private _isBackendUp = false;
+	private _bootId = '';
+
+	private constructor(private readonly _options: AgentTaskOptions) {
+		const {settings, config, backendUrl, fencingToken, telemetry} = _options;
+		this._attempts = HeldAttempts.create(telemetry.tracer);
+		this._core = AgentCore.create({settings, config: () => config.view()});
+		this._client = BackendClient.create({
+			backendUrl,
+			fencingToken,
+			tellsHealth: settings.backend.kind === 'engine',
+		});
+		this._health = HealthMonitor.create({
+			ask: async () => this._client.health(),
+			clock: _options.clock,
+			onHealthy: (health, askedAt) => {
+				this._onHealthy(health, askedAt);
+			},
+			onUnreachable: () => {
+				this._onUnreachable();
+			},
+		});
+	}
+
+	/** Starts to watch the backend server, the configuration and the list of hosts. */
+	async start(): Promise<void> {
+		const {config, membership} = this._options;
+		this._subscriptions.push(
+			config.onAdvanced(() => {
+				this._handle({type: 'configAdvanced'});
+			}),
+			membership.onChanged(() => {
+				this._readHostState();
+			}),
+		);
+		this._readHostState();
+		await this._health.check();
+	}
+
+	/** Serves dispatches on the peer port. */
+	async register(app: FastifyInstance): Promise<void> {
+		await registerDispatchRoute(app, exchange => {
+			this._onDispatch(exchange);
+		});
+	}
+
+	/** Answers a peer's question for load. */
+	probe({servedName}: ProbeRequest): ServerStatus {
+		return this._core.status(servedName, this._options.clock());
+	}
+
+	/** Refuses a fingerprint that crashed backend servers elsewhere. */
+	learnQuarantine(fingerprint: string, forMs: number): void {
+		this._handle({type: 'quarantineLearned', fingerprint, forMs});
+	}
+
+	/** Refuses new work and resolves once all accepted work has ended. */
+	async drain(): Promise<void> {
+		this._handle({type: 'shutdownRequested'});
+		if (!this._isDrained) {
+			await new Promise<void>(resolve => {
+				this._drainListeners.push(resolve);
+			});
+		}
+	}
+
+	/** Ends at once. Running calls are cut. */
+	async stop(): Promise<void> {
+		clearTimeout(this._timer);
+		this._health.stop();
+		for (const subscription of this._subscriptions) {
+			subscription.dispose();
+		}
+
+		for (const {exchange, controller} of this._attempts.all()) {
+			controller.abort();
+			exchange.cut();
+		}
+
+		await this._client.destroy();
+	}
+
+	private _onDispatch(exchange: DispatchExchange): void {
+		const {dispatch} = exchange;
+		const {attemptId, configVersion, entryId} = dispatch;
+		const {config, telemetry} = this._options;
+		telemetry.metrics.increment('agent.dispatch');
+		if (configVersion > config.view().version) {
+			config.seeVersion(entryId, configVersion);
+		}
+
+		const refusal = this._refusalBeforeCore(exchange);
+		if (refusal) {
+			this._sendRefusal(exchange, refusal);
+			return;
+		}
+
+		if (!this._attempts.has(attemptId)) {
+			this._attempts.hold(exchange);
+			exchange.onAbandoned(() => {
+				this._onAbandoned(attemptId);
+			});
+		}
+
+		this._handle({type: 'dispatchArrived', dispatch}, exchange);
+	}
+
+	/** What only the task knows to stand against a dispatch. */
+	private _refusalBeforeCore({body}: DispatchExchange): Refusal | undefined {
+		const {config, settings} = this._options;
+		const common = {
+			notRun: true,
+			step: 'admit',
+			peer: settings.server,
+			retryAfterMs: overloadRetryAfterMs,
+		} as const;
+		if (!config.isReady()) {
+			return {
+				...common,
+				code: 'configuration_unavailable',
+				message: 'The server has not read the configuration yet.',
+			};
+		}
+
+		return this._attempts.bodyBytes + body.length > heldBodiesLimitBytes
+			? {
+					...common,
+					code: 'overloaded',
+					message: 'Too much work waits at the backend server.',
+				}
+			: undefined;
+	}
+
+	private _onAbandoned(attemptId: string): void {
+		const isRunning = this._attempts.get(attemptId)?.isRunning ?? false;
+		this._handle({type: 'dispatchCancelled', attemptId});
+		// A running attempt ends once its call to the backend server has stopped.
+		if (!isRunning) {
+			this._attempts.release(attemptId, 'cancelled');
+		}
+	}
+
+	private _onHealthy(health: BackendHealth, askedAt: number): void {
+		const {logger} = this._options.telemetry;
+		if (!this._isBackendUp || this._bootId !== health.bootId) {
+			logger.info('backend_up', {bootId: health.bootId});
+		}
+
+		this._isBackendUp = true;
+		this._bootId = health.bootId;
+		this._handle({type: 'backendHealthy', health, askedAt});
+	}
+
+	private _onUnreachable(): void {
+		if (this._isBackendUp) {
+			this._options.telemetry.logger.warn('backend_down', {
+				bootId: this._bootId,
+			});
+		}
+
+		this._isBackendUp = false;
+		this._handle({type: 'backendUnreachable'});
+	}
+
+	private _readHostState(): void {
+		const {membership, settings} = this._options;
+		const host = membership.hosts().find(({id}) => id === settings.server);
+		const isLeaving = host?.state === 'leaving';
+		this._handle({type: 'hostStateChanged', isLeaving});
+	}
+
+	/** Lets the core decide and carries its commands out. */
+	private _handle(event: AgentEvent, newcomer?: DispatchExchange): void {
+		const now = this._options.clock();
+		for (const command of this._core.handle(event, now)) {
+			this._execute(command, newcomer);
+		}
+
+		this._planWake();
+	}
+
+	private _execute(command: AgentCommand, newcomer?: DispatchExchange): void {
+		switch (command.type) {
+			case 'runOnBackend': {
+				void this._run(command);
+				break;
+			}
+
+			case 'cancelOnBackend': {
+				this._attempts.get(command.attemptId)?.controller.abort();
+				break;
+			}
+
+			case 'loadAdapter': {
+				void this._load(command);
+				break;
+			}
+
+			case 'unloadAdapter': {
+				void this._unload(command);
+				break;
+			}
+
+			case 'refuse': {
+				this._refuse(command, newcomer);
+				break;
+			}
+
+			case 'checkHealth': {
+				void this._health.check();
+				break;
+			}
+
+			case 'reportSuspects': {
+				const {fingerprints, bootId} = command;
+				const {telemetry, reportSuspects} = this._options;
+				telemetry.logger.warn('backend_died', {
+					bootId,
+					suspects: fingerprints.length,
+				});
+				reportSuspects(fingerprints, bootId);
+				break;
+			}
+
+			case 'drained': {
+				this._isDrained = true;
+				for (const listener of this._drainListeners) {
+					listener();
+				}
+
+				break;
+			}
+		}
+	}
+
+	private async _run(command: CommandOf<'runOnBackend'>): Promise<void> {
+		const {attemptId, servedName, priority} = command;
+		const held = this._attempts.begin(attemptId);
+		if (!held) {
+			this._handle({type: 'answerFailed', attemptId, fault: 'rejected'});
+			return;
+		}
+
+		const {exchange, span, controller} = held;
+		const backendSpan = this._options.telemetry.tracer.startSpan(
+			'backend',
+			span.traceparent,
+		);
+		const outcome = await this._client.run(
+			{
+				attemptId,
+				...(servedName !== undefined && {servedName}),
+				priority,
+				promptTokens: exchange.dispatch.promptTokens,
+				call: exchange.call,
+				body: exchange.body,
+				traceparent: backendSpan.traceparent,
+			},
+			this._sinkOf(held, servedName),
+			controller.signal,
+		);
+		if (outcome.kind === 'completed') {
+			backendSpan.end('ok');
+			exchange.end(outcome.usage);
+			this._options.telemetry.metrics.increment('agent.answered');
+			this._handle({type: 'answerCompleted', attemptId, usage: outcome.usage});
+			this._attempts.release(attemptId, 'ok');
+		} else {
+			backendSpan.end(outcome.fault);
+			this._handle({type: 'answerFailed', attemptId, fault: outcome.fault});
+			// A cancelled attempt gets no refusal.
+			this._attempts.release(attemptId, 'cancelled');
+		}
+	}
+
+	private _sinkOf(
+		{exchange}: HeldAttempt,
+		servedName: string | undefined,
+	): AnswerSink {
+		const {clock} = this._options;
+		const {attemptId} = exchange.dispatch;
+		let unreported = 0;
+		let reportedAt = clock();
+		return {
+			begin: (status, contentType) => {
+				const server = this._core.status(servedName, clock());
+				exchange.begin(status, contentType, server);
+			},
+			write: async chunk => exchange.write(chunk),
+			onTokens: tokens => {
+				unreported += tokens;
+				if (clock() - reportedAt >= tokenReportIntervalMs) {
+					this._handle({
+						type: 'tokensGenerated',
+						attemptId,
+						tokens: unreported,
+					});
+					unreported = 0;
+					reportedAt = clock();
+				}
+			},
+		};
+	}
+
+	private async _load(command: CommandOf<'loadAdapter'>): Promise<void> {
+		const {loadId, servedName, weights, timeoutMs} = command;
+		const {telemetry, clock} = this._options;
+		const bootId = this._bootId;
+		const startedAt = clock();
+		try {
+			await this._client.load(servedName, weights, timeoutMs);
+			telemetry.metrics.timing('agent.load', clock() - startedAt);
+			this._handle({type: 'loadCompleted', loadId, bootId});
+		} catch (error) {
+			telemetry.metrics.increment('agent.load_failed');
+			this._handle({type: 'loadFailed', loadId, reason: String(error)});
+		}
+	}
+
+	private async _unload(command: CommandOf<'unloadAdapter'>): Promise<void> {
+		const {loadId, servedName} = command;
+		try {
+			await this._client.unload(servedName);
+			this._options.telemetry.metrics.increment('agent.unload');
+			this._handle({type: 'unloadCompleted', loadId});
+		} catch (error) {
+			this._handle({type: 'unloadFailed', loadId, reason: String(error)});
+		}
+	}
+
+	private _refuse(
+		command: CommandOf<'refuse'>,
+		newcomer: DispatchExchange | undefined,
+	): void {
+		const {attemptId, refusal, changesAfter, isRepetition} = command;
+		const held = this._attempts.get(attemptId)?.exchange;
+		const exchange = isRepetition ? newcomer : held;
+		if (exchange) {
+			this._sendRefusal(exchange, refusal, changesAfter);
+		}
+
+		if (exchange === held) {
+			this._attempts.release(attemptId, refusal.code);
+		}
+	}
+
+	private _sendRefusal(
+		exchange: DispatchExchange,
+		refusal: Refusal,
+		changesAfter?: number,
+	): void {
+		const {config, clock, telemetry} = this._options;
+		const changes =
+			changesAfter === undefined ? [] : config.changesAfter(changesAfter);
+		telemetry.metrics.increment('agent.refused', {code: refusal.code});
+		const status = this._core.status(undefined, clock());
+		exchange.refuse(refusal, status, changes ?? []);
+	}
+
+	private _planWake(): void {
+		clearTimeout(this._timer);
+		const wakeAt = this._core.nextWakeAt();
+		if (wakeAt !== undefined) {
+			const delayMs = Math.max(1, wakeAt - this._options.clock());
+			this._timer = setTimeout(() => {
+				this._handle({type: 'tick'});
+			}, delayMs);
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/agent/backend-client.ts
@@ -0,0 +1,301 @@
+import type {BackendFault, BackendHealth} from '@balsamtray/core';
+import {Agent, type Dispatcher} from 'undici';
+import {z} from 'zod';
+import {createAnswerCheck} from './answer-check.js';
+import {relayBytes, relayEvents, relayWhole} from './answer-relay.js';
+import {
+	answerIdleTimeoutMs,
+	answerStartTimeoutMs,
+	connectTimeoutMs,
+	healthTimeoutMs,
+	unloadTimeoutMs,
+} from './constants.js';
+import {createEngineBody, type EngineBody} from './engine-body.js';
+import type {AnswerSink, BackendCall, CallOutcome} from './types.js';
+
+const healthSchema = z.object({
+	boot_id: z.string(),
+	uptime_ms: z.number().nonnegative(),
+	loaded_adapters: z.array(z.string()).default([]),
+});
+
+/** Boot of a backend server that tells none. */
+const unknownBoot: BackendHealth = {
+	bootId: 'unknown',
+	uptimeMs: 0,
+	loadedAdapters: [],
+};
+
+const okStatus = 200;
+const badRequestStatus = 400;
+const notFoundStatus = 404;
+const tooManyRequestsStatus = 429;
+const serverErrorStatus = 500;
+const unavailableStatus = 503;
+
+/** Errors of undici and of sockets after which the request surely was not delivered. */
+const undeliveredCodes: ReadonlySet<unknown> = new Set([
+	'ECONNREFUSED',
+	'EHOSTUNREACH',
+	'ENETUNREACH',
+	'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** Which backend server a client speaks to. */
+export type BackendClientOptions = {
+	readonly backendUrl: string;
+	/** Number that orders carry. */
+	readonly fencingToken: number;
+	/** Whether the backend server surely has a health report; a plain service may have none. */
+	readonly tellsHealth: boolean;
+};
+
+/** Speaks to the backend server. No caller's header reaches it: headers are built from an allow list. */
+export class BackendClient {
+	static create(options: BackendClientOptions): BackendClient {
+		return new BackendClient(options);
+	}
+
+	private readonly _dispatcher = new Agent({
+		connect: {timeout: connectTimeoutMs},
+		pipelining: 1,
+		headersTimeout: answerStartTimeoutMs,
+		bodyTimeout: answerIdleTimeoutMs,
+	});
+
+	private constructor(private readonly _options: BackendClientOptions) {}
+
+	/** Reads the health report. Throws where the backend server does not answer. */
+	async health(): Promise<BackendHealth> {
+		const res = await this._request({
+			method: 'GET',
+			path: '/server_info',
+			signal: AbortSignal.timeout(healthTimeoutMs),
+		});
+		const text = await res.body.text();
+		if (res.statusCode >= serverErrorStatus) {
+			throw new Error(`the backend server is not healthy: ${res.statusCode}`);
+		}
+
+		const health = parseHealth(text);
+		if (!health && this._options.tellsHealth) {
+			throw new Error('the health report has no known form');
+		}
+
+		return health ?? unknownBoot;
+	}
+
+	/** Orders a load. Throws where it fails or its outcome is unknown. */
+	async load(
+		servedName: string,
+		weights: string,
+		timeoutMs: number,
+	): Promise<void> {
+		const status = await this._order(
+			'/v1/load_lora_adapter',
+
+			{lora_name: servedName, lora_path: weights},
+			timeoutMs,
+		);
+		if (status !== okStatus) {
+			throw new Error(`the load was refused: ${status}`);
+		}
+	}
+
+	/** Orders an unload. An adapter that is not there counts as unloaded. */
+	async unload(servedName: string): Promise<void> {
+		const status = await this._order(
+			'/v1/unload_lora_adapter',
+
+			{lora_name: servedName},
+			unloadTimeoutMs,
+		);
+		if (status !== okStatus && status !== notFoundStatus) {
+			throw new Error(`the unload was refused: ${status}`);
+		}
+	}
+
+	/** Runs a call and relays its answer. Never throws. */
+	async run(
+		call: BackendCall,
+		sink: AnswerSink,
+		signal: AbortSignal,
+	): Promise<CallOutcome> {
+		return call.servedName === undefined
+			? this._runOnService(call, sink, signal)
+			: this._runOnEngine(call, call.servedName, sink, signal);
+	}
+
+	/** Closes all connections at once. */
+	async destroy(): Promise<void> {
+		await this._dispatcher.destroy();
+	}
+
+	private async _runOnEngine(
+		call: BackendCall,
+		servedName: string,
+		sink: AnswerSink,
+		signal: AbortSignal,
+	): Promise<CallOutcome> {
+		const body = createEngineBody(call.body, servedName, call.priority);
+		if (!body) {
+			return failed('rejected');
+		}
+
+		const res = await this._send(call, body.bytes, signal);
+		if (typeof res === 'string') {
+			return failed(res);
+		}
+
+		if (res.statusCode !== okStatus) {
+			return relayEngineError(res, sink);
+		}
+
+		return relayEngineAnswer(res, {...call, servedName}, body, sink);
+	}
+
+	private async _runOnService(
+		call: BackendCall,
+		sink: AnswerSink,
+		signal: AbortSignal,
+	): Promise<CallOutcome> {
+		const res = await this._send(call, call.body, signal);
+		if (typeof res === 'string') {
+			return failed(res);
+		}
+
+		if (res.headers['x-request-id'] !== call.attemptId) {
+			await discard(res);
+			return failed('mismatch');
+		}
+
+		return relayBytes(res, sink);
+	}
+
+	/** Sends a call and waits for the head of its answer. */
+	private async _send(
+		{attemptId, call, traceparent}: BackendCall,
+		body: Uint8Array,
+		signal: AbortSignal,
+	): Promise<Dispatcher.ResponseData | BackendFault> {
+		try {
+			return await this._request({
+				method: call.method,
+				path: call.path,
+				headers: {
+					'x-request-id': attemptId,
+					...(call.contentType !== undefined && {
+						'content-type': call.contentType,
+					}),
+					...(call.accept !== undefined && {accept: call.accept}),
+					...(traceparent && {traceparent}),
+				},
+				body: body.length > 0 ? body : null,
+				signal,
+			});
+		} catch (error) {
+			return isUndelivered(error) ? 'unreachable' : 'connection_lost';
+		}
+	}
+
+	private async _order(
+		path: string,
+		order: Readonly<Record<string, string>>,
+		timeoutMs: number,
+	): Promise<number> {
+		const res = await this._request({
+			method: 'POST',
+			path,
+			headers: {
+				'content-type': 'application/json',
+				'x-fencing-token': String(this._options.fencingToken),
+			},
+			body: JSON.stringify(order),
+			signal: AbortSignal.timeout(timeoutMs),
+		});
+		await res.body.dump();
+		return res.statusCode;
+	}
+
+	private async _request(
+		options: Omit<Dispatcher.RequestOptions, 'origin'>,
+	): Promise<Dispatcher.ResponseData> {
+		return this._dispatcher.request({
+			...options,
+			origin: this._options.backendUrl,
+		});
+	}
+}
+
+function failed(fault: BackendFault): CallOutcome {
+	return {kind: 'failed', fault};
+}
+
+/** Relays what the caller did wrong; takes the rest as refused before it ran, or as failed. */
+async function relayEngineError(
+	res: Dispatcher.ResponseData,
+	sink: AnswerSink,
+): Promise<CallOutcome> {
+	const {statusCode} = res;
+	const isCallersFault =
+		statusCode >= badRequestStatus &&
+		statusCode < serverErrorStatus &&
+		statusCode !== notFoundStatus &&
+		statusCode !== tooManyRequestsStatus;
+	if (isCallersFault) {
+		return relayBytes(res, sink);
+	}
+
+	await discard(res);
+	const isRejected =
+		statusCode === notFoundStatus ||
+		statusCode === tooManyRequestsStatus ||
+		statusCode === unavailableStatus;
+	return failed(isRejected ? 'rejected' : 'failed');
+}
+
+async function relayEngineAnswer(
+	res: Dispatcher.ResponseData,
+	call: BackendCall & {readonly servedName: string},
+	body: EngineBody,
+	sink: AnswerSink,
+): Promise<CallOutcome> {
+	const check = createAnswerCheck(call.attemptId, call.servedName);
+	const {promptTokens} = call;
+	return body.isStreamed
+		? relayEvents(res, sink, check, {
+				promptTokens,
+				wantsUsage: body.wantsUsage,
+			})
+		: relayWhole(res, sink, check, promptTokens);
+}
+
+async function discard(res: Dispatcher.ResponseData): Promise<void> {
+	try {
+		await res.body.dump();
+	} catch {
+		// The answer is not used.
+	}
+}
+
+function isUndelivered(error: unknown): boolean {
+	if (!(error instanceof Error)) {
+		return false;
+	}
+
+	const code: unknown = Reflect.get(error, 'code');
+	return undeliveredCodes.has(code) || isUndelivered(error.cause);
+}
+
+function parseHealth(text: string): BackendHealth | undefined {
+	try {
+		const parsed = healthSchema.parse(JSON.parse(text));
+		return {
+			bootId: parsed.boot_id,
+			uptimeMs: parsed.uptime_ms,
+			loadedAdapters: parsed.loaded_adapters,
+		};
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/agent/dispatch-exchange.ts
@@ -0,0 +1,140 @@
+import type {ServerResponse} from 'node:http';
+import type {
+	ConfigChange,
+	Dispatch,
+	Refusal,
+	ServerStatus,
+	Usage,
+} from '@balsamtray/core';
+import {
+	encodeHeader,
+	endTrailer,
+	replyHeader,
+	type DispatchCall,
+	type DispatchEnd,
+	type DispatchReply,
+} from '@balsamtray/protocol';
+import {replyHeaderLimitBytes} from './constants.js';
+
+const replyStatus = 200;
+
+/** One dispatch with the connection on which its answer goes back to the entry. */
+export class DispatchExchange {
+	static create(
+		dispatch: Dispatch,
+		call: DispatchCall,
+		body: Uint8Array,
+		res: ServerResponse,
+	): DispatchExchange {
+		return new DispatchExchange(dispatch, call, body, res);
+	}
+
+	private _hasBegun = false;
+	private _hasEnded = false;
+
+	private constructor(
+		readonly dispatch: Dispatch,
+		readonly call: DispatchCall,
+		readonly body: Uint8Array,
+		private readonly _res: ServerResponse,
+	) {}
+
+	/** Calls the listener when the entry closes the connection before the exchange has ended. */
+	onAbandoned(listener: () => void): void {
+		this._res.once('close', () => {
+			if (!this._hasEnded) {
+				this._hasEnded = true;
+				listener();
+			}
+		});
+	}
+
+	/** Sends a refusal, or cuts the connection where part of an answer went out already. */
+	refuse(
+		refusal: Refusal,
+		server: ServerStatus,
+		changes: readonly ConfigChange[],
+	): void {
+		if (this._hasEnded) {
+			return;
+		}
+
+		this._hasEnded = true;
+		if (this._hasBegun) {
+			this._res.destroy();
+			return;
+		}
+
+		const {attemptId} = this.dispatch;
+		const reply = {kind: 'refused', attemptId, refusal, server} as const;
+		this._res.writeHead(replyStatus, {
+			[replyHeader]: encodeReply({...reply, changes}, {...reply, changes: []}),
+		});
+		this._res.end();
+	}
+
+	begin(status: number, contentType: string, server: ServerStatus): void {
+		if (this._hasEnded) {
+			return;
+		}
+
+		this._hasBegun = true;
+		const {attemptId} = this.dispatch;
+		const reply: DispatchReply = {
+			kind: 'answer',
+			attemptId,
+			status,
+			contentType,
+			server,
+		};
+		this._res.writeHead(replyStatus, {
+			'content-type': 'application/octet-stream',
+			trailer: endTrailer,
+			[replyHeader]: encodeHeader(reply),
+		});
+		this._res.flushHeaders();
+	}
+
+	/** Resolves once the connection takes more, or is closed. */
+	async write(chunk: Uint8Array): Promise<void> {
+		const res = this._res;
+		if (this._hasEnded || res.write(chunk)) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const done = () => {
+				res.off('drain', done);
+				res.off('close', done);
+				resolve();
+			};
+
+			res.once('drain', done);
+			res.once('close', done);
+		});
+	}
+
+	/** Ends a whole answer. */
+	end(usage: Usage): void {
+		if (this._hasEnded) {
+			return;
+		}
+
+		this._hasEnded = true;
+		const end: DispatchEnd = {attemptId: this.dispatch.attemptId, usage};
+		this._res.addTrailers({[endTrailer]: encodeHeader(end)});
+		this._res.end();
+	}
+
+	/** Breaks the connection off. */
+	cut(): void {
+		this._hasEnded = true;
+		this._res.destroy();
+	}
+}
+
+/** Encodes a reply, or the shorter one where the reply is too long for a header. The entry pulls the changes then. */
+function encodeReply(reply: DispatchReply, shorter: DispatchReply): string {
+	const text = encodeHeader(reply);
+	return text.length > replyHeaderLimitBytes ? encodeHeader(shorter) : text;
+}
--- a/packages/protocol/src/peer/peer-router.ts
+++ b/packages/protocol/src/peer/peer-router.ts
@@ -1,11 +1,14 @@
 import {z} from 'zod';
 import {peerProcedure, peerRouterOf} from '../trpc.js';
+import {agentRouter} from './agent-router.js';
 
 const identifier = z.string().min(1).max(200);
 const version = z.number().int().nonnegative();
 
 /** Calls between the system's own processes. Each input carries the sender's configuration version where it has one. */
 export const peerRouter = peerRouterOf({
+	agent: agentRouter,
+
 	identity: peerProcedure.query(({ctx}) => ctx.identity()),
 
 	/** Tells the peer the caller's version and learns the peer's. */
