Add the harness that starts a fleet of real processes

Cause: the demo and the scenarios need daemons and stand-ins as processes, ended by id also after a failure. Change: child processes with their output, the platform's stand-ins, daemon hosts that can be killed, paused and started again, callers, the operators' client, checks of an answer against its request, and the example document.

--- /dev/null
+++ b/packages/scenarios/src/harness/daemon-host.ts
@@ -0,0 +1,102 @@
+import type {Host} from '@balsamtray/core';
+import {Child} from './child.js';
+import {daemonScript} from './locations.js';
+import {answersOk, waitUntil} from './wait-until.js';
+
+const readyTimeoutMs = 20_000;
+
+/** How to start one daemon. */
+export type DaemonOptions = {
+	readonly role: 'entry' | 'agent';
+	/** Its line in the platform's list. */
+	readonly host: Host;
+	readonly env: Readonly<Record<string, string>>;
+	/** Where it answers whether it is ready. */
+	readonly readyUrl: string;
+};
+
+/** A host of a fleet with its daemon, which can be killed, paused and started again. */
+export class DaemonHost {
+	static create(options: DaemonOptions): DaemonHost {
+		return new DaemonHost(options);
+	}
+
+	private readonly _options: DaemonOptions;
+	private _child: Child | undefined;
+
+	private constructor(options: DaemonOptions) {
+		this._options = options;
+	}
+
+	get id(): string {
+		return this.host.id;
+	}
+
+	get host(): Host {
+		return this._options.host;
+	}
+
+	/** The daemon's process. Throws before the first start. */
+	get child(): Child {
+		if (this._child === undefined) {
+			throw new Error(`${this.id} was not started`);
+		}
+
+		return this._child;
+	}
+
+	get isRunning(): boolean {
+		return this._child?.isRunning ?? false;
+	}
+
+	/** Starts the daemon, a second one beside the first if that still runs. */
+	start(): Child {
+		const {role, env} = this._options;
+		this._child = Child.start({
+			name: this.id,
+			script: daemonScript,
+			args: [role],
+			env,
+		});
+		return this._child;
+	}
+
+	async isReady(): Promise<boolean> {
+		return answersOk(this._options.readyUrl);
+	}
+
+	async waitUntilReady(): Promise<void> {
+		await waitUntil(`${this.id} is ready`, readyTimeoutMs, async () => {
+			if (!this.isRunning) {
+				throw new Error(`${this.id} ended:\n${this.child.lines.join('\n')}`);
+			}
+
+			return this.isReady();
+		});
+	}
+
+	/** Starts the daemon anew and waits until it is ready. */
+	async restart(): Promise<void> {
+		this.start();
+		await this.waitUntilReady();
+	}
+
+	async kill(): Promise<void> {
+		await this.child.kill();
+	}
+
+	/** Stops the process from running until it is resumed. */
+	pause(): void {
+		this.child.signal('SIGSTOP');
+	}
+
+	resume(): void {
+		this.child.signal('SIGCONT');
+	}
+
+	async stop(graceMs?: number): Promise<void> {
+		if (this._child !== undefined) {
+			await this._child.stop(graceMs);
+		}
+	}
+}
--- /dev/null
+++ b/packages/scenarios/src/harness/operator.ts
@@ -0,0 +1,64 @@
+import {z} from 'zod';
+import {Child} from './child.js';
+import {clientScript} from './locations.js';
+
+/** Outcome of one command of the operators' client. */
+export type OperatorResult = {
+	readonly exitCode: number | undefined;
+	readonly output: string;
+};
+
+/** A key as the operators' client issued it. */
+export type IssuedKey = {readonly id: string; readonly secret: string};
+
+const issuedKeySchema = z.object({keyId: z.string(), secret: z.string()});
+
+/** Runs the operators' client against one entry. */
+export class Operator {
+	static create(url: string, key: string): Operator {
+		return new Operator(url, key);
+	}
+
+	private readonly _env: Readonly<Record<string, string>>;
+
+	private constructor(url: string, key: string) {
+		this._env = {
+			BALSAMTRAY_OPERATOR_URL: url,
+			BALSAMTRAY_OPERATOR_KEY: key,
+		};
+	}
+
+	/** Runs a command to its end. */
+	async run(...args: readonly string[]): Promise<OperatorResult> {
+		const child = Child.start({
+			name: `balsamtray ${args.join(' ')}`,
+			script: clientScript,
+			args,
+			env: this._env,
+		});
+		const {code} = await child.exited;
+		return {exitCode: code, output: child.lines.join('\n')};
+	}
+
+	/** Runs a command and throws unless it succeeds. */
+	async mustRun(...args: readonly string[]): Promise<string> {
+		const {exitCode, output} = await this.run(...args);
+		if (exitCode !== 0) {
+			throw new Error(
+				`balsamtray ${args.join(' ')} ended with ${exitCode}:\n${output}`,
+			);
+		}
+
+		return output;
+	}
+
+	async applyDocument(file: string): Promise<void> {
+		await this.mustRun('config', 'apply', file, '--yes', '--json');
+	}
+
+	async issueKey(customer: string): Promise<IssuedKey> {
+		const output = await this.mustRun('key', 'issue', customer, '--json');
+		const answer = issuedKeySchema.parse(JSON.parse(output));
+		return {id: answer.keyId, secret: answer.secret};
+	}
+}
--- a/packages/standins/src/common/backend-recorder.ts
+++ b/packages/standins/src/common/backend-recorder.ts
@@ -1,4 +1,4 @@
-import type {BackendRecord, RanRequest} from './types.js';
+import type {BackendRecord, RanRequest} from './backend-record.js';
 
 const mostRequestsKept = 50_000;
 const mostPrioritiesKept = 1000;
@@ -48,13 +48,14 @@
 	}
 
 	began(
-		request: Omit<RanRequest, 'ref'>,
+		request: Omit<RanRequest, 'ref' | 'beganAt'>,
 		body: string,
 		runningNow: number,
 	): void {
+		const began = {...request, beganAt: Date.now()};
 		const ref = refPattern.exec(body)?.groups?.ref;
 		if (this._requests.length < mostRequestsKept) {
-			this._requests.push(ref === undefined ? request : {...request, ref});
+			this._requests.push(ref === undefined ? began : {...began, ref});
 		}
 
 		increment(this._runsByRequestId, request.requestId);
--- a/packages/standins/src/engine/adapter-routes.ts
+++ b/packages/standins/src/engine/adapter-routes.ts
@@ -1,4 +1,4 @@
-/* eslint-disable @typescript-eslint/naming-convention -- The field names are those of the usual completion API. */
+ 
 import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
 import {z} from 'zod';
 import type {BackendRecorder} from '../common/backend-recorder.js';
--- a/packages/standins/src/engine/completion-format.ts
+++ b/packages/standins/src/engine/completion-format.ts
@@ -1,4 +1,4 @@
-/* eslint-disable @typescript-eslint/naming-convention -- The field names are those of the usual completion API. */
+ 
 import {
 	countTokens,
 	tokenText,
--- a/packages/standins/src/engine/engine-app.ts
+++ b/packages/standins/src/engine/engine-app.ts
@@ -1,4 +1,4 @@
-/* eslint-disable @typescript-eslint/naming-convention -- The field names are those of the health report. */
+ 
 import {AppServer} from '../common/app-server.js';
 import {BackendProcess} from '../common/backend-process.js';
 import {BackendRecorder} from '../common/backend-recorder.js';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,2 +1,2 @@
-export type * from './common/types.js';
+export * from './common/backend-record.js';
 export type * from './common/fault-schemas.js';
--- a/packages/standins/src/service/service-app.ts
+++ b/packages/standins/src/service/service-app.ts
@@ -1,4 +1,4 @@
-/* eslint-disable @typescript-eslint/naming-convention -- The field names are those of the health report. */
+ 
 import type {FastifyReply, FastifyRequest} from 'fastify';
 import {AppServer} from '../common/app-server.js';
 import {BackendProcess} from '../common/backend-process.js';
