--- a/packages/scenarios/src/harness/call-result.ts
+++ b/packages/scenarios/src/harness/call-result.ts
@@ -1,4 +1,3 @@
- 
 import {z} from 'zod';
 /** What a caller got. */
 export type CallResult = {
--- a/packages/scenarios/src/harness/child.ts
+++ b/packages/scenarios/src/harness/child.ts
@@ -1,6 +1,8 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import process from 'node:process';
+import {ChildReaper} from './child-reaper.js';
 
+const reaper = ChildReaper.create();
 const stopGraceMs = 5000;
 const mostLinesKept = 2000;
 
@@ -29,6 +31,7 @@
 			// eslint-disable-next-line @typescript-eslint/naming-convention
 			env: {PATH: process.env.PATH ?? '', ...env},
 		});
+		reaper.add(started);
 		return new Child(options.name, started);
 	}
 
--- a/packages/scenarios/src/harness/operator.ts
+++ b/packages/scenarios/src/harness/operator.ts
@@ -11,7 +11,7 @@
 /** A key as the operators' client issued it. */
 export type IssuedKey = {readonly id: string; readonly secret: string};
 
-const issuedKeySchema = z.object({keyId: z.string(), secret: z.string()});
+const issuedKeySchema = z.object({keyId: z.string(), key: z.string()});
 
 /** Runs the operators' client against one entry. */
 export class Operator {
@@ -59,6 +59,6 @@
 	async issueKey(customer: string): Promise<IssuedKey> {
 		const output = await this.mustRun('key', 'issue', customer, '--json');
 		const answer = issuedKeySchema.parse(JSON.parse(output));
-		return {id: answer.keyId, secret: answer.secret};
+		return {id: answer.keyId, secret: answer.key};
 	}
 }
--- a/packages/scenarios/src/harness/platform.ts
+++ b/packages/scenarios/src/harness/platform.ts
@@ -27,8 +27,7 @@
 		readonly objects: Standin,
 		readonly hosts: Standin,
 		readonly weights: Standin,
-	) {
-}
+	) {}
 
 	get standins(): readonly Standin[] {
 		return [this.table, this.objects, this.hosts, this.weights];
