--- a/packages/standins/src/engine/completion-format.ts
+++ b/packages/standins/src/engine/completion-format.ts
@@ -1,3 +1,4 @@
+ 
 import {
 	countTokens,
 	tokenText,
--- a/packages/standins/src/engine/completion-request.ts
+++ b/packages/standins/src/engine/completion-request.ts
@@ -1,3 +1,4 @@
+ 
 import {z} from 'zod';
 
 const defaultMaxTokens = 16;
