--- a/packages/standins/src/engine/adapter-routes.ts
+++ b/packages/standins/src/engine/adapter-routes.ts
@@ -1,4 +1,3 @@
- 
 import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
 import {z} from 'zod';
 import type {BackendRecorder} from '../common/backend-recorder.js';
--- a/packages/standins/src/engine/completion-format.ts
+++ b/packages/standins/src/engine/completion-format.ts
@@ -1,4 +1,3 @@
- 
 import {
 	countTokens,
 	tokenText,
--- a/packages/standins/src/engine/completion-request.ts
+++ b/packages/standins/src/engine/completion-request.ts
@@ -1,4 +1,3 @@
- 
 import {z} from 'zod';
 
 const defaultMaxTokens = 16;
--- a/packages/standins/src/engine/engine-app.ts
+++ b/packages/standins/src/engine/engine-app.ts
@@ -1,4 +1,3 @@
- 
 import {AppServer} from '../common/app-server.js';
 import {BackendProcess} from '../common/backend-process.js';
 import {BackendRecorder} from '../common/backend-recorder.js';
--- a/packages/standins/src/service/service-app.ts
+++ b/packages/standins/src/service/service-app.ts
@@ -1,4 +1,3 @@
- 
 import type {FastifyReply, FastifyRequest} from 'fastify';
 import {AppServer} from '../common/app-server.js';
 import {BackendProcess} from '../common/backend-process.js';
