--- a/packages/scenarios/src/demo/main.ts
+++ b/packages/scenarios/src/demo/main.ts
@@ -8,10 +8,6 @@
 import {runTraffic} from './demo-traffic.js';
 import {formatAddresses, formatOutcomes} from './report.js';
 
-const interrupted = Promise.race([
-	once(process, 'SIGINT'),
-	once(process, 'SIGTERM'),
-]);
 const isOnce = process.argv.includes('--once');
 
 async function show(demo: DemoFleet): Promise<boolean> {
@@ -22,27 +18,22 @@
 
 async function stayUp(demo: DemoFleet): Promise<void> {
 	print(`\n${formatAddresses(demo)}\n\nInterrupt to stop.`);
-	await interrupted;
+	await Promise.race([once(process, 'SIGINT'), once(process, 'SIGTERM')]);
 }
 
 function print(text: string): void {
 	process.stdout.write(`${text}\n`);
 }
 
-/** Ends the demo when it is interrupted before the fleet is up. */
-async function abortStart(start: AbortSignal): Promise<void> {
-	await interrupted;
-	if (!start.aborted) {
-		// The children are ended on exit.
-		process.exit(1); // eslint-disable-line unicorn/no-process-exit
-	}
+/** Ends the demo when it is interrupted before the fleet is up. The children are ended on exit. */
+function abortStart(): void {
+	process.exit(1); // eslint-disable-line unicorn/no-process-exit
 }
 
 print('Starting two entries, three engines and two plain services …');
-const started = new AbortController();
-void abortStart(started.signal);
+process.on('SIGINT', abortStart).on('SIGTERM', abortStart);
 const demo = await createDemoFleet();
-started.abort();
+process.off('SIGINT', abortStart).off('SIGTERM', abortStart);
 try {
 	const isRight = await show(demo);
 	if (!isOnce) {
