Serve callers' HTTP and read the platform's host list

The entry task carries events to the entry's decisions and carries out their commands: reservations, claims, dispatches over HTTP with a checked reply and end, and the one outcome towards the caller.

--- a/packages/core/src/refusal/http-status.ts
+++ b/packages/core/src/refusal/http-status.ts
@@ -1,7 +1,7 @@
 import type {RefusalCode} from './types.js';
 
 // Codes are tags of the API and keep its form.
-/* eslint-disable @typescript-eslint/naming-convention */
+ 
 const statusOfCode: Readonly<Record<RefusalCode, number>> = {
 	invalid_request: 400,
 	body_too_large: 413,
@@ -33,7 +33,7 @@
 	shutting_down: 503,
 	cancelled: 499,
 };
-/* eslint-enable @typescript-eslint/naming-convention */
+ 
 
 /** HTTP status with which callers see a refusal. */
 export function httpStatusOf(code: RefusalCode): number {
--- a/packages/core/src/refusal/refusals.ts
+++ b/packages/core/src/refusal/refusals.ts
@@ -9,7 +9,7 @@
 };
 
 // Codes are tags of the API and keep its form.
-/* eslint-disable @typescript-eslint/naming-convention */
+ 
 const defaultMessages: Readonly<Record<RefusalCode, string>> = {
 	invalid_request: 'The request is malformed.',
 	body_too_large: 'The body is larger than the limit.',
@@ -44,7 +44,7 @@
 	shutting_down: 'This host is shutting down.',
 	cancelled: 'The caller went away.',
 };
-/* eslint-enable @typescript-eslint/naming-convention */
+ 
 
 /** A refusal of a request that surely reached no back end. */
 export function refuseNotRun(
--- /dev/null
+++ b/packages/daemon/src/entry/attempt-runner.ts
@@ -0,0 +1,190 @@
+import type {EntryCommand, EntryEvent, ServerStatus} from '@balsamtray/core';
+import type {Span} from '../common/types.js';
+import {AnswerPump} from './answer-pump.js';
+import {
+	sendDispatch,
+	type DispatchAnswer,
+	type DispatchResponse,
+} from './dispatch-client.js';
+import type {OpenRequest} from './open-request.js';
+import type {EntryTaskOptions, IncomingCall} from './types.js';
+
+type DispatchCommand = Extract<EntryCommand, {readonly type: 'dispatch'}>;
+
+/** A dispatch that has no end yet. */
+type Attempt = {
+	readonly id: string;
+	readonly call: IncomingCall;
+	readonly controller: AbortController;
+	readonly span: Span;
+	readonly isRecorded: boolean;
+	answer?: DispatchAnswer;
+	pump?: AnswerPump;
+};
+
+/** Sends dispatches to agents and hands their answers on. */
+export class AttemptRunner {
+	static create(
+		options: EntryTaskOptions,
+		post: (event: EntryEvent) => void,
+	): AttemptRunner {
+		return new AttemptRunner(options, post);
+	}
+
+	private readonly _attempts = new Map<string, Attempt>();
+
+	private constructor(
+		private readonly _options: EntryTaskOptions,
+		private readonly _post: (event: EntryEvent) => void,
+	) {
+}
+
+	async dispatch(command: DispatchCommand, open: OpenRequest): Promise<void> {
+		const {dispatch, server} = command;
+		const attempt: Attempt = {
+			id: dispatch.attemptId,
+			call: open.call,
+			controller: new AbortController(),
+			span: open.startStep('dispatch'),
+			isRecorded: !dispatch.isRepeatable,
+		};
+		attempt.span.setAttribute('server', server);
+		this._attempts.set(attempt.id, attempt);
+		const response = await this._send(command, attempt);
+		open.endStep('dispatch', response.kind);
+		this._onResponse(attempt, response);
+	}
+
+	/** Hands the answer to the caller. */
+	relay(attemptId: string): void {
+		const attempt = this._attempts.get(attemptId);
+		if (attempt?.answer !== undefined) {
+			void this._pump(attempt, attempt.answer, true);
+		}
+	}
+
+	/** Reads the answer for its record only. */
+	collect(attemptId: string): void {
+		const attempt = this._attempts.get(attemptId);
+		if (attempt?.pump !== undefined) {
+			attempt.pump.stopRelaying();
+		} else if (attempt?.answer !== undefined) {
+			void this._pump(attempt, attempt.answer, false);
+		}
+	}
+
+	/** Ends the whole answer towards the caller. */
+	finish(attemptId: string): void {
+		this._attempts.get(attemptId)?.pump?.finish();
+		this._attempts.delete(attemptId);
+	}
+
+	/** Closes the connection to the agent, which stops the work there. */
+	cancel(attemptId: string): void {
+		const attempt = this._attempts.get(attemptId);
+		this._attempts.delete(attemptId);
+		attempt?.pump?.stopRelaying();
+		attempt?.controller.abort();
+	}
+
+	cancelAll(): void {
+		for (const id of this._attempts.keys()) {
+			this.cancel(id);
+		}
+	}
+
+	private async _send(
+		{dispatch, server}: DispatchCommand,
+		attempt: Attempt,
+	): Promise<DispatchResponse> {
+		const {membership, dispatcher, peerUrl} = this._options;
+		// eslint-disable-next-line unicorn/no-array-callback-reference -- not an array
+		const host = membership.find(server);
+		if (host === undefined) {
+			return {kind: 'failed', fault: {kind: 'notDelivered'}};
+		}
+
+		return sendDispatch({
+			url: peerUrl(host.peerAddress),
+			dispatch: {...dispatch, traceparent: attempt.span.traceparent},
+			call: attempt.call.call,
+			body: attempt.call.body,
+			signal: attempt.controller.signal,
+			dispatcher: dispatcher(),
+		});
+	}
+
+	private _onResponse(attempt: Attempt, response: DispatchResponse): void {
+		const attemptId = attempt.id;
+		if (response.kind === 'answer') {
+			attempt.answer = response;
+			this._noteVersion(response.server);
+			this._post({
+				type: 'answerStarted',
+				attemptId,
+				status: response.server,
+			});
+			return;
+		}
+
+		this._attempts.delete(attemptId);
+		if (response.kind === 'failed') {
+			this._post({type: 'dispatchFailed', attemptId, fault: response.fault});
+			return;
+		}
+
+		const {refusal, server, changes} = response;
+		this._post({
+			type: 'dispatchRefused',
+			attemptId,
+			refusal,
+			status: server,
+			changes,
+		});
+		this._noteVersion(server);
+	}
+
+	private _noteVersion({server, configVersion}: ServerStatus): void {
+		this._options.config.seeVersion(server, configVersion);
+	}
+
+	private async _pump(
+		attempt: Attempt,
+		answer: DispatchAnswer,
+		isRelayed: boolean,
+	): Promise<void> {
+		const {call, isRecorded} = attempt;
+		const attemptId = attempt.id;
+		const pump = AnswerPump.create({
+			answer,
+			response: call.response,
+			isStreamed: isStream(call, answer),
+			isRecorded,
+		});
+		attempt.pump = pump;
+		if (!isRelayed) {
+			pump.stopRelaying();
+		}
+
+		const end = await pump.run();
+		if (end.kind === 'whole') {
+			const {usage, outcome} = end;
+			this._post({
+				type: 'answerCompleted',
+				attemptId,
+				usage,
+				...(outcome === undefined ? {} : {outcome}),
+			});
+		} else {
+			const {hasReachedCaller} = end;
+			this._post({type: 'answerCut', attemptId, hasReachedCaller});
+		}
+
+		this._attempts.delete(attemptId);
+	}
+}
+
+/** Only an event stream is relayed as it arrives; any other answer is whole or not sent at all. */
+function isStream(call: IncomingCall, answer: DispatchAnswer): boolean {
+	return call.isStreamed && answer.contentType.startsWith('text/event-stream');
+}
--- /dev/null
+++ b/packages/daemon/src/entry/callers-routes.ts
@@ -0,0 +1,259 @@
+import {randomUUID} from 'node:crypto';
+import {
+	refuseNotRun,
+	type Credential,
+	type Refusal,
+	type RefusalCode,
+	type RequestedWork,
+} from '@balsamtray/core';
+import type {
+	FastifyError,
+	FastifyInstance,
+	FastifyReply,
+	FastifyRequest,
+} from 'fastify';
+import {CallerResponse} from './caller-response.js';
+import {requestTimeoutMs} from './constants.js';
+import type {EntryTask} from './entry-task.js';
+import {errorAnswer} from './error-body.js';
+import {listModels} from './list-models.js';
+import {parseModelCall, type ModelCallKind} from './parse-model-call.js';
+import {keyTextOf, readHeaders} from './request-headers.js';
+import type {EntryTaskOptions} from './types.js';
+
+/** What the callers' HTTP needs. */
+export type CallersRoutesOptions = Pick<
+	EntryTaskOptions,
+	'hostId' | 'config' | 'checkKey' | 'telemetry'
+> & {readonly entry: EntryTask};
+
+type ServiceCall = {readonly Params: {readonly route: string}};
+
+const allMethods = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'];
+
+/** Serves callers' HTTP: the OpenAI-compatible calls, plain services, and the state of the process for balancers. */
+export class CallersRoutes {
+	static create(options: CallersRoutesOptions): CallersRoutes {
+		return new CallersRoutes(options);
+	}
+
+	private constructor(private readonly _options: CallersRoutesOptions) {
+}
+
+	register(app: FastifyInstance): void {
+		app.server.requestTimeout = requestTimeoutMs;
+		this._setUpParsing(app);
+		this._setUpErrors(app);
+		this._route(app, 'GET', '/livez', async (_req, reply) =>
+			reply.send({status: 'ok'}),
+		);
+		this._route(app, 'GET', '/readyz', async (_req, reply) =>
+			this._sendReadiness(reply),
+		);
+		this._route(app, 'GET', '/v1/models', async (req, reply) =>
+			this._sendModels(req, reply),
+		);
+		this._route(app, 'POST', '/v1/chat/completions', async (req, reply) =>
+			this._submitModelCall('chat', req, reply),
+		);
+		this._route(app, 'POST', '/v1/completions', async (req, reply) =>
+			this._submitModelCall('completion', req, reply),
+		);
+		for (const url of ['/services/:route', '/services/:route/*']) {
+			app.route<ServiceCall>({
+				method: allMethods,
+				url,
+				handler: async (req, reply) => this._submitServiceCall(req, reply),
+			});
+		}
+	}
+
+	/** Bodies stay bytes: those of plain services are handed on as they are. */
+	private _setUpParsing(app: FastifyInstance): void {
+		app.removeAllContentTypeParsers();
+		app.addContentTypeParser('*', {parseAs: 'buffer'}, (_req, body, done) => {
+			done(null, body);
+		});
+	}
+
+	private _setUpErrors(app: FastifyInstance): void {
+		app.setNotFoundHandler(async (req, reply) =>
+			this._refuse(req, reply, 'unknown_route'),
+		);
+		app.setErrorHandler<FastifyError>(async (err, req, reply) => {
+			const status = err.statusCode ?? 500;
+			if (status === 413) {
+				return this._refuse(req, reply, 'body_too_large');
+			}
+
+			if (status < 500) {
+				return this._refuse(req, reply, 'invalid_request');
+			}
+
+			this._options.telemetry.logger.error('entry.request_failed', {
+				message: err.message,
+			});
+			return this._refuse(req, reply, 'shutting_down', 'Internal error.');
+		});
+	}
+
+	/** Serves one method and refuses the others by name. */
+	private _route(
+		app: FastifyInstance,
+		method: 'GET' | 'POST',
+		url: string,
+		handler: (req: FastifyRequest, reply: FastifyReply) => Promise<unknown>,
+	): void {
+		app.route({method, url, handler, exposeHeadRoute: false});
+		app.route({
+			method: allMethods.filter(other => other !== method),
+			url,
+			exposeHeadRoute: false,
+			handler: async (req, reply) =>
+				this._refuse(req, reply.header('allow', method), 'method_not_allowed'),
+		});
+	}
+
+	private async _sendReadiness(reply: FastifyReply): Promise<unknown> {
+		return this._options.entry.isReady
+			? reply.send({status: 'ready'})
+			: reply.code(503).send({status: 'not ready'});
+	}
+
+	private async _sendModels(
+		req: FastifyRequest,
+		reply: FastifyReply,
+	): Promise<unknown> {
+		const {config} = this._options;
+		if (!config.isReady()) {
+			return this._refuse(req, reply, 'configuration_unavailable');
+		}
+
+		const credential = this._credentialOf(req);
+		return credential.kind === 'key'
+			? reply.send({
+					object: 'list',
+					data: listModels(config.view(), credential.customer),
+				})
+			: this._refuse(req, reply, 'unauthorized');
+	}
+
+	private async _submitModelCall(
+		kind: ModelCallKind,
+		req: FastifyRequest,
+		reply: FastifyReply,
+	): Promise<unknown> {
+		const result = parseModelCall(kind, bodyOf(req));
+		if (result.kind === 'malformed') {
+			return this._refuse(req, reply, 'invalid_request', result.message);
+		}
+
+		const {work, body, isStreamed} = result.call;
+		const path = kind === 'chat' ? '/v1/chat/completions' : '/v1/completions';
+		const form = {path, contentType: 'application/json'};
+		return this._submit(req, reply, {work, body, isStreamed, form});
+	}
+
+	private async _submitServiceCall(
+		req: FastifyRequest<ServiceCall>,
+		reply: FastifyReply,
+	): Promise<unknown> {
+		const {route} = req.params;
+		const contentType = req.headers['content-type'];
+		const {accept} = req.headers;
+		return this._submit(req, reply, {
+			work: {kind: 'service', route},
+			body: bodyOf(req),
+			isStreamed: true,
+			form: {
+				path: servicePathOf(req.raw.url ?? ''),
+				...(contentType === undefined ? {} : {contentType}),
+				...(accept === undefined ? {} : {accept}),
+			},
+		});
+	}
+
+	private async _submit(
+		req: FastifyRequest,
+		reply: FastifyReply,
+		{work, body, isStreamed, form}: ParsedCall,
+	): Promise<unknown> {
+		if (!this._options.config.isReady()) {
+			return this._refuse(req, reply, 'configuration_unavailable');
+		}
+
+		const headers = readHeaders(req.headers);
+		if (headers.kind === 'malformed') {
+			return this._refuse(req, reply, 'invalid_request', headers.message);
+		}
+
+		const requestId = randomUUID();
+		reply.hijack();
+		this._options.entry.submit({
+			requestId,
+			credential: this._credentialOf(req),
+			work,
+			body,
+			isStreamed,
+			call: {method: req.method, ...form},
+			response: CallerResponse.create(reply.raw, requestId),
+			...headers.headers,
+		});
+		return reply;
+	}
+
+	private _credentialOf(req: FastifyRequest): Credential {
+		const {checkKey, config} = this._options;
+		return checkKey(config.view(), keyTextOf(req.headers));
+	}
+
+	/** Refuses a request that never came to a decision. */
+	private async _refuse(
+		req: FastifyRequest,
+		reply: FastifyReply,
+		code: RefusalCode,
+		message?: string,
+	): Promise<unknown> {
+		const refusal: Refusal = refuseNotRun(code, {
+			step: code === 'unauthorized' ? 'authorize' : 'accept',
+			peer: this._options.hostId,
+			...(message === undefined ? {} : {message}),
+			...(retriedCodes.has(code) ? {retryAfterMs: earlyRetryAfterMs} : {}),
+		});
+		this._options.entry.countOutcome(code);
+		this._options.telemetry.metrics.increment('entry.refused', {
+			code,
+			step: refusal.step,
+		});
+		const {status, headers, body} = errorAnswer(refusal, randomUUID());
+		return reply.code(status).headers(headers).send(body);
+	}
+}
+
+type ParsedCall = {
+	readonly work: RequestedWork;
+	readonly body: Uint8Array;
+	readonly isStreamed: boolean;
+	readonly form: {
+		readonly path: string;
+		readonly contentType?: string;
+		readonly accept?: string;
+	};
+};
+
+const earlyRetryAfterMs = 1000;
+
+const retriedCodes: ReadonlySet<RefusalCode> = new Set([
+	'configuration_unavailable',
+	'shutting_down',
+]);
+
+function bodyOf(req: FastifyRequest): Uint8Array {
+	return req.body instanceof Uint8Array ? req.body : new Uint8Array();
+}
+
+/** Path and query at the service: what follows `/services/{route}`. */
+function servicePathOf(url: string): string {
+	const rest = url.replace(/^\/services\/[^\/?]*/v, '');
+	return rest.startsWith('/') ? rest : `/${rest}`;
+}
--- /dev/null
+++ b/packages/daemon/src/entry/entry-task.ts
@@ -0,0 +1,348 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	EntryCore,
+	type EntryCommand,
+	type EntryEvent,
+	type EntryRequest,
+	type Refusal,
+	type ServerStatus,
+} from '@balsamtray/core';
+import type {Disposable} from '../common/types.js';
+import {AttemptRunner} from './attempt-runner.js';
+import {longestSleepMs} from './constants.js';
+import {digestOf} from './digest.js';
+import {OpenRequest} from './open-request.js';
+import {ServiceCalls} from './service-calls.js';
+import type {EntryStats, EntryTaskOptions, IncomingCall} from './types.js';
+
+type FinalCommand = Extract<
+	EntryCommand,
+	{readonly type: 'finishAnswer' | 'refuse' | 'cutAnswer' | 'replayOutcome'}
+>;
+
+/** Carries events to the entry's decisions and carries out what they command. */
+export class EntryTask {
+	static create(options: EntryTaskOptions): EntryTask {
+		return new EntryTask(options);
+	}
+
+	private readonly _core: EntryCore;
+	private readonly _events: EntryEvent[] = [];
+	private readonly _requests = new Map<string, OpenRequest>();
+	private readonly _attempts: AttemptRunner;
+	private readonly _calls: ServiceCalls;
+	private readonly _outcomes = new Map<string, number>();
+	private readonly _subscriptions: Disposable[] = [];
+	private readonly _drainListeners = new Set<() => void>();
+	private _timer: NodeJS.Timeout | undefined;
+	private _isHandling = false;
+	private _isReady = false;
+	private _isStopped = false;
+
+	private constructor(private readonly _options: EntryTaskOptions) {
+		const {hostId, region, config, clock, policy} = _options;
+		this._core = EntryCore.create({
+			entryId: hostId,
+			region,
+			view: () => config.view(),
+			now: clock(),
+			...(policy === undefined ? {} : {policy}),
+		});
+		const post = (event: EntryEvent) => {
+			this._post(event);
+		};
+
+		this._attempts = AttemptRunner.create(_options, post);
+		this._calls = ServiceCalls.create(_options, post);
+	}
+
+	/** Whether balancers may send new requests here. */
+	get isReady(): boolean {
+		return this._isReady && this._options.config.isReady();
+	}
+
+	start(): void {
+		const {config, membership} = this._options;
+		this._subscriptions.push(
+			config.onAdvanced(() => {
+				this._post({type: 'configAdvanced'});
+			}),
+			membership.onChanged(hosts => {
+				this._post({type: 'membershipChanged', hosts});
+			}),
+		);
+		this._post({type: 'membershipChanged', hosts: membership.hosts()});
+		this._isReady = true;
+	}
+
+	/** Shuts down gracefully: not ready first, then new work is refused as not run, then what runs finishes. */
+	async drain(): Promise<void> {
+		this._isReady = false;
+		await sleep(this._options.notReadyLeadMs ?? 0);
+		await new Promise<void>(resolve => {
+			this._drainListeners.add(resolve);
+			this._post({type: 'shutdownRequested'});
+		});
+	}
+
+	/** Stops at once. What still runs is cut. */
+	stop(): void {
+		this._isReady = false;
+		this._isStopped = true;
+		clearTimeout(this._timer);
+		for (const subscription of this._subscriptions) {
+			subscription.dispose();
+		}
+
+		this._attempts.cancelAll();
+	}
+
+	/** Takes in a request. Its response gets exactly one outcome. */
+	submit(call: IncomingCall): void {
+		const {clock, deadlineMs, telemetry} = this._options;
+		const now = clock();
+		const open = OpenRequest.create(call, telemetry.tracer, now);
+		this._requests.set(call.requestId, open);
+		call.response.onGone(() => {
+			this._onGone(call.requestId);
+		});
+		telemetry.metrics.increment('entry.requests');
+		const request: EntryRequest = {
+			requestId: call.requestId,
+			credential: call.credential,
+			work: call.work,
+			bodyDigest: digestOf(call.call.method, call.call.path, call.body),
+			deadlineAt: now + (call.timeoutMs ?? deadlineMs),
+			traceparent: open.traceparent,
+			...(call.idempotencyKey === undefined
+				? {}
+				: {idempotencyKey: call.idempotencyKey}),
+		};
+		this._post({type: 'requestArrived', request});
+	}
+
+	/** Takes note of requests that ran on a back end as it died. */
+	noteSuspects(fingerprints: readonly string[], bootId: string): void {
+		this._post({type: 'suspectsReported', fingerprints, bootId});
+	}
+
+	/** Counts a request that was refused before it came to a decision. */
+	countOutcome(outcome: string): void {
+		this._outcomes.set(outcome, (this._outcomes.get(outcome) ?? 0) + 1);
+	}
+
+	stats(): EntryStats {
+		return {
+			...this._core.stats(),
+			isReady: this.isReady,
+			outcomes: Object.fromEntries(this._outcomes),
+		};
+	}
+
+	private _onGone(requestId: string): void {
+		this._end(requestId, 'gone');
+		this._post({type: 'callerGone', requestId});
+	}
+
+	/** Events that arise while commands are carried out wait for their turn. */
+	private _post(event: EntryEvent): void {
+		this._events.push(event);
+		if (this._isHandling || this._isStopped) {
+			return;
+		}
+
+		this._isHandling = true;
+		try {
+			for (;;) {
+				const next = this._events.shift();
+				if (next === undefined) {
+					break;
+				}
+
+				for (const command of this._core.handle(next, this._options.clock())) {
+					this._carryOut(command);
+				}
+			}
+		} finally {
+			this._isHandling = false;
+		}
+
+		this._scheduleTick();
+	}
+
+	private _scheduleTick(): void {
+		clearTimeout(this._timer);
+		const wakeAt = this._core.nextWakeAt();
+		if (wakeAt === undefined) {
+			return;
+		}
+
+		const delay = Math.max(1, wakeAt - this._options.clock());
+		this._timer = setTimeout(
+			() => {
+				this._post({type: 'tick'});
+			},
+			Math.min(delay, longestSleepMs),
+		);
+		this._timer.unref();
+	}
+
+	private _carryOut(command: EntryCommand): void {
+		switch (command.type) {
+			case 'reserveTokens': {
+				const open = this._requests.get(command.requestId);
+				void this._calls.reserve(command, open);
+				break;
+			}
+
+			case 'returnTokens': {
+				this._calls.giveBack(command);
+				break;
+			}
+
+			case 'claim': {
+				const open = this._requests.get(command.requestId);
+				void this._calls.claim(command, open);
+				break;
+			}
+
+			case 'recordOutcome': {
+				void this._calls.record(command);
+				break;
+			}
+
+			case 'releaseClaim': {
+				void this._calls.release(command);
+				break;
+			}
+
+			case 'learnChanges': {
+				this._options.config.learn('agent', command.changes);
+				break;
+			}
+
+			case 'probeServer': {
+				void this._probe(command.server);
+				break;
+			}
+
+			case 'drained': {
+				this._onDrained();
+				break;
+			}
+
+			case 'dispatch': {
+				const open = this._requests.get(command.requestId);
+				if (open !== undefined) {
+					void this._attempts.dispatch(command, open);
+				}
+
+				break;
+			}
+
+			case 'cancelDispatch': {
+				this._attempts.cancel(command.attemptId);
+				break;
+			}
+
+			case 'relayAnswer': {
+				this._attempts.relay(command.attemptId);
+				break;
+			}
+
+			case 'collectAnswer': {
+				this._attempts.collect(command.attemptId);
+				break;
+			}
+
+			case 'finishAnswer':
+			case 'refuse':
+			case 'cutAnswer':
+			case 'replayOutcome': {
+				this._answer(command);
+				break;
+			}
+		}
+	}
+
+	/** Gives the caller its final outcome. */
+	private _answer(command: FinalCommand): void {
+		const {requestId} = command;
+		const response = this._requests.get(requestId)?.call.response;
+		switch (command.type) {
+			case 'finishAnswer': {
+				this._attempts.finish(command.attemptId);
+				this._end(requestId, 'answered');
+				break;
+			}
+
+			case 'refuse': {
+				response?.refuse(command.refusal);
+				this._end(requestId, command.refusal.code);
+				this._countRefusal(command.refusal);
+				break;
+			}
+
+			case 'cutAnswer': {
+				response?.cut(command.refusal);
+				this._end(requestId, 'cut');
+				this._countRefusal(command.refusal);
+				break;
+			}
+
+			case 'replayOutcome': {
+				response?.replay(command.outcome);
+				this._end(requestId, 'replayed');
+				break;
+			}
+		}
+	}
+
+	private _countRefusal({code, step, notRun}: Refusal): void {
+		const tags = {code, step, not_run: String(notRun)};
+		this._options.telemetry.metrics.increment('entry.refused', tags);
+	}
+
+	/** Closes the books on a request. The first outcome counts. */
+	private _end(requestId: string, outcome: string): void {
+		const open = this._requests.get(requestId);
+		if (open === undefined) {
+			return;
+		}
+
+		this._requests.delete(requestId);
+		open.end(outcome);
+		this.countOutcome(outcome);
+		const {metrics} = this._options.telemetry;
+		const duration = this._options.clock() - open.startedAt;
+		metrics.increment('entry.outcome', {outcome});
+		metrics.timing('entry.duration', duration, {outcome});
+	}
+
+	private _onDrained(): void {
+		for (const resolve of this._drainListeners) {
+			resolve();
+		}
+
+		this._drainListeners.clear();
+	}
+
+	private async _probe(server: string): Promise<void> {
+		// eslint-disable-next-line unicorn/no-array-callback-reference -- not an array
+		const host = this._options.membership.find(server);
+		const status = host && (await this._tryProbe(host.peerAddress));
+		this._post({
+			type: 'serverProbed',
+			server,
+			...(status === undefined ? {} : {status}),
+		});
+	}
+
+	private async _tryProbe(address: string): Promise<ServerStatus | undefined> {
+		try {
+			return await this._options.probe(address);
+		} catch {
+			return undefined;
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/entry/service-calls.ts
@@ -0,0 +1,132 @@
+import type {EntryCommand, EntryEvent} from '@balsamtray/core';
+import type {OpenRequest} from './open-request.js';
+import type {EntryTaskOptions} from './types.js';
+
+type CommandOf<T extends EntryCommand['type']> = Extract<
+	EntryCommand,
+	{readonly type: T}
+>;
+
+/** Wait before a new try when a service of this process failed. */
+const serviceRetryAfterMs = 1000;
+
+/** Calls of the rate and claim services on behalf of requests. */
+export class ServiceCalls {
+	static create(
+		options: EntryTaskOptions,
+		post: (event: EntryEvent) => void,
+	): ServiceCalls {
+		return new ServiceCalls(options, post);
+	}
+
+	private constructor(
+		private readonly _options: EntryTaskOptions,
+		private readonly _post: (event: EntryEvent) => void,
+	) {
+}
+
+	async reserve(
+		{requestId, customer, tokens}: CommandOf<'reserveTokens'>,
+		open: OpenRequest | undefined,
+	): Promise<void> {
+		open?.startStep('rate');
+		const result = await this._tryReserve(requestId, customer, tokens);
+		open?.endStep('rate', result.kind);
+		if (result.kind === 'reserved') {
+			this._post({type: 'tokensReserved', requestId});
+			return;
+		}
+
+		const {retryAfterMs} = result;
+		this._post({
+			type: 'tokensRefused',
+			requestId,
+			...(retryAfterMs === undefined ? {} : {retryAfterMs}),
+		});
+	}
+
+	async claim(
+		{requestId, customer, idempotencyKey, bodyDigest}: CommandOf<'claim'>,
+		open: OpenRequest | undefined,
+	): Promise<void> {
+		open?.startStep('claim');
+		const result = await this._tryClaim(
+			requestId,
+			customer,
+			idempotencyKey,
+			bodyDigest,
+		);
+		open?.endStep('claim', result.kind);
+		this._post({type: 'claimSettled', requestId, result});
+	}
+
+	giveBack({customer, tokens}: CommandOf<'returnTokens'>): void {
+		this._options.rate.giveBack(customer, tokens);
+	}
+
+	async record({
+		requestId,
+		customer,
+		idempotencyKey,
+		outcome,
+	}: CommandOf<'recordOutcome'>): Promise<void> {
+		await this._settle(
+			'record',
+			this._options.claims.record(requestId, customer, idempotencyKey, outcome),
+		);
+	}
+
+	async release({
+		requestId,
+		customer,
+		idempotencyKey,
+	}: CommandOf<'releaseClaim'>): Promise<void> {
+		await this._settle(
+			'release',
+			this._options.claims.release(requestId, customer, idempotencyKey),
+		);
+	}
+
+	private async _tryReserve(
+		requestId: string,
+		customer: string,
+		tokens: number,
+	) {
+		try {
+			return await this._options.rate.reserve(requestId, customer, tokens);
+		} catch {
+			this._options.telemetry.metrics.increment('entry.rate_error');
+			const retryAfterMs = serviceRetryAfterMs;
+			return {kind: 'refused', retryAfterMs} as const;
+		}
+	}
+
+	private async _tryClaim(
+		requestId: string,
+		customer: string,
+		idempotencyKey: string,
+		bodyDigest: string,
+	) {
+		try {
+			return await this._options.claims.claim(
+				requestId,
+				customer,
+				idempotencyKey,
+				bodyDigest,
+			);
+		} catch {
+			this._options.telemetry.metrics.increment('entry.claim_error');
+			const retryAfterMs = serviceRetryAfterMs;
+			return {kind: 'unavailable', retryAfterMs} as const;
+		}
+	}
+
+	/** A claim that can't be settled stays as it is: the next call with its key learns that the outcome is unknown. */
+	private async _settle(step: string, settled: Promise<void>): Promise<void> {
+		try {
+			await settled;
+		} catch {
+			this._options.telemetry.metrics.increment('entry.claim_error', {step});
+		}
+	}
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,2 +1,7 @@
 export type * from './common/types.js';
 export * from './common/version.js';
+export type * from './entry/types.js';
+export * from './entry/callers-routes.js';
+export * from './entry/entry-task.js';
+export * from './entry/error-body.js';
+export * from './membership/membership-task.js';
--- /dev/null
+++ b/packages/protocol/src/dispatch-schemas.ts
@@ -0,0 +1,122 @@
+/** Checks of what an agent sends back on a dispatch. */
+import type {ConfigChange} from '@balsamtray/core';
+import {z} from 'zod';
+import type {DispatchEnd, DispatchReply} from './dispatch-wire.js';
+
+const identifier = z.string().min(1).max(400);
+const count = z.number().nonnegative();
+
+const refusal = z.object({
+	code: z.enum([
+		'invalid_request',
+		'body_too_large',
+		'method_not_allowed',
+		'unknown_route',
+		'unknown_model',
+		'unauthorized',
+		'forbidden',
+		'rate_exceeded',
+		'exceeds_burst',
+		'idempotency_key_required',
+		'idempotency_mismatch',
+		'in_progress',
+		'outcome_unknown',
+		'store_unavailable',
+		'configuration_behind',
+		'configuration_unavailable',
+		'no_server',
+		'server_leaving',
+		'zone_out',
+		'overloaded',
+		'deadline_unreachable',
+		'deadline_exceeded',
+		'quarantined',
+		'load_failed',
+		'backend_failed',
+		'answer_cut',
+		'answer_mismatch',
+		'shutting_down',
+		'cancelled',
+	]),
+	message: z.string().max(2000),
+	notRun: z.boolean(),
+	step: z.enum([
+		'accept',
+		'authorize',
+		'rate',
+		'claim',
+		'route',
+		'dispatch',
+		'admit',
+		'queue',
+		'load',
+		'backend',
+		'answer',
+		'store',
+	]),
+	peer: z.string().max(400),
+	retryAfterMs: count.exactOptional(),
+});
+
+const serverStatus = z.object({
+	server: identifier,
+	zone: identifier,
+	incarnation: identifier,
+	configVersion: z.number().int().nonnegative(),
+	backend: z.discriminatedUnion('kind', [
+		z.object({kind: z.literal('engine'), baseModel: identifier}),
+		z.object({kind: z.literal('service'), service: identifier}),
+	]),
+	isAcceptingWork: z.boolean(),
+	running: count,
+	queued: count,
+	window: count,
+	expectedWaitMs: count,
+	adapterState: z.enum(['resident', 'loading', 'absent']),
+});
+
+/** The replica of the configuration checks the operations of a change when it applies it. */
+const change = z.custom<ConfigChange>(
+	value =>
+		z
+			.looseObject({
+				version: z.number().int().positive(),
+				changeId: z.string(),
+				ops: z.array(z.looseObject({op: z.string()})),
+			})
+			.safeParse(value).success,
+);
+
+const reply = z.discriminatedUnion('kind', [
+	z.object({
+		kind: z.literal('answer'),
+		attemptId: identifier,
+		status: z.number().int().min(200).max(599),
+		contentType: z.string().max(400),
+		server: serverStatus,
+	}),
+	z.object({
+		kind: z.literal('refused'),
+		attemptId: identifier,
+		refusal,
+		server: serverStatus,
+		changes: z.array(change),
+	}),
+]);
+
+const end = z.object({
+	attemptId: identifier,
+	usage: z.object({promptTokens: count, completionTokens: count}),
+});
+
+/** Checks an agent's reply. Returns undefined where it is malformed. */
+export function parseReply(value: unknown): DispatchReply | undefined {
+	const result = reply.safeParse(value);
+	return result.success ? result.data : undefined;
+}
+
+/** Checks the end of an agent's answer. Returns undefined where it is malformed. */
+export function parseEnd(value: unknown): DispatchEnd | undefined {
+	const result = end.safeParse(value);
+	return result.success ? result.data : undefined;
+}
