Correct the spends in the test of the window check

Cause: the example spent 100 tokens at once with a burst of 50, so the check was right to object. Change: spends of at most the burst; the case with one token too many keeps its exact figure.

--- a/packages/scenarios/src/measure/rate-fleet/window-check.test.ts
+++ b/packages/scenarios/src/measure/rate-fleet/window-check.test.ts
@@ -9,7 +9,8 @@
 		it('finds nothing', () => {
 			const spends = [
 				{at: 0, tokens: 50},
-				{at: 1000, tokens: 100},
+				{at: 500, tokens: 50},
+				{at: 1000, tokens: 50},
 			];
 			assert.equal(worstExcess(spends, [limit]), undefined);
 		});
@@ -20,7 +21,7 @@
 			const spends = [
 				{at: 0, tokens: 10},
 				{at: 5000, tokens: 50},
-				{at: 6000, tokens: 101},
+				{at: 5200, tokens: 21},
 			];
 			const excess = worstExcess(spends, [limit]);
 			assert.equal(excess?.from, 5000);
