--- a/packages/core/src/refusal/http-status.ts
+++ b/packages/core/src/refusal/http-status.ts
@@ -1,7 +1,7 @@
 import type {RefusalCode} from './types.js';
 
 // Codes are tags of the API and keep its form.
- 
+
 const statusOfCode: Readonly<Record<RefusalCode, number>> = {
 	invalid_request: 400,
 	body_too_large: 413,
@@ -33,7 +33,6 @@
 	shutting_down: 503,
 	cancelled: 499,
 };
- 
 
 /** HTTP status with which callers see a refusal. */
 export function httpStatusOf(code: RefusalCode): number {
--- a/packages/core/src/refusal/refusals.ts
+++ b/packages/core/src/refusal/refusals.ts
@@ -9,7 +9,7 @@
 };
 
 // Codes are tags of the API and keep its form.
- 
+
 const defaultMessages: Readonly<Record<RefusalCode, string>> = {
 	invalid_request: 'The request is malformed.',
 	body_too_large: 'The body is larger than the limit.',
@@ -44,7 +44,6 @@
 	shutting_down: 'This host is shutting down.',
 	cancelled: 'The caller went away.',
 };
- 
 
 /** A refusal of a request that surely reached no back end. */
 export function refuseNotRun(
--- a/packages/daemon/src/entry/attempt-runner.ts
+++ b/packages/daemon/src/entry/attempt-runner.ts
@@ -36,8 +36,7 @@
 	private constructor(
 		private readonly _options: EntryTaskOptions,
 		private readonly _post: (event: EntryEvent) => void,
-	) {
-}
+	) {}
 
 	async dispatch(command: DispatchCommand, open: OpenRequest): Promise<void> {
 		const {dispatch, server} = command;
--- a/packages/daemon/src/entry/caller-response.ts
+++ b/packages/daemon/src/entry/caller-response.ts
@@ -13,8 +13,7 @@
 	private constructor(
 		private readonly _res: ServerResponse,
 		private readonly _requestId: string,
-	) {
-}
+	) {}
 
 	/** Whether a byte of an answer went out. */
 	get hasStarted(): boolean {
--- a/packages/daemon/src/entry/callers-routes.ts
+++ b/packages/daemon/src/entry/callers-routes.ts
@@ -37,8 +37,7 @@
 		return new CallersRoutes(options);
 	}
 
-	private constructor(private readonly _options: CallersRoutesOptions) {
-}
+	private constructor(private readonly _options: CallersRoutesOptions) {}
 
 	register(app: FastifyInstance): void {
 		app.server.requestTimeout = requestTimeoutMs;
--- a/packages/daemon/src/entry/service-calls.ts
+++ b/packages/daemon/src/entry/service-calls.ts
@@ -22,8 +22,7 @@
 	private constructor(
 		private readonly _options: EntryTaskOptions,
 		private readonly _post: (event: EntryEvent) => void,
-	) {
-}
+	) {}
 
 	async reserve(
 		{requestId, customer, tokens}: CommandOf<'reserveTokens'>,
--- a/packages/daemon/src/membership/membership-task.ts
+++ b/packages/daemon/src/membership/membership-task.ts
@@ -36,8 +36,7 @@
 	private _isPlatformUp = true;
 	private _running: Promise<void> | undefined;
 
-	private constructor(private readonly _options: MembershipTaskOptions) {
-}
+	private constructor(private readonly _options: MembershipTaskOptions) {}
 
 	/** Reads the list once, then keeps reading until the task is stopped. */
 	async start(): Promise<void> {
