--- /dev/null
+++ b/packages/daemon/src/store/object-client.ts
@@ -0,0 +1,55 @@
+import {StoreHttp} from './store-http.js';
+import type {ObjectStore} from './types.js';
+
+const okStatuses = [200, 201, 204];
+const notFoundStatus = 404;
+const alreadyThereStatus = 412;
+
+/** What a client of the platform's object store is created from. */
+export type ObjectClientOptions = {
+	readonly url: string;
+	readonly timeoutMs: number;
+};
+
+/** Client of the platform's object store. */
+export class ObjectClient implements ObjectStore {
+	static create(options: ObjectClientOptions): ObjectClient {
+		return new ObjectClient(
+			StoreHttp.create({peer: 'object store', ...options}),
+		);
+	}
+
+	private constructor(private readonly http: StoreHttp) {
+}
+
+	/** Writes an object whose name tells its content, so that one that is there already is as good. */
+	async put(name: string, body: string): Promise<void> {
+		await this.http.call({
+			method: 'PUT',
+			path: objectPath(name),
+			headers: {
+				'content-type': 'application/octet-stream',
+				'if-none-match': '*',
+			},
+			body,
+			statuses: [...okStatuses, alreadyThereStatus],
+		});
+	}
+
+	async get(name: string): Promise<string | undefined> {
+		const {status, text} = await this.http.call({
+			method: 'GET',
+			path: objectPath(name),
+			statuses: [...okStatuses, notFoundStatus],
+		});
+		return status === notFoundStatus ? undefined : text;
+	}
+
+	async close(): Promise<void> {
+		await this.http.close();
+	}
+}
+
+function objectPath(name: string): string {
+	return `/v1/objects/${encodeURIComponent(name)}`;
+}
