Let operators change the configuration over their own calls

Cause: operators plan, apply and promote documents, issue and withdraw keys, take zones out and drain servers.

--- /dev/null
+++ b/packages/daemon/src/operators/operators-api.ts
@@ -0,0 +1,83 @@
+import {equalTexts} from '@balsamtray/core';
+import {
+	operatorRouter,
+	type Operator,
+	type OperatorRole,
+	type OperatorRouter,
+	type OperatorService,
+} from '@balsamtray/protocol';
+import {
+	fastifyTRPCPlugin,
+	type FastifyTRPCPluginOptions,
+} from '@trpc/server/adapters/fastify';
+import type {FastifyInstance} from 'fastify';
+import type {Telemetry} from '../common/types.js';
+
+/** Largest body of an operator's call: a document of some hundred thousand adapters. */
+const bodyLimitBytes = 64 * 1024 * 1024;
+const bearerPrefix = 'Bearer ';
+
+/** An operator's key, from the settings. */
+export type OperatorKey = {
+	readonly name: string;
+	readonly role: OperatorRole;
+	readonly key: string;
+};
+
+/** What the operators' API is created from. */
+export type OperatorsApiOptions = {
+	readonly keys: readonly OperatorKey[];
+	readonly service: OperatorService;
+	readonly telemetry: Pick<Telemetry, 'metrics'>;
+};
+
+/** Serves the operators' calls under `/trpc` of their own port. */
+export class OperatorsApi {
+	static create(options: OperatorsApiOptions): OperatorsApi {
+		return new OperatorsApi(options);
+	}
+
+	private constructor(private readonly options: OperatorsApiOptions) {}
+
+	/** Registers the calls in a scope of the server. */
+	async register(app: FastifyInstance): Promise<void> {
+		await app.register(async scope => {
+			scope.addHook('onRoute', route => {
+				route.bodyLimit = bodyLimitBytes;
+			});
+			const plugin: FastifyTRPCPluginOptions<OperatorRouter> = {
+				prefix: '/trpc',
+				trpcOptions: {
+					router: operatorRouter,
+					createContext: ({req}) => {
+						const operator = this.operatorOf(req.headers.authorization);
+						this.count(operator);
+						return {
+							service: this.options.service,
+							...(operator && {operator}),
+						};
+					},
+				},
+			};
+			await scope.register(fastifyTRPCPlugin, plugin);
+		});
+	}
+
+	/** Compares with every key, so that the time tells nothing about which one came close. */
+	private operatorOf(authorization: string | undefined): Operator | undefined {
+		const text = authorization?.startsWith(bearerPrefix)
+			? authorization.slice(bearerPrefix.length)
+			: '';
+		const matching = this.options.keys.find(({key}) => equalTexts(key, text));
+		const found = matching;
+		return found && text !== ''
+			? {name: found.name, role: found.role}
+			: undefined;
+	}
+
+	private count(operator: Operator | undefined): void {
+		this.options.telemetry.metrics.increment('operators.call', {
+			role: operator?.role ?? 'none',
+		});
+	}
+}
