Add the calls over customers' tokens between entries

Cause: entries lend each other tokens and settle what became of them. Change: a rate router beside the agents' one; giveBack takes the request's identifier, since a return can be credited exactly only where the reservation is known.

--- a/packages/daemon/src/common/types.ts
+++ b/packages/daemon/src/common/types.ts
@@ -47,7 +47,8 @@
 		customer: string,
 		tokens: number,
 	): Promise<ReserveResult>;
-	giveBack(customer: string, tokens: number): void;
+	/** Returns tokens that the request reserved and did not use. Without its identifier they can't be credited. */
+	giveBack(customer: string, tokens: number, requestId?: string): void;
 };
 
 /** Claims on idempotency keys. */
--- a/packages/protocol/src/peer/peer-router.ts
+++ b/packages/protocol/src/peer/peer-router.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 import {peerProcedure, peerRouterOf} from '../trpc.js';
 import {agentRouter} from './agent-router.js';
+import {rateRouter} from './rate-router.js';
 
 const identifier = z.string().min(1).max(200);
 const version = z.number().int().nonnegative();
@@ -9,6 +10,8 @@
 export const peerRouter = peerRouterOf({
 	agent: agentRouter,
 
+	rate: rateRouter,
+
 	identity: peerProcedure.query(({ctx}) => ctx.identity()),
 
 	/** Tells the peer the caller's version and learns the peer's. */
--- a/packages/protocol/src/peer/types.ts
+++ b/packages/protocol/src/peer/types.ts
@@ -23,6 +23,28 @@
 	readonly retryAfterMs?: number;
 };
 
+/** What became of transferred tokens. */
+export type TransferSettlement =
+	/** All were spent, so they no longer count against the holder's burst. */
+	| {
+			readonly kind: 'spent';
+			readonly transferId: string;
+			readonly customer: string;
+	  }
+	/** So many were not spent and go back to the holder. */
+	| {
+			readonly kind: 'unspent';
+			readonly transferId: string;
+			readonly customer: string;
+			readonly tokens: number;
+	  };
+
+/** What the calls over customers' tokens need from the entry that serves them. */
+export type RatePeerContext = {
+	requestTransfer(request: TransferRequest): Promise<TransferAnswer>;
+	settleTransfers(settlements: readonly TransferSettlement[]): void;
+};
+
 /** What a process says of itself to a peer. */
 export type ProcessIdentity = {
 	readonly id: string;
@@ -50,9 +72,7 @@
 		seeVersion(peer: string, version: number): void;
 		answerAfter(version: number): ConfigAnswer;
 	};
-	readonly rate?: {
-		requestTransfer(request: TransferRequest): Promise<TransferAnswer>;
-	};
+	readonly rate?: RatePeerContext;
 	readonly agent?: {
 		probe(request: ProbeRequest): ServerStatus;
 	};
