--- /dev/null
+++ b/packages/daemon/src/rate/monotonic-clock.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {MonotonicClock} from './monotonic-clock.js';
+
+function createClocks() {
+	const times = {monotonic: 100, wall: 1_000_000};
+	const clock = MonotonicClock.create({
+		monotonic: () => times.monotonic,
+		wall: () => times.wall,
+	});
+	return {times, clock};
+}
+
+describe('MonotonicClock', () => {
+	describe('when the wall clock runs ahead', () => {
+		it('tells the missed time once', () => {
+			const {times, clock} = createClocks();
+			times.monotonic += 5;
+			times.wall += 3605;
+			assert.equal(clock.takeJumpMs(), 3600);
+			assert.equal(clock.takeJumpMs(), 0);
+		});
+
+		it('adds small steps up', () => {
+			const {times, clock} = createClocks();
+			times.wall += 15;
+			assert.equal(clock.takeJumpMs(), 0);
+			times.wall += 15;
+			assert.equal(clock.takeJumpMs(), 30);
+		});
+	});
+
+	describe('when the wall clock is set back', () => {
+		it('tells nothing and measures from there', () => {
+			const {times, clock} = createClocks();
+			times.wall -= 60_000;
+			assert.equal(clock.takeJumpMs(), 0);
+			times.wall += 1000;
+			assert.equal(clock.takeJumpMs(), 1000);
+		});
+	});
+});
--- /dev/null
+++ b/packages/daemon/src/rate/shard-table.ts
@@ -0,0 +1,143 @@
+import {
+	shardLayoutKey,
+	shardLayoutTable,
+	shardTable,
+	type RateShard,
+	type ShardRow,
+	type ShardWriteResult,
+	type VersionedShardRow,
+} from '@balsamtray/core';
+import {z} from 'zod';
+import {isSurelyNotWritten, type TableStore} from '../common/table-store.js';
+
+const rowsPerPage = 1000;
+
+const holderSchema = z.object({
+	id: z.string(),
+	zone: z.string(),
+	region: z.string(),
+});
+
+const rowSchema = z.object({
+	state: z.enum(['held', 'released']),
+	holder: holderSchema,
+	incarnation: z.string(),
+	peerAddress: z.string(),
+	epoch: z.number(),
+	writeId: z.string(),
+	levels: z.record(z.string(), z.number()).exactOptional(),
+});
+
+const layoutSchema = z.object({
+	shards: z.array(z.object({id: z.string(), region: z.string()})).min(1),
+});
+
+/** A conditional write of one shard's row. */
+export type ShardWrite = {
+	readonly shard: string;
+	readonly row: ShardRow;
+	/** Absent: only where there is no row yet. */
+	readonly version?: number;
+};
+
+/** The rows of one environment's shards in the table service. */
+export class ShardTable {
+	static create(table: TableStore, environment: string): ShardTable {
+		return new ShardTable(table, environment);
+	}
+
+	private constructor(
+		private readonly _table: TableStore,
+		private readonly _environment: string,
+	) {}
+
+	/** The list of shards. The first entry of an environment writes it, all others keep to it. */
+	async layout(proposal: readonly RateShard[]): Promise<readonly RateShard[]> {
+		const known = await this._readLayout();
+		if (known !== undefined) {
+			return known;
+		}
+
+		const written = await this._table.transact([
+			{
+				table: this._name(shardLayoutTable),
+				key: shardLayoutKey,
+				value: {shards: proposal},
+				condition: {kind: 'absent'},
+			},
+		]);
+		return written.kind === 'committed'
+			? proposal
+			: ((await this._readLayout()) ?? []);
+	}
+
+	async readRows(): Promise<ReadonlyMap<string, VersionedShardRow>> {
+		const rows = new Map<string, VersionedShardRow>();
+		let after: string | undefined;
+		for (;;) {
+			// Each page starts where the one before ended.
+			// eslint-disable-next-line no-await-in-loop
+			const page = await this._table.list(this._name(shardTable), {
+				limit: rowsPerPage,
+				...(after === undefined ? {} : {after}),
+			});
+			for (const {key, value, version} of page) {
+				rows.set(key, {row: rowSchema.parse(value), version});
+				after = key;
+			}
+
+			if (page.length < rowsPerPage) {
+				return rows;
+			}
+		}
+	}
+
+	async write(write: ShardWrite): Promise<ShardWriteResult> {
+		const {shard, row, version} = write;
+		try {
+			const result = await this._table.transact([
+				{
+					table: this._name(shardTable),
+					key: shard,
+					value: row,
+					condition:
+						version === undefined
+							? {kind: 'absent'}
+							: {kind: 'version', version},
+				},
+			]);
+			if (result.kind === 'committed') {
+				const [committed] = result.versions;
+				return committed === undefined
+					? {kind: 'lost'}
+					: {kind: 'committed', version: committed};
+			}
+
+			const current = result.conflicts[0]?.current;
+			return current === undefined || current === null
+				? {kind: 'conflict'}
+				: {kind: 'conflict', current: toVersionedRow(current)};
+		} catch (error) {
+			return {kind: isSurelyNotWritten(error) ? 'unavailable' : 'lost'};
+		}
+	}
+
+	private async _readLayout(): Promise<readonly RateShard[] | undefined> {
+		const row = await this._table.read(
+			this._name(shardLayoutTable),
+			shardLayoutKey,
+		);
+		return row === undefined ? undefined : layoutSchema.parse(row.value).shards;
+	}
+
+	private _name(table: string): string {
+		return `${this._environment}.${table}`;
+	}
+}
+
+function toVersionedRow(current: {
+	readonly value: unknown;
+	readonly version: number;
+}): VersionedShardRow {
+	return {row: rowSchema.parse(current.value), version: current.version};
+}
