--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -17,3 +17,6 @@
 export * from './config/undici-fetch.js';
 export * from './operators/config-author.js';
 export * from './operators/operators-api.js';
+export * from './rate/rate-task.js';
+export * from './rate/trpc-rate-peers.js';
+export type * from './rate/types.js';
