Test the agent's task against a small engine

Cause: the daemon side of the agent had no test. Change: tests of whole, cut, crossed and late answers, repeated attempts, an entry that leaves, draining, headers towards the engine and 300 arbitrary dispatch headers (seed 1).

--- /dev/null
+++ b/packages/daemon/src/agent/agent-task.test.ts
@@ -0,0 +1,378 @@
+import assert from 'node:assert/strict';
+import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {ConfigView, Dispatch} from '@balsamtray/core';
+import {
+	callHeader,
+	decodeHeader,
+	dispatchHeader,
+	encodeHeader,
+	endTrailer,
+	replyHeader,
+	type DispatchReply,
+} from '@balsamtray/protocol';
+import fc from 'fast-check';
+import fastify, {type FastifyInstance} from 'fastify';
+import {request, type Dispatcher} from 'undici';
+import type {ConfigService, Telemetry} from '../common/types.js';
+import {AgentTask} from './agent-task.js';
+
+const nothing = () => undefined;
+const disposable = {dispose: nothing};
+
+const telemetry: Telemetry = {
+	metrics: {increment: nothing, gauge: nothing, timing: nothing},
+	logger: {info: nothing, warn: nothing, error: nothing},
+	tracer: {
+		startSpan: (_name, parent) => ({
+			traceparent: parent ?? '',
+			setAttribute: nothing,
+			end: nothing,
+		}),
+	},
+};
+
+const view: ConfigView = {
+	version: 3,
+	documentDigest: '',
+	customer: nothing,
+	adapter: nothing,
+	route: nothing,
+	key: nothing,
+	isKeyWithdrawn: id => id === 'withdrawn',
+	isZoneOut: () => false,
+	isServerDrained: () => false,
+	lastTouched: () => 0,
+	customers: () => [],
+	adapters: () => [],
+	routes: () => [],
+	toSnapshot() {
+		throw new Error('not used');
+	},
+};
+
+const config: ConfigService = {
+	view: () => view,
+	isReady: () => true,
+	changesAfter: () => [],
+	learn: nothing,
+	seeVersion: nothing,
+	onAdvanced: () => disposable,
+};
+
+const dispatch: Dispatch = {
+	attemptId: 'a1',
+	requestId: 'r1',
+	entryId: 'e1',
+	configVersion: 3,
+	customer: 'lakeshore',
+	weight: 1,
+	target: {kind: 'adapter', adapter: 'salt', version: '1', weights: 'w1'},
+	isRepeatable: true,
+	promptTokens: 5,
+	maxTokens: 5,
+	timeLeftMs: 5000,
+	fingerprint: 'f1',
+};
+
+const chatCall = {
+	method: 'POST',
+	path: '/v1/chat/completions',
+	contentType: 'application/json',
+};
+
+/** How the fake engine answers a completion. */
+type Answer = (attemptId: string, res: ServerResponse) => void;
+
+const event = (id: string, extra: Readonly<Record<string, unknown>> = {}) =>
+	`data: ${JSON.stringify({id, model: 'salt@1', choices: [{}], ...extra})}\n\n`;
+
+const usageEvent = (id: string) =>
+	event(id, {choices: [], usage: {prompt_tokens: 5, completion_tokens: 2}});
+
+const wholeStream: Answer = (attemptId, res) => {
+	const id = `chatcmpl-${attemptId}`;
+	res.write(event(id));
+	res.write(event(id));
+	res.write(usageEvent(id));
+	res.end('data: [DONE]\n\n');
+};
+
+class FakeEngine {
+	static create(): FakeEngine {
+		return new FakeEngine();
+	}
+
+	answer: Answer = wholeStream;
+	readonly app: FastifyInstance = fastify();
+	readonly loaded = new Set<string>();
+	readonly received: Array<{
+		readonly headers: IncomingHttpHeaders;
+		readonly body: unknown;
+	}> = [];
+
+	private constructor() {
+		this.app.get('/server_info', () => ({
+			boot_id: 'b1',
+			uptime_ms: 5,
+			loaded_adapters: [...this.loaded],
+		}));
+		this.app.post<{Body: {lora_name: string}}>('/v1/load_lora_adapter', req => {
+			this.loaded.add(req.body.lora_name);
+			return {};
+		});
+		this.app.post('/v1/chat/completions', (req, res) => {
+			this.received.push({headers: req.headers, body: req.body});
+			res.hijack();
+			this.answer(String(req.headers['x-request-id']), res.raw);
+		});
+	}
+}
+
+describe('AgentTask', () => {
+	let engine: FakeEngine;
+	let task: AgentTask;
+	let peer: FastifyInstance;
+	let url: string;
+
+	beforeEach(async () => {
+		engine = FakeEngine.create();
+		const backendUrl = await engine.app.listen({host: '127.0.0.1', port: 0});
+		task = AgentTask.create({
+			settings: {
+				server: 's1',
+				zone: 'z1',
+				incarnation: 'i1',
+				backend: {kind: 'engine', baseModel: 'base'},
+				limits: {
+					adapterSlots: 2,
+					coldWindow: 2,
+					maxWindow: 4,
+					maxQueued: 8,
+					loadTimeoutMs: 1000,
+				},
+			},
+			backendUrl,
+			fencingToken: 1,
+			config,
+			membership: {
+				hosts: () => [],
+				find: nothing,
+				onChanged: () => disposable,
+			},
+			telemetry,
+			clock: Date.now,
+			reportSuspects: nothing,
+		});
+		peer = fastify({forceCloseConnections: true});
+		await task.register(peer);
+		url = await peer.listen({host: '127.0.0.1', port: 0});
+		await task.start();
+	});
+
+	afterEach(async () => {
+		await task.stop();
+		await peer.close();
+		engine.app.server.closeAllConnections();
+		await engine.app.close();
+	});
+
+	async function post(
+		changes: Partial<Dispatch> = {},
+		signal?: AbortSignal,
+	): Promise<Dispatcher.ResponseData> {
+		return request(`${url}/dispatch`, {
+			method: 'POST',
+			headers: {
+				'content-type': 'application/json',
+				authorization: 'Bearer secret',
+				[dispatchHeader]: encodeHeader({...dispatch, ...changes}),
+				[callHeader]: encodeHeader(chatCall),
+			},
+			body: JSON.stringify({model: 'x', stream: true, user: 'u'}),
+			...(signal && {signal}),
+		});
+	}
+
+	function replyOf(res: Dispatcher.ResponseData): DispatchReply {
+		// The agent's own reply; its form is what the tests look at.
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+		return decodeHeader(res.headers[replyHeader]) as DispatchReply;
+	}
+
+	describe('with a whole streamed answer', () => {
+		it('relays it and ends with the usage', async () => {
+			const res = await post();
+			const text = await res.body.text();
+			assert.equal(replyOf(res).kind, 'answer');
+			assert.equal(text.split('\n\n').length, 4);
+			assert.ok(text.endsWith('data: [DONE]\n\n'));
+			assert.deepEqual(decodeHeader(res.trailers[endTrailer]), {
+				attemptId: 'a1',
+				usage: {promptTokens: 5, completionTokens: 2},
+			});
+		});
+
+		it('names the adapter version and shows no header of the caller', async () => {
+			const res = await post();
+			await res.body.dump();
+			const [received] = engine.received;
+			assert.deepEqual(received?.body, {
+				model: 'salt@1',
+				stream: true,
+				user: 'u',
+				stream_options: {include_usage: true},
+				priority: 4,
+			});
+			assert.equal(received.headers.authorization, undefined);
+			assert.equal(received.headers[dispatchHeader], undefined);
+		});
+	});
+
+	describe('with an answer that is not whole or not its own', () => {
+		const cases: ReadonlyArray<readonly [string, Answer]> = [
+			[
+				'cut-before-its-end',
+				(attemptId, res) => {
+					res.write(event(`chatcmpl-${attemptId}`));
+					res.end();
+				},
+			],
+			[
+				'chunk-of-another-request',
+				(attemptId, res) => {
+					res.write(event(`chatcmpl-${attemptId}`));
+					res.write(event('chatcmpl-other'));
+					res.end('data: [DONE]\n\n');
+				},
+			],
+			[
+				'chunk-of-another-version',
+				(attemptId, res) => {
+					res.write(event(`chatcmpl-${attemptId}`));
+					res.write(event(`chatcmpl-${attemptId}`, {model: 'salt@2'}));
+					res.end('data: [DONE]\n\n');
+				},
+			],
+			[
+				'chunk-after-the-end',
+				(attemptId, res) => {
+					res.write(`${event(`chatcmpl-${attemptId}`)}data: [DONE]\n\n`);
+					res.end(event(`chatcmpl-${attemptId}`));
+				},
+			],
+		];
+		it('cuts the connection without a trailer', async () => {
+			for (const [attemptId, answer] of cases) {
+				engine.answer = answer;
+				// One after the other: they share the engine.
+				// eslint-disable-next-line no-await-in-loop
+				const res = await post({attemptId});
+				// eslint-disable-next-line no-await-in-loop
+				await assert.rejects(res.body.text(), attemptId);
+				assert.equal(res.trailers[endTrailer], undefined, attemptId);
+			}
+		});
+
+		it('refuses an answer whose first chunk is of another request', async () => {
+			engine.answer = (_attemptId, res) => {
+				res.write(event('chatcmpl-other'));
+				res.end('data: [DONE]\n\n');
+			};
+
+			const reply = replyOf(await post());
+			assert.ok(reply.kind === 'refused');
+			assert.equal(reply.refusal.code, 'answer_mismatch');
+			assert.equal(reply.refusal.notRun, false);
+		});
+	});
+
+	describe('with a repeated attempt', () => {
+		it('runs it once', async () => {
+			const first = await post();
+			await first.body.dump();
+			const second = replyOf(await post());
+			assert.ok(second.kind === 'refused');
+			assert.equal(second.refusal.notRun, false);
+			assert.equal(engine.received.length, 1);
+		});
+	});
+
+	describe('when the entry closes the connection', () => {
+		it('stops the work of the engine', async () => {
+			const stopped = new Promise<void>(resolve => {
+				engine.answer = (attemptId, res) => {
+					res.write(event(`chatcmpl-${attemptId}`));
+					res.once('close', resolve);
+				};
+			});
+
+			const controller = new AbortController();
+			const res = await post({}, controller.signal);
+			assert.equal(replyOf(res).kind, 'answer');
+			controller.abort();
+			await assert.rejects(res.body.text());
+			await stopped;
+			// The agent learns of the stop a moment after the engine.
+			await sleep(20);
+			assert.equal(task.probe({}).running, 0);
+		});
+	});
+
+	describe('while draining', () => {
+		it('ends what runs and refuses what comes', async () => {
+			let finish = nothing as () => void;
+			engine.answer = (attemptId, res) => {
+				res.write(event(`chatcmpl-${attemptId}`));
+				finish = () => {
+					wholeStream(attemptId, res);
+					return undefined;
+				};
+			};
+
+			const running = await post();
+			const drained = task.drain();
+			const refused = replyOf(await post({attemptId: 'a2'}));
+			assert.ok(refused.kind === 'refused');
+			assert.equal(refused.refusal.code, 'shutting_down');
+			assert.equal(refused.refusal.notRun, true);
+			finish();
+			const text = await running.body.text();
+			assert.ok(text.endsWith('data: [DONE]\n\n'));
+			assert.ok(running.trailers[endTrailer]);
+			await drained;
+		});
+	});
+
+	describe('with bad input', () => {
+		it('refuses a withdrawn key', async () => {
+			const reply = replyOf(await post({keyId: 'withdrawn'}));
+			assert.ok(reply.kind === 'refused');
+			assert.equal(reply.refusal.code, 'unauthorized');
+		});
+
+		it('answers arbitrary headers with an error and goes on', async () => {
+			const text = fc.oneof(
+				fc.string({unit: 'grapheme-ascii'}),
+				fc.jsonValue().map(value => encodeHeader({value})),
+				fc.object().map(value => encodeHeader({...dispatch, ...value})),
+			);
+			const header = text.filter(value => /^[\u0020-\u007E]*$/v.test(value));
+			await fc.assert(
+				fc.asyncProperty(header, header, async (first, second) => {
+					const res = await peer.inject({
+						method: 'POST',
+						url: '/dispatch',
+						headers: {[dispatchHeader]: first, [callHeader]: second},
+						payload: 'x',
+					});
+					assert.equal(res.statusCode, 400);
+				}),
+				{numRuns: 300, seed: 1},
+			);
+			assert.equal(engine.received.length, 0);
+			assert.equal(replyOf(await post()).kind, 'answer');
+		});
+	});
+});
