Check the headers and paths that services get, and the changes in replies

The agent takes only printable paths and headers up to its limits; the entry now refuses others as invalid instead of losing the dispatch. Replies use the schema of changes that the peers use.

--- a/packages/daemon/src/entry/callers-routes.ts
+++ b/packages/daemon/src/entry/callers-routes.ts
@@ -18,7 +18,12 @@
 import {errorAnswer} from './error-body.js';
 import {listModels} from './list-models.js';
 import {parseModelCall, type ModelCallKind} from './parse-model-call.js';
-import {keyTextOf, readHeaders} from './request-headers.js';
+import {
+	forwardableHeader,
+	isForwardablePath,
+	keyTextOf,
+	readHeaders,
+} from './request-headers.js';
 import type {EntryTaskOptions} from './types.js';
 
 /** What the callers' HTTP needs. */
@@ -29,7 +34,10 @@
 
 type ServiceCall = {readonly Params: {readonly route: string}};
 
-const allMethods = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'];
+/** Methods that plain services get. */
+const serviceMethods = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'];
+
+const allMethods = [...serviceMethods, 'OPTIONS'];
 
 /** Serves callers' HTTP: the OpenAI-compatible calls, plain services, and the state of the process for balancers. */
 export class CallersRoutes {
@@ -60,10 +68,18 @@
 		);
 		for (const url of ['/services/:route', '/services/:route/*']) {
 			app.route<ServiceCall>({
-				method: allMethods,
+				method: serviceMethods,
 				url,
+				exposeHeadRoute: false,
 				handler: async (req, reply) => this._submitServiceCall(req, reply),
 			});
+			app.options(url, async (req, reply) =>
+				this._refuse(
+					req,
+					reply.header('allow', serviceMethods.join(', ')),
+					'method_not_allowed',
+				),
+			);
 		}
 	}
 
@@ -158,14 +174,24 @@
 		reply: FastifyReply,
 	): Promise<unknown> {
 		const {route} = req.params;
-		const contentType = req.headers['content-type'];
-		const {accept} = req.headers;
+		const path = servicePathOf(req.raw.url ?? '');
+		if (!isForwardablePath(path)) {
+			return this._refuse(
+				req,
+				reply,
+				'invalid_request',
+				'The path is too long or holds characters that it must not hold.',
+			);
+		}
+
+		const contentType = forwardableHeader(req.headers['content-type']);
+		const accept = forwardableHeader(req.headers.accept);
 		return this._submit(req, reply, {
 			work: {kind: 'service', route},
 			body: bodyOf(req),
 			isStreamed: true,
 			form: {
-				path: servicePathOf(req.raw.url ?? ''),
+				path,
 				...(contentType === undefined ? {} : {contentType}),
 				...(accept === undefined ? {} : {accept}),
 			},
--- a/packages/daemon/src/entry/constants.ts
+++ b/packages/daemon/src/entry/constants.ts
@@ -33,3 +33,9 @@
 
 /** Longest time between two ticks of the entry's decisions. */
 export const longestSleepMs = 1000;
+
+/** Longest header that is handed on to a back end. */
+export const longestForwardedHeader = 200;
+
+/** Longest path, with its query, that is handed on to a back end. */
+export const longestPath = 8000;
--- a/packages/daemon/src/entry/request-headers.ts
+++ b/packages/daemon/src/entry/request-headers.ts
@@ -1,6 +1,10 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {longestDeadlineMs} from '@balsamtray/protocol';
-import {longestIdempotencyKey} from './constants.js';
+import {
+	longestForwardedHeader,
+	longestIdempotencyKey,
+	longestPath,
+} from './constants.js';
 
 /** What the headers of a caller say about its request. */
 export type RequestHeaders = {
@@ -17,6 +21,8 @@
 const bearerPattern = /^bearer +(?<key>\S+)$/iv;
 const idempotencyKeyPattern = /^[\u0021-\u007E]+$/v;
 const traceparentPattern = /^[\da-f]{2}-[\da-f]{32}-[\da-f]{16}-[\da-f]{2}$/v;
+const printablePattern = /^[\u0020-\u007E]*$/v;
+const pathPattern = /^\/[\u0021-\u007E]*$/v;
 const wholeNumberPattern = /^[1-9]\d{0,8}$/v;
 
 /** Text of the caller's key. Undefined without a key, and an empty one where the header is malformed. */
@@ -33,6 +39,22 @@
 /** Stands for a header that holds no key, so that it is refused like a wrong key. */
 const malformedKey = 'malformed';
 
+/** A header as it may be handed on to a back end. Undefined where it may not. */
+export function forwardableHeader(
+	value: string | undefined,
+): string | undefined {
+	return value !== undefined &&
+		value.length <= longestForwardedHeader &&
+		printablePattern.test(value)
+		? value
+		: undefined;
+}
+
+/** Whether a path and query may be handed on to a back end. */
+export function isForwardablePath(path: string): boolean {
+	return path.length <= longestPath && pathPattern.test(path);
+}
+
 /** Reads the headers that the entry acts on. All others stay here. */
 export function readHeaders(
 	headers: IncomingHttpHeaders,
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -9,4 +9,4 @@
 export * from './document/parse-document.js';
 export type * from './operators/types.js';
 export * from './operators/operator-router.js';
-export * from './dispatch-schemas.js';
+export * from './reply-schema.js';
--- a/packages/protocol/src/dispatch-schemas.ts
+++ b/packages/protocol/src/reply-schema.ts
@@ -1,6 +1,6 @@
 /** Checks of what an agent sends back on a dispatch. */
-import type {ConfigChange} from '@balsamtray/core';
 import {z} from 'zod';
+import {configChangeSchema} from './document/change-schema.js';
 import type {DispatchEnd, DispatchReply} from './dispatch-wire.js';
 
 const identifier = z.string().min(1).max(400);
@@ -75,18 +75,6 @@
 	adapterState: z.enum(['resident', 'loading', 'absent']),
 });
 
-/** The replica of the configuration checks the operations of a change when it applies it. */
-const change = z.custom<ConfigChange>(
-	value =>
-		z
-			.looseObject({
-				version: z.number().int().positive(),
-				changeId: z.string(),
-				ops: z.array(z.looseObject({op: z.string()})),
-			})
-			.safeParse(value).success,
-);
-
 const reply = z.discriminatedUnion('kind', [
 	z.object({
 		kind: z.literal('answer'),
@@ -100,7 +88,7 @@
 		attemptId: identifier,
 		refusal,
 		server: serverStatus,
-		changes: z.array(change),
+		changes: z.array(configChangeSchema),
 	}),
 ]);
 
