--- a/packages/daemon/src/config/peer-config-client.ts
+++ b/packages/daemon/src/config/peer-config-client.ts
@@ -36,8 +36,7 @@
 		return new PeerConfigClient(options);
 	}
 
-	private constructor(private readonly options: PeerConfigClientOptions) {
-}
+	private constructor(private readonly options: PeerConfigClientOptions) {}
 
 	async exchangeVersion(address: string, version: number): Promise<number> {
 		const answer = await this.client(address).exchangeVersion.mutate(
