Claim idempotency keys before a call that may not be repeated

Cause: a call that may not be repeated must run at most once, with lost answers, killed entries and racing callers.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -38,3 +38,5 @@
 export * from './rate/constants.js';
 export * from './rate/even-shares.js';
 export * from './rate/token-bucket.js';
+export * from './claims/claim-core.js';
+export * from './claims/constants.js';
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -20,3 +20,4 @@
 export * from './rate/rate-task.js';
 export * from './rate/trpc-rate-peers.js';
 export type * from './rate/types.js';
+export * from './claims/claim-task.js';
