Add the operators' command line

Cause: operators drive the system through balsamtray. Change: commands for documents, keys, zones and servers, with exit codes, JSON, confirmation and suggestions. The procedure apply became applyDocument: tRPC reserves the first name, so that the router threw when it was loaded.

--- /dev/null
+++ b/packages/client/src/commands/config-apply-command.ts
@@ -0,0 +1,65 @@
+import {formatFault} from '@balsamtray/protocol';
+import {Command, Option, UsageError} from 'clipanion';
+import * as t from 'typanion';
+import {readDocumentFile} from '../document-file.js';
+import type {OperatorClient} from '../operator-client.js';
+import {describePlan, isDestructive, type Plan} from '../plan-report.js';
+import {ChangeCommand} from './change-command.js';
+
+/** Applies a document. */
+export class ConfigApplyCommand extends ChangeCommand {
+	static override readonly paths = [['config', 'apply']];
+
+	static override readonly usage = Command.Usage({
+		category: 'Configuration',
+		description: 'Apply a document',
+		details:
+			'Plans the document, asks before anything is taken away, and applies the plan. A document that another operator applied since then wins.',
+		examples: [
+			['Apply a document', '$0 config apply fleet.yaml'],
+			[
+				'Apply a plan that was made earlier',
+				'$0 config apply fleet.yaml --base 412 --yes',
+			],
+		],
+	});
+
+	readonly file = Option.String({name: 'FILE'});
+
+	readonly base = Option.String('--base', {
+		description: 'Version on which an earlier plan was based',
+		validator: t.cascade(t.isNumber(), [t.isInteger(), t.isAtLeast(0)]),
+	});
+
+	protected override async call(client: OperatorClient): Promise<number> {
+		const {text} = readDocumentFile(this.file);
+		const plan = await this.plan(client, text);
+		if (!this.isJson) {
+			this.context.stdout.write(`${describePlan(plan).join('\n')}\n`);
+		}
+
+		const isConfirmed =
+			!isDestructive(plan) ||
+			(await this.confirm('The plan takes something away.', this.isYes));
+		if (!isConfirmed) {
+			return this.reportDeclined();
+		}
+
+		const result = await client.applyDocument.mutate({
+			text,
+			changeId: this.changeId,
+			baseVersion: this.base ?? plan.baseVersion,
+		});
+		return this.reportChange(result);
+	}
+
+	private async plan(client: OperatorClient, text: string): Promise<Plan> {
+		const plan = await client.plan.mutate({text});
+		if (plan.kind === 'invalid') {
+			const faults = plan.faults.map(fault => formatFault(fault));
+			throw new UsageError(faults.join('\n'));
+		}
+
+		return plan;
+	}
+}
--- /dev/null
+++ b/packages/client/src/commands/config-history-command.ts
@@ -0,0 +1,44 @@
+import {Command, Option} from 'clipanion';
+import * as t from 'typanion';
+import {exitCodes} from '../exit-codes.js';
+import type {OperatorClient} from '../operator-client.js';
+import {OperatorCommand} from './operator-command.js';
+
+const usualLimit = 20;
+const mostLimit = 1000;
+
+/** Lists the latest changes. */
+export class ConfigHistoryCommand extends OperatorCommand {
+	static override readonly paths = [['config', 'history']];
+
+	static override readonly usage = Command.Usage({
+		category: 'Configuration',
+		description: 'List the latest changes, the newest first',
+		examples: [['The last five changes', '$0 config history --limit 5']],
+	});
+
+	readonly limit = Option.String('--limit', {
+		description: `Changes to list (${usualLimit})`,
+		validator: t.cascade(t.isNumber(), [
+			t.isInteger(),
+			t.isInInclusiveRange(1, mostLimit),
+		]),
+	});
+
+	protected override async call(client: OperatorClient): Promise<number> {
+		const changes = await client.history.query({
+			limit: this.limit ?? usualLimit,
+		});
+		const lines = changes.map(change =>
+			[
+				change.version,
+				new Date(change.writtenAt).toISOString(),
+				change.author,
+				change.summary,
+				change.changeId,
+			].join('  '),
+		);
+		this.print(changes, lines);
+		return exitCodes.success;
+	}
+}
--- /dev/null
+++ b/packages/client/src/commands/operator-command.ts
@@ -0,0 +1,89 @@
+import {createInterface} from 'node:readline/promises';
+import {Command, Option, UsageError} from 'clipanion';
+import {exitCodes} from '../exit-codes.js';
+import {
+	createOperatorClient,
+	failureOf,
+	type OperatorClient,
+} from '../operator-client.js';
+import {operatorVariables, readConnection} from '../settings.js';
+
+/** Common part of the commands that call the operators' API. */
+export abstract class OperatorCommand extends Command {
+	readonly url = Option.String('--url', {
+		description: "URL of an entry's operators' port (BALSAMTRAY_OPERATOR_URL)",
+	});
+
+	readonly isJson = Option.Boolean('--json', false, {
+		description: 'Print JSON',
+	});
+
+	override async execute(): Promise<number> {
+		try {
+			const connection = readConnection(
+				this.context.env,
+				operatorVariables,
+				this.url,
+			);
+			return await this.call(createOperatorClient(connection));
+		} catch (error) {
+			return this.reportError(error);
+		}
+	}
+
+	/** Prints a result as JSON or as lines. */
+	protected print(result: unknown, lines: readonly string[]): void {
+		const text = this.isJson
+			? JSON.stringify(result, null, 2)
+			: lines.join('\n');
+		this.context.stdout.write(`${text}\n`);
+	}
+
+	/**
+	 * Asks for consent to a change that takes something away.
+	 * @throws UsageError when nobody can be asked.
+	 */
+	protected async confirm(question: string, isYes: boolean): Promise<boolean> {
+		if (isYes) {
+			return true;
+		}
+
+		const {stdin, stderr} = this.context;
+		if (!('isTTY' in stdin) || stdin.isTTY !== true) {
+			throw new UsageError(
+				`${question} Give --yes to do it without a question.`,
+			);
+		}
+
+		const prompt = createInterface({input: stdin, output: stderr});
+		const answer = await prompt.question(`${question} Type yes to do it: `);
+		prompt.close();
+		return answer.trim() === 'yes';
+	}
+
+	/** Calls the API, prints what came of it and returns the exit code. */
+	protected abstract call(client: OperatorClient): Promise<number>;
+
+	private reportError(error: unknown): number {
+		if (error instanceof UsageError) {
+			this.context.stderr.write(`${error.message}\n`);
+			return exitCodes.usage;
+		}
+
+		const failure = failureOf(error);
+		this.context.stderr.write(`${failure.message}\n`);
+		switch (failure.kind) {
+			case 'unauthorized': {
+				return exitCodes.unauthorized;
+			}
+
+			case 'unreachable': {
+				return exitCodes.unreachable;
+			}
+
+			case 'failed': {
+				return exitCodes.failure;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/client/src/commands/status-command.ts
@@ -0,0 +1,22 @@
+import {Command} from 'clipanion';
+import {exitCodes} from '../exit-codes.js';
+import type {OperatorClient} from '../operator-client.js';
+import {describeConfig, describeFleet} from '../status-report.js';
+import {OperatorCommand} from './operator-command.js';
+
+/** Shows what an entry knows of the fleet. */
+export class StatusCommand extends OperatorCommand {
+	static override readonly paths = [['status']];
+
+	static override readonly usage = Command.Usage({
+		category: 'Fleet',
+		description: 'Show zones, hosts and configuration as one entry knows them',
+		examples: [['As JSON', '$0 status --json']],
+	});
+
+	protected override async call(client: OperatorClient): Promise<number> {
+		const status = await client.status.query();
+		this.print(status, [...describeConfig(status), ...describeFleet(status)]);
+		return status.isReady ? exitCodes.success : exitCodes.failure;
+	}
+}
--- /dev/null
+++ b/packages/client/src/commands/zone-in-command.ts
@@ -0,0 +1,24 @@
+import {Command, Option} from 'clipanion';
+import type {OperatorClient} from '../operator-client.js';
+import {ChangeCommand} from './change-command.js';
+
+/** Brings an availability zone back in. */
+export class ZoneInCommand extends ChangeCommand {
+	static override readonly paths = [['zone', 'in']];
+
+	static override readonly usage = Command.Usage({
+		category: 'Fleet',
+		description: 'Bring an availability zone back in',
+		examples: [['Bring a zone back', '$0 zone in lake-1']],
+	});
+
+	readonly zone = Option.String({name: 'ZONE'});
+
+	protected override async call(client: OperatorClient): Promise<number> {
+		const result = await client.zoneIn.mutate({
+			changeId: this.changeId,
+			zone: this.zone,
+		});
+		return this.reportChange(result);
+	}
+}
--- a/packages/daemon/src/config/peer-config-client.ts
+++ b/packages/daemon/src/config/peer-config-client.ts
@@ -1,12 +1,12 @@
 import {
 	configAnswerSchema,
+	createLinkFetch,
 	type ConfigAnswer,
 	type PeerRouter,
 } from '@balsamtray/protocol';
 import {createTRPCClient, httpLink} from '@trpc/client';
-import type {Dispatcher} from 'undici';
+import {fetch, type Dispatcher} from 'undici';
 import {z} from 'zod';
-import {createLinkFetch} from './undici-fetch.js';
 
 const versionAnswerSchema = z.object({
 	version: z.number().int().nonnegative(),
@@ -36,8 +36,7 @@
 		return new PeerConfigClient(options);
 	}
 
-	private constructor(private readonly options: PeerConfigClientOptions) {
-}
+	private constructor(private readonly options: PeerConfigClientOptions) {}
 
 	async exchangeVersion(address: string, version: number): Promise<number> {
 		const answer = await this.client(address).exchangeVersion.mutate(
@@ -60,7 +59,9 @@
 			links: [
 				httpLink({
 					url: `${this.options.peerUrl(address)}/trpc`,
-					fetch: createLinkFetch(this.options.peerDispatcher),
+					fetch: createLinkFetch(async (url, req) =>
+						fetch(url, {...req, dispatcher: this.options.peerDispatcher()}),
+					),
 				}),
 			],
 		});
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -14,6 +14,5 @@
 export * from './store/config-store.js';
 export * from './config/config-task.js';
 export * from './config/peer-config-client.js';
-export * from './config/undici-fetch.js';
 export * from './operators/config-author.js';
 export * from './operators/operators-api.js';
--- a/packages/daemon/src/store/object-client.ts
+++ b/packages/daemon/src/store/object-client.ts
@@ -19,8 +19,7 @@
 		);
 	}
 
-	private constructor(private readonly http: StoreHttp) {
-}
+	private constructor(private readonly http: StoreHttp) {}
 
 	/** Writes an object whose name tells its content, so that one that is there already is as good. */
 	async put(name: string, body: string): Promise<void> {
--- a/packages/daemon/src/store/table-client.ts
+++ b/packages/daemon/src/store/table-client.ts
@@ -43,8 +43,7 @@
 		);
 	}
 
-	private constructor(private readonly http: StoreHttp) {
-}
+	private constructor(private readonly http: StoreHttp) {}
 
 	/** Makes all writes or none. */
 	async transact(writes: readonly TableWrite[]): Promise<TransactionResult> {
--- a/packages/protocol/src/operators/operator-router.ts
+++ b/packages/protocol/src/operators/operator-router.ts
@@ -48,7 +48,7 @@
 		.input(z.strictObject({text}))
 		.mutation(async ({ctx, input}) => ctx.service.plan(input.text)),
 
-	apply: changeProcedure
+	applyDocument: changeProcedure
 		.input(z.strictObject({text, changeId, baseVersion}))
 		.mutation(async ({ctx, input}) =>
 			ctx.service.apply({author: ctx.operator.name, ...input}),
