Prove the agent's guarantees under arbitrary schedules, and mend what they found

Cause: property tests drive AgentCore against a small engine that keeps its own account, with restarts, failing loads and unloads, lost answers, gaps in health reports, repeats, cancels and changes of the configuration. They found two faults and one endless wake-up: - a restart seen late cleared slots whose requests already ran on the new boot, and the adapter was then evicted in use; - a health report while idle vouched for a boot that could end unseen before the next burst; - a tick asked for itself again while the backend server was down. Change: a missing adapter keeps its slot while requests run on it; the grown window holds only while requests have run without a gap since a report; a paused loader wakes nobody.

--- a/packages/core/src/agent/adapter-loader.ts
+++ b/packages/core/src/agent/adapter-loader.ts
@@ -99,6 +99,11 @@
 		return commands;
 	}
 
+	/** No orders are given for now. */
+	pause(): void {
+		this._wakeAt = undefined;
+	}
+
 	onLoadCompleted(loadId: string, now: number): void {
 		const slot = this.slots.completeLoad(loadId, now);
 		if (slot) {
@@ -141,24 +146,19 @@
 		}
 	}
 
-	/** The backend server started anew and holds nothing; orders to the earlier boot are void. */
+	/** The backend server started anew: earlier failures say nothing any more. */
 	onRestart(): void {
-		this.slots.clear();
-		this._startedAt.clear();
-		this._unloadRetries.clear();
 		this._failures.clear();
 	}
 
 	/** Brings the account in line with what the backend server said that it holds when asked. */
 	reconcile(loadedAdapters: readonly string[], askedAt: number): void {
 		const loaded = new Set(loadedAdapters);
-		for (const slot of this.slots.all()) {
-			const isMissing =
-				slot.state === 'resident' &&
-				slot.loadedAt < askedAt &&
-				!loaded.has(slot.servedName);
-			if (isMissing) {
-				this.slots.forget(slot.servedName);
+		for (const {servedName, state, loadedAt} of this.slots.all()) {
+			if (loaded.has(servedName)) {
+				this.slots.markPresent(servedName);
+			} else if (state === 'resident' && loadedAt < askedAt) {
+				this.slots.markMissing(servedName);
 			}
 		}
 
--- a/packages/core/src/agent/adapter-slots.ts
+++ b/packages/core/src/agent/adapter-slots.ts
@@ -15,6 +15,8 @@
 	readonly uses: number;
 	readonly lastUsedAt: number;
 	readonly loadedAt: number;
+	/** The backend server does not report the adapter version, while requests run on it. */
+	readonly isMissing: boolean;
 };
 
 type MutableSlot = {-readonly [K in keyof Slot]: Slot[K]};
@@ -45,10 +47,12 @@
 		return this._counts.unloading;
 	}
 
-	/** State of an adapter version for a new request. One that is being unloaded counts as absent. */
+	/** State of an adapter version for a new request. One that is being unloaded or is missing counts as absent. */
 	stateOf(servedName: string): AdapterState {
-		const state = this._slots.get(servedName)?.state;
-		return state === undefined || state === 'unloading' ? 'absent' : state;
+		const slot = this._slots.get(servedName);
+		return !slot || slot.state === 'unloading' || slot.isMissing
+			? 'absent'
+			: slot.state;
 	}
 
 	has(servedName: string): boolean {
@@ -76,6 +80,7 @@
 			uses: 0,
 			lastUsedAt: now,
 			loadedAt: now,
+			isMissing: false,
 		});
 		this._counts.loading++;
 	}
@@ -102,6 +107,7 @@
 			uses: 0,
 			lastUsedAt: now,
 			loadedAt: now,
+			isMissing: false,
 		});
 		this._counts.resident++;
 	}
@@ -135,25 +141,37 @@
 	completeUnload(orderId: string): Slot | undefined {
 		const slot = this._findOrder(orderId, 'unloading');
 		if (slot) {
-			this.forget(slot.servedName);
+			this._forget(slot.servedName);
 		}
 
 		return slot;
 	}
 
-	/** Drops a slot that the backend server has emptied by itself. */
-	forget(servedName: string): void {
+	/**
+	 * The backend server does not report a resident adapter version. Its slot is dropped once nothing runs on it:
+	 * what runs may do so on a boot of the backend server that is newer than the report.
+	 */
+	markMissing(servedName: string): void {
+		const slot = this._slots.get(servedName);
+		if (slot && slot.users > 0) {
+			slot.isMissing = true;
+		} else {
+			this._forget(servedName);
+		}
+	}
+
+	/** The backend server reports a resident adapter version. */
+	markPresent(servedName: string): void {
 		const slot = this._slots.get(servedName);
 		if (slot) {
-			this._counts[slot.state]--;
-			this._slots.delete(servedName);
+			slot.isMissing = false;
 		}
 	}
 
 	/** Starts a use. It ends by `release` with the returned slot. */
 	acquire(servedName: string, now: number): Slot {
 		const slot = this._slots.get(servedName);
-		if (slot?.state !== 'resident') {
+		if (slot?.state !== 'resident' || slot.isMissing) {
 			throw new Error(`${servedName} is not resident`);
 		}
 
@@ -163,14 +181,18 @@
 		return slot;
 	}
 
-	/**
-	 * Ends one use. Takes the slot itself and not its name: after a restart of the backend server
-	 * the name may have a new slot, whose uses must not be counted down for an old one.
-	 */
+	/** Ends one use, given the slot that `acquire` returned. */
 	release(slot: Slot, now: number): void {
-		const mutable: MutableSlot = slot;
-		mutable.users--;
-		mutable.lastUsedAt = now;
+		const own = this._slots.get(slot.servedName);
+		if (!own || own !== slot) {
+			return;
+		}
+
+		own.users--;
+		own.lastUsedAt = now;
+		if (own.users === 0 && own.isMissing) {
+			this._forget(own.servedName);
+		}
 	}
 
 	/** Resident adapter versions that nothing runs on. */
@@ -180,12 +202,12 @@
 		);
 	}
 
-	/** The backend server started anew and holds nothing. */
-	clear(): void {
-		this._slots.clear();
-		this._counts.loading = 0;
-		this._counts.resident = 0;
-		this._counts.unloading = 0;
+	private _forget(servedName: string): void {
+		const slot = this._slots.get(servedName);
+		if (slot) {
+			this._counts[slot.state]--;
+			this._slots.delete(servedName);
+		}
 	}
 
 	private _findOrder(
--- a/packages/core/src/agent/agent-core.ts
+++ b/packages/core/src/agent/agent-core.ts
@@ -288,7 +288,7 @@
 		}
 
 		this._lostFingerprints = [];
-		window.onWitnessed();
+		this._scheduler.onHealth(askedAt);
 		loader.reconcile(health.loadedAdapters, askedAt);
 	}
 
@@ -423,12 +423,15 @@
 
 	/** Gives the backend server work and orders, unless it may be down. */
 	private _giveWork(now: number): void {
-		if (this._boot.isUp && !this._boot.isSuspicious) {
-			this._commands.push(
-				...this._scheduler.startReady(now),
-				...this._scheduler.orderAdapters(now),
-			);
+		if (!this._boot.isUp || this._boot.isSuspicious) {
+			this._scheduler.loader.pause();
+			return;
 		}
+
+		this._commands.push(
+			...this._scheduler.startReady(now),
+			...this._scheduler.orderAdapters(now),
+		);
 	}
 
 	/** Asks for a health report early where requests wait for one. */
--- a/packages/core/src/agent/concurrency-window.ts
+++ b/packages/core/src/agent/concurrency-window.ts
@@ -14,7 +14,7 @@
 	onIdle(): void;
 	/** The backend server started anew. */
 	onRestart(): void;
-	/** A health report showed the same boot as before. */
+	/** A health report showed the same boot while a connection stood, which has not broken since. */
 	onWitnessed(): void;
 	/** A connection broke or could not be made: the backend server may have started anew. */
 	onSuspicion(): void;
@@ -30,7 +30,8 @@
  * cold limit when the backend server started anew or answers much slower than it did.
  *
  * A restart that nobody saw would meet the grown window. So the grown part holds only while the boot is
- * witnessed: by a connection that has not broken since, or by a health report after the last idle moment.
+ * witnessed: a health report showed it while a request ran, and since then requests have run without a gap
+ * and without a broken connection. From idling, work starts at the cold limit until the next report.
  */
 export class ColdStartWindow implements ConcurrencyWindow {
 	static create(limits: AgentLimits): ColdStartWindow {
--- a/packages/core/src/agent/scheduler.ts
+++ b/packages/core/src/agent/scheduler.ts
@@ -37,6 +37,8 @@
 
 	private readonly _queue: RequestQueue;
 	private readonly _times = ServiceTimes.create();
+	/** Time since which requests have run without a gap. Undefined while nothing runs. */
+	private _busySince: number | undefined;
 	private _hopelessCheckAt = Number.NEGATIVE_INFINITY;
 	private _earliestDeadlineAt = Number.POSITIVE_INFINITY;
 
@@ -156,6 +158,13 @@
 		);
 	}
 
+	/** A health report showed the boot that was asked for at this time. */
+	onHealth(askedAt: number): void {
+		if (this._busySince !== undefined && askedAt >= this._busySince) {
+			this.window.onWitnessed();
+		}
+	}
+
 	onCompleted(attemptId: string, usage: Usage, now: number): void {
 		const running = this.running.take(attemptId);
 		if (!running) {
@@ -220,6 +229,7 @@
 	private _start(request: QueuedRequest, now: number): AgentCommand {
 		const {servedName, dispatch} = request;
 		this.waiting.start(request);
+		this._busySince ??= now;
 		this.running.add({
 			request,
 			...(servedName !== undefined && {
@@ -248,6 +258,7 @@
 
 		this._queue.onFinished(request, tokens);
 		if (this.running.size === 0) {
+			this._busySince = undefined;
 			this.window.onIdle();
 		}
 	}
