--- /dev/null
+++ b/packages/core/src/entry/entry-core.test.ts
@@ -0,0 +1,393 @@
+import assert from 'node:assert/strict';
+import {beforeEach, describe, it} from 'node:test';
+import type {ServerStatus} from '../agent/types.js';
+import {ConfigState} from '../config/config-state.js';
+import type {ConfigOp} from '../config/types.js';
+import type {AgentHost} from '../membership/types.js';
+import {refuseMaybeRun, refuseNotRun} from '../refusal/refusals.js';
+import {
+	maxSavedRetries,
+	quarantineMs,
+	retriesForEachDispatch,
+} from './constants.js';
+import {EntryCore} from './entry-core.js';
+import type {EntryCommand, EntryEvent, EntryRequest} from './types.js';
+
+const now = 1000;
+let config: ConfigState;
+let core: EntryCore;
+
+function apply(...ops: readonly ConfigOp[]): void {
+	const version = config.version + 1;
+	const result = config.applyChange({
+		version,
+		changeId: `c${version}`,
+		author: 'test',
+		writtenAt: 0,
+		summary: '',
+		ops,
+	});
+	assert.equal(result.kind, 'applied');
+	config = result.state;
+}
+
+function host(id: string): AgentHost {
+	return {
+		role: 'agent',
+		id,
+		zone: 'z',
+		region: 'r',
+		peerAddress: '10.0.0.1:1',
+		state: 'live',
+		backend: {kind: 'engine', baseModel: 'base'},
+	};
+}
+
+function statusOf(server: string, configVersion: number): ServerStatus {
+	return {
+		server,
+		zone: 'z',
+		incarnation: 'i',
+		configVersion,
+		backend: {kind: 'engine', baseModel: 'base'},
+		isAcceptingWork: true,
+		running: 0,
+		queued: 0,
+		window: 8,
+		expectedWaitMs: 0,
+		adapterState: 'resident',
+	};
+}
+
+function post(event: EntryEvent, at = now): readonly EntryCommand[] {
+	return core.handle(event, at);
+}
+
+function requestOf(
+	requestId: string,
+	changes: Partial<EntryRequest> = {},
+): EntryRequest {
+	return {
+		requestId,
+		credential: {kind: 'key', keyId: 'k', customer: 'c'},
+		work: {kind: 'model', model: 'a', promptTokens: 1, maxTokens: 1},
+		bodyDigest: 'd',
+		deadlineAt: now + 1000,
+		...changes,
+	};
+}
+
+function arrive(
+	requestId: string,
+	changes?: Partial<EntryRequest>,
+): readonly EntryCommand[] {
+	return post({
+		type: 'requestArrived',
+		request: requestOf(requestId, changes),
+	});
+}
+
+/** Takes a request as far as its first dispatch and returns it. */
+function dispatch(requestId: string, changes?: Partial<EntryRequest>) {
+	arrive(requestId, changes);
+	return dispatchIn(post({type: 'tokensReserved', requestId}));
+}
+
+function dispatchIn(commands: readonly EntryCommand[]) {
+	const command = commands.find(({type}) => type === 'dispatch');
+	assert.ok(command?.type === 'dispatch');
+	return command;
+}
+
+function refusalIn(commands: readonly EntryCommand[]) {
+	const command = commands.find(({type}) => type === 'refuse');
+	assert.ok(command?.type === 'refuse');
+	return command.refusal;
+}
+
+function fail(
+	attemptId: string,
+	kind: 'notDelivered' | 'lost',
+): readonly EntryCommand[] {
+	return post({type: 'dispatchFailed', attemptId, fault: {kind}});
+}
+
+describe('EntryCore', () => {
+	beforeEach(() => {
+		config = ConfigState.empty();
+		const key = {salt: '', digest: '', issuedAt: 0};
+		const customer = {tokensPerSecond: 1, burstTokens: 1, weight: 2};
+		const adapter = {
+			baseModel: 'base',
+			versions: [
+				{name: 'v1', weights: 'w1'},
+				{name: 'v2', weights: 'w2'},
+			],
+			currentVersion: 'v2',
+		};
+		apply(
+			{op: 'putCustomer', customer: {name: 'c', ...customer}},
+			{op: 'putCustomer', customer: {name: 'other', ...customer}},
+			{op: 'putAdapter', adapter: {name: 'a', customers: [], ...adapter}},
+			{
+				op: 'putAdapter',
+				adapter: {name: 'private', customers: ['other'], ...adapter},
+			},
+			{
+				op: 'putRoute',
+				route: {
+					name: 'open',
+					target: {kind: 'adapter', adapter: 'private', version: 'v1'},
+					openCustomer: 'other',
+					customers: [],
+					isRepeatable: true,
+					tokensPerCall: 0,
+				},
+			},
+			{op: 'issueKey', key: {id: 'k', customer: 'c', ...key}},
+		);
+		core = EntryCore.create({
+			entryId: 'e',
+			region: 'r',
+			view: () => config,
+			now,
+		});
+		const hosts = ['s1', 's2', 's3', 's4'].map(id => host(id));
+		post({type: 'membershipChanged', hosts});
+	});
+
+	describe('authorizing', () => {
+		it('runs the version that is current, or the one that is named', () => {
+			const current = dispatch('q1').dispatch.target;
+			assert.ok(current.kind === 'adapter' && current.version === 'v2');
+			const work = {
+				kind: 'model',
+				model: 'a@v1',
+				promptTokens: 1,
+				maxTokens: 1,
+			} as const;
+			const named = dispatch('q2', {work}).dispatch.target;
+			assert.ok(named.kind === 'adapter' && named.version === 'v1');
+		});
+
+		it('refuses what the key may not use, and unknown names', () => {
+			const codes = (model: string, changes?: Partial<EntryRequest>) => {
+				const work = {
+					kind: 'model',
+					model,
+					promptTokens: 1,
+					maxTokens: 1,
+				} as const;
+				return refusalIn(arrive(`q-${model}`, {work, ...changes})).code;
+			};
+
+			assert.equal(codes('private'), 'forbidden');
+			assert.equal(codes('nothing'), 'unknown_model');
+			assert.equal(codes('a@v9'), 'unknown_model');
+			const credential = {kind: 'none'} as const;
+			assert.equal(codes('a', {credential}), 'unauthorized');
+			assert.equal(codes('hidden', {credential}), 'unauthorized');
+		});
+
+		it('runs an open route on the account of the customer that pays for it', () => {
+			const work = {
+				kind: 'model',
+				model: 'open',
+				promptTokens: 1,
+				maxTokens: 1,
+			} as const;
+			const order = dispatch('q', {work, credential: {kind: 'none'}});
+			assert.equal(order.dispatch.customer, 'other');
+			assert.equal(order.dispatch.keyId, undefined);
+		});
+	});
+
+	describe('a key that is withdrawn while its request waits', () => {
+		it('is refused before the dispatch', () => {
+			arrive('q');
+			apply({op: 'withdrawKey', keyId: 'k'});
+			const refusal = refusalIn(post({type: 'configAdvanced'}));
+			assert.equal(refusal.code, 'unauthorized');
+			assert.equal(refusal.notRun, true);
+			const after = post({type: 'tokensReserved', requestId: 'q'});
+			assert.deepEqual(
+				after.map(({type}) => type),
+				['returnTokens'],
+			);
+		});
+
+		it('stops the dispatch', () => {
+			const {attemptId} = dispatch('q').dispatch;
+			apply({op: 'withdrawKey', keyId: 'k'});
+			const commands = post({type: 'configAdvanced'});
+			assert.ok(commands.some(({type}) => type === 'cancelDispatch'));
+			assert.equal(refusalIn(commands).notRun, false);
+			const late = post({
+				type: 'answerStarted',
+				attemptId,
+				status: statusOf('s1', 1),
+			});
+			assert.deepEqual(late, [{type: 'cancelDispatch', attemptId}]);
+		});
+
+		it('lets an answer that streams already come to its end', () => {
+			const {attemptId} = dispatch('q').dispatch;
+			post({type: 'answerStarted', attemptId, status: statusOf('s1', 1)});
+			apply({op: 'withdrawKey', keyId: 'k'});
+			assert.deepEqual(post({type: 'configAdvanced'}), []);
+			const usage = {promptTokens: 1, completionTokens: 1};
+			const end = post({type: 'answerCompleted', attemptId, usage});
+			assert.ok(end.some(({type}) => type === 'finishAnswer'));
+		});
+	});
+
+	describe('an agent that knows a newer configuration', () => {
+		function refuseAsBehind(attemptId: string): readonly EntryCommand[] {
+			return post({
+				type: 'dispatchRefused',
+				attemptId,
+				refusal: refuseNotRun('configuration_behind', {
+					step: 'admit',
+					peer: 's1',
+				}),
+				status: statusOf('s1', 2),
+				changes: [],
+			});
+		}
+
+		it('makes the entry decide again once it has caught up', () => {
+			const {attemptId} = dispatch('q').dispatch;
+			assert.deepEqual(refuseAsBehind(attemptId), []);
+			apply({op: 'drainServer', server: 's9'});
+			const again = dispatchIn(post({type: 'configAdvanced'}));
+			assert.equal(again.dispatch.configVersion, 2);
+			assert.notEqual(again.dispatch.attemptId, attemptId);
+		});
+
+		it('makes the entry refuse a key that was withdrawn meanwhile', () => {
+			const {attemptId} = dispatch('q').dispatch;
+			refuseAsBehind(attemptId);
+			apply({op: 'withdrawKey', keyId: 'k'});
+			const refusal = refusalIn(post({type: 'configAdvanced'}));
+			assert.equal(refusal.code, 'unauthorized');
+			assert.equal(refusal.notRun, true);
+		});
+
+		it('gets a truthful refusal when the changes do not come', () => {
+			const {attemptId} = dispatch('q').dispatch;
+			refuseAsBehind(attemptId);
+			const wakeAt = core.nextWakeAt();
+			assert.ok(wakeAt !== undefined && wakeAt < now + 1000);
+			const refusal = refusalIn(post({type: 'tick'}, wakeAt));
+			assert.equal(refusal.code, 'configuration_behind');
+			assert.equal(refusal.notRun, true);
+		});
+	});
+
+	describe('retries', () => {
+		it('go to another server', () => {
+			const first = dispatch('q');
+			const second = dispatchIn(fail(first.dispatch.attemptId, 'lost'));
+			assert.notEqual(second.server, first.server);
+		});
+
+		it('stay within the budget when every server refuses connections', () => {
+			const requests = 1000;
+			let dispatches = 0;
+			const open: string[] = [];
+			for (let i = 0; i < requests; i++) {
+				open.push(dispatch(`q${i}`).dispatch.attemptId);
+			}
+
+			for (;;) {
+				const attemptId = open.shift();
+				if (attemptId === undefined) {
+					break;
+				}
+
+				dispatches++;
+				for (const command of fail(attemptId, 'notDelivered')) {
+					if (command.type === 'dispatch') {
+						open.push(command.dispatch.attemptId);
+					}
+				}
+			}
+
+			assert.ok(dispatches > requests);
+			const allowed = maxSavedRetries + requests * retriesForEachDispatch;
+			assert.ok(dispatches <= requests + allowed, `${dispatches} dispatches`);
+		});
+
+		it('keep suspects apart from each other', () => {
+			const first = dispatch('q1', {bodyDigest: 'd1'});
+			const second = dispatch('q2', {bodyDigest: 'd2'});
+			const retried = dispatchIn(fail(first.dispatch.attemptId, 'lost'));
+			const other = dispatchIn(fail(second.dispatch.attemptId, 'lost'));
+			assert.notEqual(retried.server, other.server);
+		});
+
+		it('end after two runs that failed', () => {
+			const first = dispatch('q');
+			const second = dispatchIn(fail(first.dispatch.attemptId, 'lost'));
+			const refusal = refusalIn(fail(second.dispatch.attemptId, 'lost'));
+			assert.equal(refusal.code, 'backend_failed');
+			assert.equal(refusal.notRun, false);
+		});
+	});
+
+	describe('a request that was present at two crashes', () => {
+		it('is quarantined for a time', () => {
+			for (const bootId of ['b1', 'b1', 'b2']) {
+				assert.equal(
+					dispatch(bootId + String(core.stats().openRequests)).type,
+					'dispatch',
+				);
+				post({type: 'suspectsReported', fingerprints: ['d'], bootId});
+			}
+
+			const refusal = refusalIn(arrive('q'));
+			assert.equal(refusal.code, 'quarantined');
+			assert.equal(refusal.notRun, true);
+			assert.equal(refusal.retryAfterMs, quarantineMs);
+			assert.equal(dispatch('other', {bodyDigest: 'd2'}).type, 'dispatch');
+			const later = post(
+				{
+					type: 'requestArrived',
+					request: requestOf('late', {deadlineAt: now + 2 * quarantineMs}),
+				},
+				now + quarantineMs,
+			);
+			assert.ok(later.some(({type}) => type === 'reserveTokens'));
+		});
+	});
+
+	describe('a request that can not make its deadline', () => {
+		it('is refused at once with the time to come back', () => {
+			for (const server of ['s1', 's2', 's3', 's4']) {
+				const status = {...statusOf(server, 1), expectedWaitMs: 5000};
+				post({type: 'serverProbed', server, status});
+			}
+
+			const refusal = refusalIn(arrive('q'));
+			assert.equal(refusal.code, 'deadline_unreachable');
+			assert.equal(refusal.notRun, true);
+			assert.equal(refusal.retryAfterMs, 4000);
+		});
+	});
+
+	describe('a failed back end', () => {
+		it('is reported as maybe run, and the caller gets a second try elsewhere', () => {
+			const first = dispatch('q');
+			const commands = post({
+				type: 'dispatchRefused',
+				attemptId: first.dispatch.attemptId,
+				refusal: refuseMaybeRun('backend_failed', {
+					step: 'backend',
+					peer: 's1',
+				}),
+				changes: [],
+			});
+			assert.notEqual(dispatchIn(commands).server, first.server);
+		});
+	});
+});
--- /dev/null
+++ b/packages/core/src/routing/router.test.ts
@@ -0,0 +1,329 @@
+import assert from 'node:assert/strict';
+import {beforeEach, describe, it} from 'node:test';
+import fc from 'fast-check';
+import type {ServerStatus} from '../agent/types.js';
+import {hashString, rendezvousScore} from '../common/rendezvous.js';
+import {ConfigState} from '../config/config-state.js';
+import type {ConfigOp} from '../config/types.js';
+import type {AgentHost, Host} from '../membership/types.js';
+import {failuresUntilSuspected, probeIntervalMs, rampMs} from './constants.js';
+import {defaultRoutingPolicy} from './default-routing-policy.js';
+import {naiveRoutingPolicy} from './naive-routing-policy.js';
+import {Router} from './router.js';
+import type {RoutingPolicy, RoutingQuery} from './types.js';
+
+const now = 1_000_000;
+const nobody: ReadonlySet<string> = new Set();
+let config: ConfigState;
+
+function apply(...ops: readonly ConfigOp[]): void {
+	const version = config.version + 1;
+	const result = config.applyChange({
+		version,
+		changeId: `c${version}`,
+		author: 'test',
+		writtenAt: 0,
+		summary: '',
+		ops,
+	});
+	assert.equal(result.kind, 'applied');
+	config = result.state;
+}
+
+function hostOf(index: number, changes: Partial<AgentHost> = {}): AgentHost {
+	return {
+		role: 'agent',
+		id: `s${index}`,
+		zone: `z${index % 3}`,
+		region: 'near',
+		peerAddress: '10.0.0.1:1',
+		state: 'live',
+		backend: {kind: 'engine', baseModel: 'base'},
+		...changes,
+	};
+}
+
+function hostsOf(count: number): readonly AgentHost[] {
+	return Array.from({length: count}, (_, i) => hostOf(i));
+}
+
+function routerOf(
+	hosts: readonly Host[],
+	policy: RoutingPolicy = defaultRoutingPolicy,
+): Router {
+	const router = Router.create({
+		entryId: 'e',
+		region: 'near',
+		view: () => config,
+		policy,
+	});
+	router.updateHosts(hosts, now);
+	return router;
+}
+
+function queryOf(
+	subject: string,
+	avoid: ReadonlySet<string> = nobody,
+): RoutingQuery {
+	const backend = {kind: 'engine', baseModel: 'base'} as const;
+	return {subject, backend, avoid, timeLeftMs: 10_000};
+}
+
+function chosen(
+	router: Router,
+	subject: string,
+	at = now,
+	avoid?: ReadonlySet<string>,
+): string | undefined {
+	const choice = router.choose(queryOf(subject, avoid), at);
+	return choice.kind === 'server' ? choice.host.id : undefined;
+}
+
+const anyHosts = fc.array(
+	fc.record({
+		state: fc.constantFrom('live' as const, 'leaving' as const),
+		region: fc.constantFrom('near', 'far'),
+		isPresent: fc.boolean(),
+	}),
+	{minLength: 1, maxLength: 30},
+);
+
+function statusOf(
+	server: string,
+	changes: Partial<ServerStatus> = {},
+): ServerStatus {
+	return {
+		server,
+		zone: 'z0',
+		incarnation: 'i',
+		configVersion: 1,
+		backend: {kind: 'engine', baseModel: 'base'},
+		isAcceptingWork: true,
+		running: 0,
+		queued: 0,
+		window: 8,
+		expectedWaitMs: 0,
+		adapterState: 'resident',
+		...changes,
+	};
+}
+
+function suspect(router: Router, server: string): void {
+	for (let i = 0; i < failuresUntilSuspected; i++) {
+		router.noteResult('any', server, 'failed');
+	}
+}
+
+describe('Router', () => {
+	beforeEach(() => {
+		config = ConfigState.empty();
+	});
+
+	describe('without any load', () => {
+		it('chooses what the sorted list of all servers has first, whatever came, left, is out or drained', () => {
+			const property = fc.property(
+				fc.array(anyHosts, {minLength: 1, maxLength: 4}),
+				fc.subarray(['z0', 'z1', 'z2'], {maxLength: 2}),
+				fc.subarray(['s0', 's1', 's2', 's3']),
+				fc.string({minLength: 1, maxLength: 8}),
+				checkAgainstSorted,
+			);
+			fc.assert(property, {numRuns: 1000, seed: 7});
+		});
+
+		it('spreads the adapters over the servers', () => {
+			const router = routerOf(hostsOf(12));
+			const counts = new Map<string, number>();
+			for (let i = 0; i < 3000; i++) {
+				const server = chosen(router, `adapter-${i}`)!;
+				counts.set(server, (counts.get(server) ?? 0) + 1);
+			}
+
+			assert.equal(counts.size, 12);
+			assert.ok([...counts.values()].every(count => count < 350));
+		});
+	});
+
+	describe('with load', () => {
+		it('stays where the adapter is resident while there is room, and widens under demand', () => {
+			const router = routerOf(hostsOf(12));
+			const used = new Set<string>();
+			for (let i = 0; i < 40; i++) {
+				const server = chosen(router, 'hot')!;
+				router.noteDispatch('hot', server);
+				used.add(server);
+			}
+
+			assert.ok(used.size > 1 && used.size < 12, `used ${used.size}`);
+			const cold = new Set<string>();
+			for (let i = 0; i < 3; i++) {
+				const server = chosen(router, 'cold')!;
+				router.noteDispatch('cold', server);
+				cold.add(server);
+			}
+
+			assert.equal(cold.size, 1);
+		});
+
+		it('prefers the next server to a long wait', () => {
+			const router = routerOf(hostsOf(12));
+			const first = chosen(router, 'a')!;
+			const status = statusOf(first, {expectedWaitMs: 4000, queued: 40});
+			router.noteStatus({status, subject: 'a'}, now);
+			assert.notEqual(chosen(router, 'a'), first);
+			assert.equal(chosen(router, 'a', now + 10_000), first);
+		});
+
+		it('tells when every server would be too late', () => {
+			const router = routerOf(hostsOf(2));
+			for (const server of ['s0', 's1']) {
+				const status = statusOf(server, {expectedWaitMs: 60_000});
+				router.noteStatus({status}, now);
+			}
+
+			const choice = router.choose(queryOf('a'), now);
+			assert.deepEqual(choice, {kind: 'tooLate', retryAfterMs: 50_000});
+		});
+	});
+
+	describe('failures', () => {
+		it('put a server last after three in a row, and a probe puts it back', () => {
+			const router = routerOf(hostsOf(12));
+			const first = chosen(router, 'a')!;
+			suspect(router, first);
+			assert.notEqual(chosen(router, 'a'), first);
+			assert.deepEqual(router.takeDueProbes(now), [first]);
+			assert.deepEqual(router.takeDueProbes(now), []);
+			assert.equal(router.nextProbeAt(), now + probeIntervalMs);
+			router.noteProbe(first, true, now);
+			assert.equal(chosen(router, 'a'), first);
+			assert.equal(router.nextProbeAt(), undefined);
+		});
+
+		it('do not count when a success comes between', () => {
+			const router = routerOf(hostsOf(12));
+			const first = chosen(router, 'a')!;
+			for (let i = 0; i < 10; i++) {
+				router.noteResult('a', first, i % 3 === 2 ? 'succeeded' : 'failed');
+			}
+
+			assert.equal(router.suspected.size, 0);
+		});
+
+		it('leave a server in use when all others are worse off', () => {
+			const router = routerOf(hostsOf(2));
+			suspect(router, 's0');
+			suspect(router, 's1');
+			assert.ok(chosen(router, 'a') !== undefined);
+			assert.equal(chosen(router, 'a', now, new Set(['s0'])), 's1');
+		});
+	});
+
+	describe('a zone that returns', () => {
+		it('gets its adapters back little by little, each at one place', () => {
+			const router = routerOf(hostsOf(12));
+			const subjects = Array.from({length: 600}, (_, i) => `adapter-${i}`);
+			const before = subjects.map(subject => chosen(router, subject));
+			apply({op: 'takeZoneOut', zone: 'z0'});
+			router.updateConfig(now);
+			const isBack = (at: number) =>
+				subjects.filter(
+					(subject, i) => chosen(router, subject, at) === before[i],
+				).length;
+			const away = isBack(now);
+			apply({op: 'bringZoneIn', zone: 'z0'});
+			router.updateConfig(now);
+			const counts = [0, 0.25, 0.5, 0.75].map(part =>
+				isBack(now + part * rampMs),
+			);
+			assert.ok(counts.every((count, i) => count > (counts[i - 1] ?? away)));
+			assert.ok(counts[0]! - away < 0.2 * (600 - away));
+			assert.equal(isBack(now + rampMs), 600);
+		});
+	});
+
+	describe('the naive policy', () => {
+		it('takes the server with the least connections of all', () => {
+			const router = routerOf(hostsOf(3), naiveRoutingPolicy);
+			const used = new Set<string>();
+			for (let i = 0; i < 3; i++) {
+				const server = chosen(router, 'a')!;
+				router.noteDispatch('a', server);
+				used.add(server);
+			}
+
+			assert.equal(used.size, 3);
+		});
+	});
+
+	describe('the state', () => {
+		it('stays bounded however many servers and adapters are used', () => {
+			const router = routerOf(hostsOf(4000));
+			for (let i = 0; i < 20_000; i++) {
+				const server = chosen(router, `adapter-${i}`)!;
+				router.noteDispatch(`adapter-${i}`, server);
+				router.noteEnd(`adapter-${i}`, server);
+			}
+
+			const {servers, subjects} = router.sizes();
+			assert.ok(servers <= 2048 && subjects <= 16_384);
+		});
+	});
+});
+
+type HostDraft = {
+	readonly state: 'live' | 'leaving';
+	readonly region: string;
+	readonly isPresent: boolean;
+};
+
+/** Takes one host list after the other, then compares the choice with the naive version's. */
+function checkAgainstSorted(
+	lists: ReadonlyArray<readonly HostDraft[]>,
+	zonesOut: readonly string[],
+	drained: readonly string[],
+	subject: string,
+): void {
+	config = ConfigState.empty();
+	apply(
+		...zonesOut.map(zone => ({op: 'takeZoneOut', zone}) as const),
+		...drained.map(server => ({op: 'drainServer', server}) as const),
+	);
+	const router = routerOf([]);
+	let hosts: readonly AgentHost[] = [];
+	for (const list of lists) {
+		hosts = list.flatMap(({state, region, isPresent}, i) =>
+			isPresent ? [hostOf(i, {state, region})] : [],
+		);
+		router.updateHosts(hosts, now - 2 * rampMs);
+		// Fills the memo, which the next list must not let stand.
+		chosen(router, subject);
+	}
+
+	const expected = firstOfSorted(hosts, subject, zonesOut, drained);
+	assert.equal(chosen(router, subject), expected);
+}
+
+/** The naive version: sorts all servers in service by region and rendezvous score. */
+function firstOfSorted(
+	hosts: readonly AgentHost[],
+	subject: string,
+	zonesOut: readonly string[],
+	drained: readonly string[],
+): string | undefined {
+	const scoreOf = (host: AgentHost) =>
+		rendezvousScore(hashString(subject), hashString(host.id));
+	const [first] = hosts
+		.filter(
+			host =>
+				host.state === 'live' &&
+				!zonesOut.includes(host.zone) &&
+				!drained.includes(host.id),
+		)
+		.toSorted(
+			(a, b) =>
+				Number(a.region !== 'near') - Number(b.region !== 'near') ||
+				scoreOf(b) - scoreOf(a),
+		);
+	return first?.id;
+}
