--- /dev/null
+++ b/packages/daemon/src/main/entry-process.ts
@@ -0,0 +1,225 @@
+import {readFileSync} from 'node:fs';
+import {performance} from 'node:perf_hooks';
+import {checkKey} from '@balsamtray/core';
+import type {FastifyInstance} from 'fastify';
+import {ClaimTask} from '../claims/claim-task.js';
+import {CallersRoutes} from '../entry/callers-routes.js';
+import {EntryTask} from '../entry/entry-task.js';
+import {ConfigAuthor} from '../operators/config-author.js';
+import {OperatorsApi} from '../operators/operators-api.js';
+import {RateTask} from '../rate/rate-task.js';
+import {TrpcRatePeers} from '../rate/trpc-rate-peers.js';
+import {operatorKeys, type OperatorKey} from '../settings/schemas.js';
+import type {EntryProcessSettings} from '../settings/settings.js';
+import {listen} from '../transport/transport.js';
+import {createPeerServer} from './peer-server.js';
+import {createProcessBase, type ProcessBase} from './process-base.js';
+import {waitForStop} from './signals.js';
+
+/** Time that a call over customers' tokens may take, in milliseconds. */
+const rateCallTimeoutMs = 1000;
+
+/** Longest wait for the ends of claims to reach the store at a stop, in milliseconds. */
+const longestClaimWaitMs = 5000;
+
+const mebibyte = 1024 * 1024;
+
+/** Largest request of an operator, in bytes: a document of all adapters fits. */
+const operatorBodyLimitBytes = 64 * mebibyte;
+
+/** An entry host: callers' HTTP and operators' API. */
+export class EntryProcess {
+	static create(settings: EntryProcessSettings): EntryProcess {
+		return new EntryProcess(settings);
+	}
+
+	private readonly _base: ProcessBase;
+	private readonly _rate: RateTask;
+	private readonly _claims: ClaimTask;
+	private readonly _entry: EntryTask;
+	private readonly _operatorKeys: readonly OperatorKey[];
+
+	private constructor(private readonly _settings: EntryProcessSettings) {
+		this._operatorKeys = readOperatorKeys(_settings);
+		this._base = createProcessBase(_settings);
+		this._rate = this._createRate();
+		this._claims = this._createClaims();
+		this._entry = this._createEntry();
+	}
+
+	/** Runs until a signal ends it. */
+	async run(): Promise<void> {
+		const {membership, config, telemetry} = this._base;
+		const {logger} = telemetry;
+		const peers = await this._createPeerServer();
+		await listen(peers, this._settings.peerListen);
+		const operators = await this._createOperatorsServer();
+		await listen(operators, this._settings.operatorListen);
+		const callers = this._createCallersServer();
+		const address = await listen(callers, this._settings.listen);
+		logger.info('entry.listening', {address});
+		await membership.start();
+		await config.start();
+		void this._serveWhenReady();
+		await waitForStop(
+			{
+				drain: async () => {
+					logger.info('entry.draining');
+					await this._entry.drain();
+				},
+				abort() {
+					logger.warn('entry.aborting');
+				},
+			},
+			this._settings.shutdownGraceMs,
+		);
+		this._entry.stop();
+		await callers.close();
+		await operators.close();
+		await this._claims.stop(longestClaimWaitMs);
+		// Other entries fetch this one's part of the rates until it is released.
+		await this._rate.stop();
+		await peers.close();
+		logger.info('entry.stopped');
+		await this._base.close();
+	}
+
+	private async _serveWhenReady(): Promise<void> {
+		const {config, telemetry} = this._base;
+		await config.ready();
+		await this._rate.start();
+		await this._claims.start();
+		this._entry.start();
+		telemetry.logger.info('entry.ready', {
+			configVersion: config.view().version,
+		});
+	}
+
+	private _createRate(): RateTask {
+		const {incarnation, table, config, membership, telemetry, transport} =
+			this._base;
+		const {hostId, zone, region, environment, peerListen} = this._settings;
+		return RateTask.create({
+			self: {id: hostId, zone, region},
+			incarnation,
+			peerAddress: `${peerListen.address}:${peerListen.port}`,
+			environment,
+			table,
+			peers: TrpcRatePeers.create({
+				peerUrl: address => transport.peerUrl(address),
+				peerDispatcher: () => transport.peerDispatcher(),
+				timeoutMs: rateCallTimeoutMs,
+			}),
+			config,
+			membership,
+			telemetry,
+			clocks: {monotonic: () => performance.now(), wall: Date.now},
+		});
+	}
+
+	private _createClaims(): ClaimTask {
+		const {table, objects, telemetry} = this._base;
+		const {hostId, environment} = this._settings;
+		return ClaimTask.create({
+			entryId: hostId,
+			environment,
+			table,
+			objects,
+			telemetry,
+			clock: Date.now,
+		});
+	}
+
+	private _createEntry(): EntryTask {
+		const {config, membership, telemetry, transport, calls} = this._base;
+		const {hostId, region, deadlineMs} = this._settings;
+		return EntryTask.create({
+			hostId,
+			region,
+			deadlineMs,
+			rate: this._rate,
+			claims: this._claims,
+			config,
+			membership,
+			telemetry,
+			clock: Date.now,
+			checkKey,
+			dispatcher: () => transport.peerDispatcher(),
+			peerUrl: address => transport.peerUrl(address),
+			probe: async address => calls.probe(address),
+		});
+	}
+
+	private async _createPeerServer(): Promise<FastifyInstance> {
+		const {config, transport, incarnation} = this._base;
+		const {hostId, zone} = this._settings;
+		return createPeerServer({
+			transport,
+			isReady: () => this._entry.isReady,
+			context: {
+				identity: () => ({
+					id: hostId,
+					role: 'entry',
+					zone,
+					incarnation,
+					configVersion: config.announcedVersion(),
+				}),
+				config,
+				rate: this._rate,
+				quarantine: {
+					reportSuspects: (_peer, fingerprints, bootId) => {
+						this._entry.noteSuspects(fingerprints, bootId);
+					},
+				},
+			},
+		});
+	}
+
+	private async _createOperatorsServer(): Promise<FastifyInstance> {
+		const {config, store, membership, telemetry, transport} = this._base;
+		const {hostId, environment, headerTimeoutMs, idleTimeoutMs} =
+			this._settings;
+		const app = transport.createServer('public', {
+			bodyLimitBytes: operatorBodyLimitBytes,
+			headerTimeoutMs,
+			idleTimeoutMs,
+		});
+		const service = ConfigAuthor.create({
+			id: hostId,
+			environment,
+			clock: Date.now,
+			config,
+			store,
+			membership,
+			telemetry,
+		});
+		const keys = this._operatorKeys;
+		await OperatorsApi.create({keys, service, telemetry}).register(app);
+		return app;
+	}
+
+	private _createCallersServer(): FastifyInstance {
+		const {config, telemetry, transport} = this._base;
+		const app = transport.createServer('public', this._settings);
+		CallersRoutes.create({
+			hostId: this._settings.hostId,
+			config,
+			checkKey,
+			telemetry,
+			entry: this._entry,
+		}).register(app);
+		return app;
+	}
+}
+
+/** Keys of operators from the setting and the file that it names. */
+function readOperatorKeys(
+	settings: EntryProcessSettings,
+): readonly OperatorKey[] {
+	const {operatorKeysFile} = settings;
+	const fromFile =
+		operatorKeysFile === undefined
+			? []
+			: operatorKeys.parse(readFileSync(operatorKeysFile, 'utf8'));
+	return [...settings.operatorKeys, ...fromFile];
+}
--- /dev/null
+++ b/packages/daemon/src/main/telemetry.ts
@@ -0,0 +1,48 @@
+import process from 'node:process';
+import type {Telemetry} from '../common/types.js';
+import type {CommonProcessSettings} from '../settings/settings.js';
+import {JsonLogger} from '../telemetry/logger.js';
+import {noMetrics, StatsdMetrics} from '../telemetry/metrics.js';
+import {noTracer, OpenTelemetryTracer} from '../telemetry/tracer.js';
+
+/** Telemetry of a process, and how to send what is left of it. */
+export type ProcessTelemetry = Telemetry & {
+	close(): Promise<void>;
+};
+
+function createTracer(
+	settings: CommonProcessSettings,
+): OpenTelemetryTracer | undefined {
+	if (settings.traces === 'console') {
+		return OpenTelemetryTracer.createForConsole(settings.hostId);
+	}
+
+	return settings.traces === 'otlp' && settings.otlpUrl !== undefined
+		? OpenTelemetryTracer.createForOtlp(settings.hostId, settings.otlpUrl)
+		: undefined;
+}
+
+/** Creates logs, metrics and traces as the settings ask for them. */
+export function createTelemetry(
+	settings: CommonProcessSettings,
+): ProcessTelemetry {
+	const logger = JsonLogger.create(settings.logLevel, settings.hostId, line => {
+		process.stdout.write(`${line}\n`);
+	});
+	const {statsdAddress} = settings;
+	const statsd =
+		statsdAddress &&
+		StatsdMetrics.create(statsdAddress, {host: settings.hostId}, err => {
+			logger.warn('metrics.failed', {message: err.message});
+		});
+	const tracer = createTracer(settings);
+	return {
+		logger,
+		metrics: statsd ?? noMetrics,
+		tracer: tracer ?? noTracer,
+		async close() {
+			await statsd?.close();
+			await tracer?.close();
+		},
+	};
+}
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -19,12 +19,12 @@
 };
 
 /** Checked settings of `balsamtrayd entry`. */
-export type EntrySettings = ValuesOf<
+export type EntryProcessSettings = ValuesOf<
 	typeof commonDefinitions & typeof entryDefinitions
 >;
 
 /** Checked settings of `balsamtrayd agent`. */
-export type AgentSettings = ValuesOf<
+export type AgentProcessSettings = ValuesOf<
 	typeof commonDefinitions & typeof agentDefinitions
 >;
 
@@ -131,20 +131,20 @@
 export function readEntrySettings(
 	flags: FlagTexts,
 	env: Environment,
-): SettingsResult<EntrySettings> {
+): SettingsResult<EntryProcessSettings> {
 	// The definitions of the role give each value its type.
 	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-	return read('entry', flags, env) as SettingsResult<EntrySettings>;
+	return read('entry', flags, env) as SettingsResult<EntryProcessSettings>;
 }
 
 /** Reads the settings of the role agent. A flag goes before its variable. */
 export function readAgentSettings(
 	flags: FlagTexts,
 	env: Environment,
-): SettingsResult<AgentSettings> {
+): SettingsResult<AgentProcessSettings> {
 	// The definitions of the role give each value its type.
 	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-	return read('agent', flags, env) as SettingsResult<AgentSettings>;
+	return read('agent', flags, env) as SettingsResult<AgentProcessSettings>;
 }
 
 /** Settings as pairs of variable and shown value. Secrets are left out. */
@@ -159,3 +159,6 @@
 			: (JSON.stringify(settings[name]) ?? '(none)'),
 	]);
 }
+
+/** Checked settings that both roles have. */
+export type CommonProcessSettings = ValuesOf<typeof commonDefinitions>;
--- a/packages/protocol/src/peer/peer-router.ts
+++ b/packages/protocol/src/peer/peer-router.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 import {peerProcedure, peerRouterOf} from '../trpc.js';
 import {agentRouter} from './agent-router.js';
+import {quarantineRouter} from './quarantine-router.js';
 import {rateRouter} from './rate-router.js';
 
 const identifier = z.string().min(1).max(200);
@@ -10,6 +11,8 @@
 export const peerRouter = peerRouterOf({
 	agent: agentRouter,
 
+	quarantine: quarantineRouter,
+
 	rate: rateRouter,
 
 	identity: peerProcedure.query(({ctx}) => ctx.identity()),
--- a/packages/protocol/src/peer/types.ts
+++ b/packages/protocol/src/peer/types.ts
@@ -76,7 +76,7 @@
 	readonly agent?: {
 		probe(request: ProbeRequest): ServerStatus;
 	};
-	readonly quarantine: {
+	readonly quarantine?: {
 		/** Takes note of fingerprints that ran on a back end as it died. */
 		reportSuspects(
 			peer: string,
--- a/packages/protocol/src/reply-schema.ts
+++ b/packages/protocol/src/reply-schema.ts
@@ -58,7 +58,8 @@
 	retryAfterMs: count.exactOptional(),
 });
 
-const serverStatus = z.object({
+/** What an agent says of itself. */
+export const serverStatusSchema = z.object({
 	server: identifier,
 	zone: identifier,
 	incarnation: identifier,
@@ -81,13 +82,13 @@
 		attemptId: identifier,
 		status: z.number().int().min(200).max(599),
 		contentType: z.string().max(400),
-		server: serverStatus,
+		server: serverStatusSchema,
 	}),
 	z.object({
 		kind: z.literal('refused'),
 		attemptId: identifier,
 		refusal,
-		server: serverStatus,
+		server: serverStatusSchema,
 		changes: z.array(configChangeSchema),
 	}),
 ]);
