Add the steps of the scenarios

Change: a world with a fleet that is kept between scenarios, calls that can be traced to the back ends by a reference, steady traffic, faults, operators, and checks on order and counts.

--- a/packages/scenarios/src/harness/daemon-host.ts
+++ b/packages/scenarios/src/harness/daemon-host.ts
@@ -49,16 +49,21 @@
 		return this._child?.isRunning ?? false;
 	}
 
-	/** Starts the daemon, a second one beside the first if that still runs. */
+	/** Starts the daemon. */
 	start(): Child {
+		this._child = this.startSecond();
+		return this._child;
+	}
+
+	/** Starts another process with the same settings beside the first, as a faulty supervisor does. */
+	startSecond(): Child {
 		const {role, env} = this._options;
-		this._child = Child.start({
+		return Child.start({
 			name: this.id,
 			script: daemonScript,
 			args: [role],
 			env,
 		});
-		return this._child;
 	}
 
 	async isReady(): Promise<boolean> {
--- /dev/null
+++ b/packages/scenarios/src/steps/configuration-steps.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import {Then} from '@cucumber/cucumber';
+import {completionOf} from '../harness/call-result.js';
+import {waitUntil} from '../harness/wait-until.js';
+import type {FleetWorld} from '../support/fleet-world.js';
+
+const conflictExitCode = 3;
+const accepted = 0;
+const customerOf: ReadonlyMap<string, string> = new Map([
+	['salt', 'lakeshore'],
+	['mats', 'prairie'],
+]);
+
+Then(
+	'within {int} seconds each entry runs {string} as {string}',
+	async function (
+		this: FleetWorld,
+		seconds: number,
+		adapter: string,
+		version: string,
+	) {
+		await Promise.all(
+			this.entryIds.map(async entryId =>
+				waitForVersion(this, seconds, {entryId, adapter, version}),
+			),
+		);
+	},
+);
+
+Then(
+	'within {int} seconds {string} runs {string} as {string}',
+	async function (
+		this: FleetWorld,
+		seconds: number,
+		entryId: string,
+		adapter: string,
+		version: string,
+	) {
+		await waitForVersion(this, seconds, {entryId, adapter, version});
+	},
+);
+
+Then(
+	'none runs {string} as another version than {string} in the next {int} seconds',
+	async function (
+		this: FleetWorld,
+		adapter: string,
+		version: string,
+		seconds: number,
+	) {
+		const until = Date.now() + seconds * 1000;
+		while (Date.now() < until) {
+			// Rounds come one after the other.
+			// eslint-disable-next-line no-await-in-loop
+			const versions = await versionsAtAll(this, adapter);
+			const served = versions.filter(name => name !== undefined);
+			assert.ok(
+				served.every(name => name === version),
+				`served as ${served.join(', ')}`,
+			);
+		}
+	},
+);
+
+Then(
+	'within {int} seconds all entries run {string} as the same version',
+	async function (this: FleetWorld, seconds: number, adapter: string) {
+		await waitUntil('all entries agree', seconds * 1000, async () => {
+			const versions = await versionsAtAll(this, adapter);
+			return new Set(versions).size === 1 && versions[0] !== undefined;
+		});
+	},
+);
+
+Then(
+	"at least one operator's change was accepted",
+	function (this: FleetWorld) {
+		const codes = this.operatorResults.map(({exitCode}) => exitCode);
+		assert.ok(codes.includes(accepted), `exit codes ${codes.join(', ')}`);
+	},
+);
+
+Then(
+	'an operator whose change was not accepted learned of a conflict',
+	function (this: FleetWorld) {
+		for (const {exitCode, output} of this.operatorResults) {
+			if (exitCode !== accepted) {
+				assert.equal(exitCode, conflictExitCode, output);
+				assert.match(output, /harness/v, 'the winner is not named');
+			}
+		}
+	},
+);
+
+Then("the operator's change was accepted", function (this: FleetWorld) {
+	const result = this.operatorResults.at(-1);
+	assert.equal(result?.exitCode, accepted, result?.output);
+});
+
+type Expected = {
+	readonly entryId: string;
+	readonly adapter: string;
+	readonly version: string;
+};
+
+async function waitForVersion(
+	world: FleetWorld,
+	seconds: number,
+	{entryId, adapter, version}: Expected,
+): Promise<void> {
+	const what = `${adapter} as ${version} at ${entryId}`;
+	await waitUntil(what, seconds * 1000, async () => {
+		const served = await versionAt(world, entryId, adapter);
+		return served === version;
+	});
+}
+
+/** Version with which the entry runs the adapter at present. Undefined if it refuses or fails. */
+async function versionAt(
+	world: FleetWorld,
+	entryId: string,
+	adapter: string,
+): Promise<string | undefined> {
+	const customer = customerOf.get(adapter) ?? 'lakeshore';
+	const call = await world.askModel({
+		customer,
+		model: adapter,
+		entryId,
+		isStreamed: false,
+		maxTokens: 1,
+	});
+	if (call.result.status !== 200) {
+		return undefined;
+	}
+
+	const [model] = completionOf(call.result).models;
+	return model?.split('@')[1];
+}
+
+async function versionsAtAll(
+	world: FleetWorld,
+	adapter: string,
+): Promise<ReadonlyArray<string | undefined>> {
+	return Promise.all(
+		world.entryIds.map(async entryId => versionAt(world, entryId, adapter)),
+	);
+}
--- /dev/null
+++ b/packages/scenarios/src/steps/fault-steps.ts
@@ -0,0 +1,243 @@
+import assert from 'node:assert/strict';
+import {Given, When} from '@cucumber/cucumber';
+import type {EngineFaults} from '@balsamtray/standins';
+import type {FleetBackend} from '../harness/fleet.js';
+import {waitUntil} from '../harness/wait-until.js';
+import type {FleetWorld} from '../support/fleet-world.js';
+
+const findTimeoutMs = 5000;
+
+When(
+	'the entry/agent {string} is killed',
+	async function (this: FleetWorld, id: string) {
+		this.isFleetHarmed = true;
+		await this.daemon(id).kill();
+	},
+);
+
+When(
+	'the entry/agent {string} starts again',
+	async function (this: FleetWorld, id: string) {
+		await this.daemon(id).restart();
+	},
+);
+
+When(
+	'the entry/agent {string} is paused',
+	function (this: FleetWorld, id: string) {
+		this.isFleetHarmed = true;
+		this.daemon(id).pause();
+	},
+);
+
+When(
+	'the entry/agent {string} runs again',
+	function (this: FleetWorld, id: string) {
+		this.daemon(id).resume();
+	},
+);
+
+When(
+	'the entry/agent {string} is told to stop',
+	function (this: FleetWorld, id: string) {
+		this.isFleetHarmed = true;
+		this.daemon(id).child.signal('SIGTERM');
+	},
+);
+
+When(
+	'a second agent is started on the slot of {string}',
+	function (this: FleetWorld, id: string) {
+		this.isFleetHarmed = true;
+		this.extraChildren.push(this.daemon(id).startSecond());
+	},
+);
+
+When(
+	'the table service is {word}',
+	async function (this: FleetWorld, state: string) {
+		this.isFleetHarmed = true;
+		await this.fleet.platform.table.setFaults({isDown: state === 'down'});
+	},
+);
+
+When('the host list is down', async function (this: FleetWorld) {
+	this.isFleetHarmed = true;
+	await this.fleet.platform.hosts.setFaults({isDown: true});
+});
+
+When(
+	'the table service loses its next {int} answers',
+	async function (this: FleetWorld, loseNextAnswers: number) {
+		this.isFleetHarmed = true;
+		await this.fleet.platform.table.setFaults({loseNextAnswers});
+	},
+);
+
+When(
+	'the table service loses {int} percent of its answers',
+	async function (this: FleetWorld, percent: number) {
+		this.isFleetHarmed = true;
+		await this.fleet.platform.table.setFaults({
+			loseAnswerShare: percent / 100,
+		});
+	},
+);
+
+When(
+	'the table service takes {int} ms for each answer',
+	async function (this: FleetWorld, delayMs: number) {
+		this.isFleetHarmed = true;
+		await this.fleet.platform.table.setFaults({delayMs});
+	},
+);
+
+When(
+	'the platform lists {string} as leaving',
+	async function (this: FleetWorld, id: string) {
+		this.isFleetHarmed = true;
+		await this.fleet.setHostState(id, 'leaving');
+	},
+);
+
+Given(
+	'each plain service loses its next {int} answers',
+	async function (this: FleetWorld, loseNextAnswers: number) {
+		await addToAll(this, this.desks, {loseNextAnswers});
+	},
+);
+
+Given(
+	'a plain service crashes on an order with the text {string}',
+	async function (this: FleetWorld, crashMarker: string) {
+		this.isFleetHarmed = true;
+		await addToAll(this, this.desks, {crashMarker});
+	},
+);
+
+Given(
+	'an engine crashes on a request with the text {string}',
+	async function (this: FleetWorld, crashMarker: string) {
+		this.isFleetHarmed = true;
+		await addToAll(this, this.engines, {crashMarker});
+	},
+);
+
+Given(
+	'each engine crosses its next {int} pairs of answers',
+	async function (this: FleetWorld, crossAnswers: number) {
+		await addToAll(this, this.engines, {crossAnswers});
+	},
+);
+
+Given(
+	'each engine sends its next {int} answers late',
+	async function (this: FleetWorld, lateAnswers: number) {
+		await addToAll(this, this.engines, {lateAnswers});
+	},
+);
+
+Given(
+	'each engine cuts its next {int} answers after {int} tokens',
+	async function (
+		this: FleetWorld,
+		cutAnswers: number,
+		cutAfterTokens: number,
+	) {
+		await addToAll(this, this.engines, {cutAnswers, cutAfterTokens});
+	},
+);
+
+Given(
+	'each engine fails its next {int} adapter loads',
+	async function (this: FleetWorld, failLoads: number) {
+		await addToAll(this, this.engines, {failLoads});
+	},
+);
+
+When(
+	'the engine of {string} starts anew',
+	async function (this: FleetWorld, id: string) {
+		this.isFleetHarmed = true;
+		await this.fleet.backend(id).standin.order({order: 'restart'});
+	},
+);
+
+When(
+	'the engine of {string} turns cold without a word',
+	async function (this: FleetWorld, id: string) {
+		this.isFleetHarmed = true;
+		await this.fleet.backend(id).standin.order({order: 'goCold'});
+	},
+);
+
+When(
+	'the engine/service of {string} crashes for {int} ms',
+	async function (this: FleetWorld, id: string, downMs: number) {
+		this.isFleetHarmed = true;
+		await this.fleet.backend(id).standin.order({order: 'crash', downMs});
+	},
+);
+
+When('an engine that runs requests crashes', async function (this: FleetWorld) {
+	this.isFleetHarmed = true;
+	const backend = await findBackend(this, this.engines, isBusy);
+	await backend.standin.order({order: 'crash', downMs: 500});
+});
+
+When(
+	'the agent that runs the order {string} is killed',
+	async function (this: FleetWorld, label: string) {
+		this.isFleetHarmed = true;
+		const ref = this.refOf(label);
+		const backend = await findBackend(this, this.desks, async desk => {
+			const {runsByRef} = await desk.standin.record();
+			return (runsByRef[ref] ?? 0) > 0;
+		});
+		await backend.daemon.kill();
+	},
+);
+
+When(
+	'the order {string} runs',
+	async function (this: FleetWorld, label: string) {
+		const ref = this.refOf(label);
+		await waitUntil(`order ${label} runs`, findTimeoutMs, async () => {
+			const truth = await this.groundTruth();
+			return truth.runsOf(ref) > 0;
+		});
+	},
+);
+
+async function addToAll(
+	world: FleetWorld,
+	backends: readonly FleetBackend[],
+	faults: EngineFaults,
+): Promise<void> {
+	await Promise.all(
+		backends.map(async backend => world.addFaults(backend, faults)),
+	);
+}
+
+async function isBusy({standin}: FleetBackend): Promise<boolean> {
+	const {requests, completed, cancelled} = await standin.record();
+	return requests.length > completed + cancelled;
+}
+
+/** Waits until a back end meets the condition and returns it. */
+async function findBackend(
+	world: FleetWorld,
+	backends: readonly FleetBackend[],
+	isMeant: (backend: FleetBackend) => Promise<boolean>,
+): Promise<FleetBackend> {
+	let match: FleetBackend | undefined;
+	await waitUntil('a back end runs the requests', findTimeoutMs, async () => {
+		const states = await Promise.all(
+			backends.map(async backend => isMeant(backend)),
+		);
+		match = backends[states.indexOf(true)];
+		return match !== undefined;
+	});
+	assert.ok(match, `no back end of ${world.entryIds.join(', ')} matched`);
+	return match;
+}
--- a/packages/standins/src/common/app-server.ts
+++ b/packages/standins/src/common/app-server.ts
@@ -41,6 +41,11 @@
 		);
 	}
 
+	/** Cuts all connections and goes on taking new ones. */
+	dropConnections(): void {
+		this._server.closeAllConnections();
+	}
+
 	/** Cuts all connections and refuses new ones. */
 	cut(): void {
 		this._server.close();
--- a/packages/standins/src/common/backend-process.ts
+++ b/packages/standins/src/common/backend-process.ts
@@ -50,7 +50,7 @@
 		this._isDown = true;
 		this._recorder.count('crashes');
 		this._server.cut();
-		this.boot();
+		this._boot();
 		setTimeout(() => {
 			this._isDown = false;
 			this._bootedAt = Date.now();
@@ -58,8 +58,13 @@
 		}, downMs);
 	}
 
-	/** Starts anew without a pause. */
-	boot(): void {
+	/** Starts anew so quickly that no connection is refused. */
+	restart(): void {
+		this._server.dropConnections();
+		this._boot();
+	}
+
+	private _boot(): void {
 		this._bootId = randomUUID();
 		this._bootedAt = Date.now();
 		this._onBoot();
--- a/packages/standins/src/engine/engine-app.ts
+++ b/packages/standins/src/engine/engine-app.ts
@@ -64,7 +64,7 @@
 		}
 
 		case 'restart': {
-			process.boot();
+			process.restart();
 			break;
 		}
 
--- a/packages/standins/src/service/service-app.ts
+++ b/packages/standins/src/service/service-app.ts
@@ -33,7 +33,7 @@
 		if (order.order === 'crash') {
 			process.crash(order.downMs);
 		} else {
-			process.boot();
+			process.restart();
 		}
 	});
 	server.app.get('/server_info', () => ({
