--- a/packages/scenarios/src/measure/serving/virtual-engine.ts
+++ b/packages/scenarios/src/measure/serving/virtual-engine.ts
@@ -200,7 +200,7 @@
 
 	private _takeStep(): void {
 		this._advance();
-		for (const [attemptId, run] of [...this._running]) {
+		for (const [attemptId, run] of this._running) {
 			if (!run.hasStarted && run.firstTokenAt <= this._steps + 1e-6) {
 				run.hasStarted = true;
 				run.listener.onFirstToken();
--- a/packages/scenarios/src/measure/serving/virtual-weight-store.ts
+++ b/packages/scenarios/src/measure/serving/virtual-weight-store.ts
@@ -31,8 +31,7 @@
 		this._inFlight++;
 		this.loads++;
 		const crowding = Math.max(1, this._inFlight / unhurriedLoads);
-		const delayMs =
-			Math.max(0, slot - now) + loadMs * crowding * this.slowness;
+		const delayMs = Math.max(0, slot - now) + loadMs * crowding * this.slowness;
 		this._time.after(delayMs, () => {
 			this._inFlight--;
 			onLoaded();
--- a/packages/scenarios/src/measure/serving/workload.ts
+++ b/packages/scenarios/src/measure/serving/workload.ts
@@ -84,7 +84,9 @@
 		const rank = indexOfShare(shares, random());
 		// After the shift, the least popular half becomes the most popular.
 		const shifted =
-			at < shiftAt ? rank : (rank + adaptersPerCustomer / 2) % adaptersPerCustomer;
+			at < shiftAt
+				? rank
+				: (rank + adaptersPerCustomer / 2) % adaptersPerCustomer;
 		const answerTokens = 16 + Math.floor(random() * 64);
 		const id = `${customer.name}/${requests.length}`;
 		requests.push({
