--- a/packages/standins/src/engine/adapter-loader.ts
+++ b/packages/standins/src/engine/adapter-loader.ts
@@ -2,6 +2,7 @@
 import {request} from 'undici';
 import type {FaultGate} from '../common/fault-gate.js';
 import type {EngineFaults} from '../common/fault-schemas.js';
+import {isMissing} from '../weights/missing-weights.js';
 import type {EngineSettings} from './engine-settings.js';
 
 /** Outcome of fetching an adapter's weights. */
@@ -24,7 +25,7 @@
 
 	if (settings.weightsUrl === undefined) {
 		await sleep(settings.loadMs);
-		return 'fetched';
+		return isMissing(weights) ? 'missing' : 'fetched';
 	}
 
 	return fetchFromStore(settings.weightsUrl, weights);
--- a/packages/standins/src/weights/weights-app.ts
+++ b/packages/standins/src/weights/weights-app.ts
@@ -4,6 +4,7 @@
 import {faultsSchema} from '../common/fault-schemas.js';
 import {FaultGate, readJson} from '../common/fault-gate.js';
 import type {Flags} from '../common/flags.js';
+import {isMissing} from './missing-weights.js';
 import {WeightPacer} from './weight-pacer.js';
 
 const missingSchema = z.array(z.string());
@@ -22,7 +23,7 @@
 	});
 	server.app.get<{Params: {'*': string}}>('/v1/weights/*', async (req, res) => {
 		const name = req.params['*'];
-		if (name.startsWith('missing') || missing.has(name)) {
+		if (isMissing(name) || missing.has(name)) {
 			return res.code(404).send({error: 'no such weights'});
 		}
 
