Estimate waits by what the backend server bears, not by the unwitnessed limit

Cause: from idling the window stays at the cold limit until a health report, a millisecond later. Estimates of that moment took the cold limit for lasting, were four times too long, and requests were refused as unable to make their deadline. Change: the window tells its capacity apart from its limit; estimates and the reported window use it.

--- a/packages/core/src/agent/agent-core.ts
+++ b/packages/core/src/agent/agent-core.ts
@@ -91,7 +91,7 @@
 			isAcceptingWork: this._isAcceptingWork(),
 			running: running.size,
 			queued: waiting.size,
-			window: window.limit(),
+			window: window.capacity(),
 			expectedWaitMs: Math.ceil(this._scheduler.expectedDrainMs()),
 			adapterState:
 				servedName === undefined ? 'absent' : loader.slots.stateOf(servedName),
--- a/packages/core/src/agent/concurrency-window.ts
+++ b/packages/core/src/agent/concurrency-window.ts
@@ -5,6 +5,8 @@
 export type ConcurrencyWindow = {
 	/** Most requests that may run at once now. */
 	limit(): number;
+	/** The limit once the boot is witnessed, for estimates. */
+	capacity(): number;
 	/** Whether a health report would raise the limit at once. */
 	wantsHealth(): boolean;
 	/** A request ended well; `msPerToken` where tokens were generated. */
@@ -49,8 +51,12 @@
 
 	limit(): number {
 		return this._isWitnessed
-			? Math.floor(this._size)
-			: Math.min(this._limits.coldWindow, Math.floor(this._size));
+			? this.capacity()
+			: Math.min(this._limits.coldWindow, this.capacity());
+	}
+
+	capacity(): number {
+		return Math.floor(this._size);
 	}
 
 	wantsHealth(): boolean {
@@ -124,6 +130,7 @@
 export function createFixedWindow(limits: AgentLimits): ConcurrencyWindow {
 	return {
 		limit: () => limits.maxWindow,
+		capacity: () => limits.maxWindow,
 		wantsHealth: () => false,
 		onCompleted: ignore,
 		onFailed: ignore,
--- a/packages/core/src/agent/scheduler.ts
+++ b/packages/core/src/agent/scheduler.ts
@@ -264,11 +264,12 @@
 	}
 
 	private _msUntilFree(tokensAhead: number): number {
-		const limit = this.window.limit();
-		const isFree = this.running.size < limit && tokensAhead === 0;
+		const capacity = this.window.capacity();
+		const isFree = this.running.size < capacity && tokensAhead === 0;
 		return isFree
 			? 0
-			: this._times.msFor(tokensAhead, limit) + this._times.requestMs / limit;
+			: this._times.msFor(tokensAhead, capacity) +
+					this._times.requestMs / capacity;
 	}
 
 	private _isHopelessCheckDue(now: number): boolean {
@@ -279,12 +280,12 @@
 	}
 
 	private _findHopeless(now: number): readonly HopelessRequest[] {
-		const limit = this.window.limit();
+		const capacity = this.window.capacity();
 		const hopeless: HopelessRequest[] = [];
 		let tokensAhead = 0;
 		for (const request of this.waiting.inOrder()) {
 			const waitMs = this._times.isReliable
-				? this._times.msFor(tokensAhead, limit)
+				? this._times.msFor(tokensAhead, capacity)
 				: 0;
 			if (now + waitMs >= request.deadlineAt) {
 				hopeless.push({request, retryAfterMs: waitMs});
