--- a/packages/client/src/operator-client.ts
+++ b/packages/client/src/operator-client.ts
@@ -1,4 +1,4 @@
-import {createLinkFetch, type OperatorRouter} from '@balsamtray/protocol';
+import {createLinkFetchOver, type OperatorRouter} from '@balsamtray/protocol';
 import {createTRPCClient, httpLink, TRPCClientError} from '@trpc/client';
 import {fetch} from 'undici';
 import type {ConnectionSettings} from './settings.js';
@@ -22,7 +22,7 @@
 			httpLink({
 				url: `${settings.url}/trpc`,
 				headers: {authorization: `Bearer ${settings.key}`},
-				fetch: createLinkFetch(async (url, req) =>
+				fetch: createLinkFetchOver(async (url, req) =>
 					fetch(url, {...req, signal: AbortSignal.timeout(callTimeoutMs)}),
 				),
 			}),
--- a/packages/daemon/src/config/peer-config-client.ts
+++ b/packages/daemon/src/config/peer-config-client.ts
@@ -1,12 +1,12 @@
 import {
 	configAnswerSchema,
-	createLinkFetch,
 	type ConfigAnswer,
 	type PeerRouter,
 } from '@balsamtray/protocol';
 import {createTRPCClient, httpLink} from '@trpc/client';
-import {fetch, type Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 import {z} from 'zod';
+import {createLinkFetch} from '../common/link-fetch.js';
 
 const versionAnswerSchema = z.object({
 	version: z.number().int().nonnegative(),
@@ -59,9 +59,7 @@
 			links: [
 				httpLink({
 					url: `${this.options.peerUrl(address)}/trpc`,
-					fetch: createLinkFetch(async (url, req) =>
-						fetch(url, {...req, dispatcher: this.options.peerDispatcher()}),
-					),
+					fetch: createLinkFetch(this.options.peerDispatcher),
 				}),
 			],
 		});
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -10,5 +10,4 @@
 export type * from './operators/types.js';
 export * from './operators/operator-router.js';
 export * from './reply-schema.js';
-export * from './dispatch-schemas.js';
 export * from './link-fetch.js';
--- a/packages/protocol/src/link-fetch.ts
+++ b/packages/protocol/src/link-fetch.ts
@@ -15,7 +15,7 @@
 };
 
 /** Creates the `fetch` that tRPC's links take from a function that sends a call. */
-export function createLinkFetch<T>(
+export function createLinkFetchOver<T>(
 	send: (url: string, req: LinkRequest) => Promise<T>,
 ): (url: unknown, init?: LinkInit) => Promise<T> {
 	return async (url, init = {}) => {
