Use the store's client, and find unknown holders at once

Change: rate and claim tasks take TableStore and ObjectStore; rows are read every 300 ms a shard and, where a holder is not known, at once but for 500 ms; the entry names the request whose tokens come back. Conclusion: works between tasks in one process; not run between processes yet.

--- a/packages/core/src/rate/constants.ts
+++ b/packages/core/src/rate/constants.ts
@@ -59,8 +59,8 @@
 /** Time between tries after the store failed to answer. */
 export const leaseRetryMs = 2000;
 
-/** Time between readings of all shard rows. */
-export const shardPollMs = 30 * 1000;
+/** Time between readings of all shard rows, for each shard. */
+export const shardPollMsPerShard = 300;
 
 /** Time between checks of the holder of the next shard in line. */
 export const holderCheckMs = 5000;
@@ -73,3 +73,6 @@
 
 /** Time between two shards that an entry gives up to others. */
 export const rebalanceMs = 20 * 1000;
+
+/** Shortest time between readings of the rows that are made because a holder is not known. */
+export const rowsWantedMs = 500;
--- a/packages/core/src/rate/holder-directory.ts
+++ b/packages/core/src/rate/holder-directory.ts
@@ -30,6 +30,11 @@
 		this._holders = holders;
 	}
 
+	/** Whether the holders of all these shards are known. */
+	knowsAll(shards: readonly string[]): boolean {
+		return shards.every(shard => this._holders.has(shard));
+	}
+
 	noteSuspect(peer: string, now: number): void {
 		this._suspectUntil.set(peer, now + suspectPeerMs);
 	}
--- a/packages/core/src/rate/lease-types.ts
+++ b/packages/core/src/rate/lease-types.ts
@@ -59,6 +59,8 @@
 			readonly writeId: string;
 			readonly result: ShardWriteResult;
 	  }
+	/** The holder of a shard is not known. */
+	| {readonly type: 'rowsWanted'}
 	/** A message to the entry could not be delivered since its port refused the connection. */
 	| {readonly type: 'holderRefused'; readonly holder: string}
 	| {
--- a/packages/core/src/rate/rate-core.ts
+++ b/packages/core/src/rate/rate-core.ts
@@ -322,9 +322,15 @@
 				retryAfterMs: this._retryAfterMs(gathering),
 			},
 			...transfers.map(part => returnOf(part, customer, part.tokens)),
+			...this._refreshIfUnknown(customer),
 		];
 	}
 
+	private _refreshIfUnknown(customer: string): readonly RateCommand[] {
+		const shards = this._shards.shardsOf(customer);
+		return this._directory.knowsAll(shards) ? [] : [{type: 'refreshHolders'}];
+	}
+
 	/** When the missing tokens will have accrued, if nobody else takes them. */
 	private _retryAfterMs(gathering: Gathering): number {
 		const limit = this._shards.limitOf(gathering.customer);
--- a/packages/core/src/rate/shard-leases.ts
+++ b/packages/core/src/rate/shard-leases.ts
@@ -5,7 +5,8 @@
 	leaseRenewalMs,
 	leaseRetryMs,
 	rebalanceMs,
-	shardPollMs,
+	rowsWantedMs,
+	shardPollMsPerShard,
 	vacancyMs,
 } from './constants.js';
 import type {
@@ -35,13 +36,14 @@
 export type LeaseTimes = {
 	readonly leaseMs: number;
 	readonly renewalMs: number;
-	readonly pollMs: number;
+	/** Time between readings of all rows for each shard that there is. */
+	readonly pollMsPerShard: number;
 };
 
 const defaultTimes: LeaseTimes = {
 	leaseMs,
 	renewalMs: leaseRenewalMs,
-	pollMs: shardPollMs,
+	pollMsPerShard: shardPollMsPerShard,
 };
 
 /** A row as this entry last saw it. */
@@ -136,7 +138,7 @@
 
 			case 'readFailed': {
 				this._isReading = false;
-				this._readAt = now - this._times.pollMs + leaseRetryMs;
+				this._readAt = now - this._pollMs + leaseRetryMs;
 				return [];
 			}
 
@@ -144,6 +146,10 @@
 				return this._settleWrite(event.writeId, event.result, now);
 			}
 
+			case 'rowsWanted': {
+				return now - this._readAt >= rowsWantedMs ? this._readRows(now) : [];
+			}
+
 			case 'holderRefused': {
 				return this._checkShardsOf(event.holder);
 			}
@@ -184,8 +190,17 @@
 		];
 	}
 
+	/** Grows with the number of shards, so that the store sees as many reads from a large fleet as from a small one. */
+	private get _pollMs(): number {
+		return this._shards.length * this._times.pollMsPerShard;
+	}
+
 	private _pollRows(now: number): readonly LeaseCommand[] {
-		if (this._isReading || now - this._readAt < this._times.pollMs) {
+		return now - this._readAt < this._pollMs ? [] : this._readRows(now);
+	}
+
+	private _readRows(now: number): readonly LeaseCommand[] {
+		if (this._isReading) {
 			return [];
 		}
 
@@ -423,7 +438,7 @@
 				// The next reading of the rows shows whether it took effect.
 				this._readAt = Math.min(
 					this._readAt,
-					now - this._times.pollMs + leaseRetryMs,
+					now - this._pollMs + leaseRetryMs,
 				);
 				return [];
 			}
--- a/packages/core/src/rate/types.ts
+++ b/packages/core/src/rate/types.ts
@@ -136,6 +136,8 @@
 			readonly transferId: string;
 			readonly customer: string;
 	  }
+	/** The holder of a shard is not known: find out. */
+	| {readonly type: 'refreshHolders'}
 	/** Give transferred tokens back to the holder that they came from. */
 	| {
 			readonly type: 'returnTransfer';
--- a/packages/daemon/src/claims/claim-table.ts
+++ b/packages/daemon/src/claims/claim-table.ts
@@ -7,7 +7,8 @@
 	type VersionedClaimRow,
 } from '@balsamtray/core';
 import {z} from 'zod';
-import {isSurelyNotWritten, type TableStore} from '../common/table-store.js';
+import {StoreError} from '../store/store-error.js';
+import type {TableStore, WriteConflict} from '../store/types.js';
 
 /** Refusals are written by this program, so that their form is known where they are there at all. */
 const refusalSchema = z.custom<Refusal>(
@@ -67,18 +68,19 @@
 						conflicts: result.conflicts.map(conflict => toConflict(conflict)),
 					};
 		} catch (error) {
-			return {kind: isSurelyNotWritten(error) ? 'unavailable' : 'lost'};
+			const isWithoutEffect =
+				error instanceof StoreError && error.outcome === 'notWritten';
+			return {kind: isWithoutEffect ? 'unavailable' : 'lost'};
 		}
 	}
 }
 
-function toConflict(conflict: {
+function toConflict(conflict: WriteConflict): {
 	readonly index: number;
-	readonly current:
-		{readonly value: unknown; readonly version: number} | undefined;
-}): {readonly index: number; readonly current?: VersionedClaimRow} {
+	readonly current?: VersionedClaimRow;
+} {
 	const {index, current} = conflict;
-	return current === undefined || current === null
+	return current === undefined
 		? {index}
 		: {
 				index,
--- a/packages/daemon/src/claims/claim-task.ts
+++ b/packages/daemon/src/claims/claim-task.ts
@@ -8,8 +8,8 @@
 	type ClaimResult,
 	type RecordedOutcome,
 } from '@balsamtray/core';
-import type {TableStore} from '../common/table-store.js';
 import type {ClaimService, Clock, Telemetry} from '../common/types.js';
+import type {ObjectStore, TableStore} from '../store/types.js';
 import {ClaimTable, outcomeSchema} from './claim-table.js';
 
 /** Interval in which claims are collected into one transaction. */
@@ -25,18 +25,12 @@
 /** When to ask again for an outcome that the object store did not give. */
 const objectReadRetryMs = 1000;
 
-/** The object store, as claims use it. Failures are thrown. */
-export type OutcomeStore = {
-	put(name: string, body: string): Promise<void>;
-	get(name: string): Promise<string | undefined>;
-};
-
 /** What the claim task is created from. */
 export type ClaimTaskOptions = {
 	readonly entryId: string;
 	readonly environment: string;
 	readonly table: TableStore;
-	readonly objects: OutcomeStore;
+	readonly objects: ObjectStore;
 	readonly telemetry: Telemetry;
 	readonly clock: Clock;
 };
--- /dev/null
+++ b/packages/daemon/src/claims/testing.ts
@@ -0,0 +1,108 @@
+/** Fakes for the tests of the rate and claim tasks. */
+import {type Customer, ConfigState} from '@balsamtray/core';
+import type {ConfigService, Telemetry} from '../common/types.js';
+import type {
+	RowRange,
+	TableRow,
+	TableStore,
+	TableWrite,
+	TransactionResult,
+} from '../store/types.js';
+
+/** The table service in memory. */
+export class MemoryTable implements TableStore {
+	static create(): MemoryTable {
+		return new MemoryTable();
+	}
+
+	private _version = 0;
+	private readonly _rows = new Map<string, Map<string, TableRow>>();
+
+	private constructor() {
+		// Instances come from `create`.
+	}
+
+	async transact(writes: readonly TableWrite[]): Promise<TransactionResult> {
+		const conflicts = [];
+		for (const [index, {table, key, condition}] of writes.entries()) {
+			const current = this._table(table).get(key);
+			const isMet =
+				condition.kind === 'any' ||
+				(condition.kind === 'absent' && current === undefined) ||
+				(condition.kind === 'version' &&
+					current?.version === condition.version);
+			if (!isMet) {
+				conflicts.push({index, current});
+			}
+		}
+
+		if (conflicts.length > 0) {
+			return {kind: 'conflict', conflicts};
+		}
+
+		const versions = writes.map(({table, key, value}) => {
+			const version = ++this._version;
+			this._table(table).set(key, {key, value, version});
+			return version;
+		});
+		return {kind: 'committed', versions};
+	}
+
+	async read(table: string, key: string): Promise<TableRow | undefined> {
+		return this._table(table).get(key);
+	}
+
+	async list(table: string, range: RowRange): Promise<readonly TableRow[]> {
+		return [...this._table(table).values()]
+			.filter(row => range.after === undefined || row.key > range.after)
+			.slice(0, range.limit);
+	}
+
+	countRows(table: string, isCounted: (value: unknown) => boolean): number {
+		return [...this._table(table).values()].filter(row => isCounted(row.value))
+			.length;
+	}
+
+	private _table(name: string): Map<string, TableRow> {
+		const known = this._rows.get(name) ?? new Map<string, TableRow>();
+		this._rows.set(name, known);
+		return known;
+	}
+}
+
+/** A configuration with these customers that does not change. */
+export function createTestConfig(
+	customers: readonly Customer[],
+): ConfigService {
+	const view = ConfigState.fromSnapshot({
+		version: 1,
+		documentDigest: '',
+		customers,
+		adapters: [],
+		routes: [],
+		keys: [],
+		withdrawnKeyIds: [],
+		zonesOut: [],
+		drainedServers: [],
+	});
+	return {
+		view: () => view,
+		isReady: () => true,
+		changesAfter: () => [],
+		learn: () => undefined,
+		seeVersion: () => undefined,
+		onAdvanced: () => ({dispose: () => undefined}),
+	};
+}
+
+/** Telemetry that goes nowhere. */
+export function createTestTelemetry(): Telemetry {
+	const ignore = () => undefined;
+	return {
+		metrics: {increment: ignore, gauge: ignore, timing: ignore},
+		logger: {info: ignore, warn: ignore, error: ignore},
+		tracer: {
+			startSpan: () => ({traceparent: '', setAttribute: ignore, end: ignore}),
+		},
+	};
+}
--- a/packages/daemon/src/entry/service-calls.ts
+++ b/packages/daemon/src/entry/service-calls.ts
@@ -59,8 +59,8 @@
 		this._post({type: 'claimSettled', requestId, result});
 	}
 
-	giveBack({customer, tokens}: CommandOf<'returnTokens'>): void {
-		this._options.rate.giveBack(customer, tokens);
+	giveBack({requestId, customer, tokens}: CommandOf<'returnTokens'>): void {
+		this._options.rate.giveBack(customer, tokens, requestId);
 	}
 
 	async record({
--- /dev/null
+++ b/packages/daemon/src/rate/rate-task.test.ts
@@ -0,0 +1,171 @@
+import assert from 'node:assert/strict';
+import {after, describe, it} from 'node:test';
+import {
+	shortagePauseMs,
+	type Customer,
+	type Host,
+	type HolderVerdict,
+} from '@balsamtray/core';
+import {
+	createTestConfig,
+	createTestTelemetry,
+	MemoryTable,
+} from '../claims/testing.js';
+import {RateTask} from './rate-task.js';
+import type {RatePeers} from './types.js';
+
+const customer: Customer = {
+	name: 'lakeshore',
+	tokensPerSecond: 1,
+	burstTokens: 3000,
+	weight: 1,
+};
+
+const waitMs = 10;
+const longestWaitMs = 4000;
+
+/** Entries in one process that reach each other directly. */
+class Fleet {
+	static create(): Fleet {
+		return new Fleet();
+	}
+
+	readonly table = MemoryTable.create();
+	readonly tasks = new Map<string, RateTask>();
+	private readonly _hosts: Host[] = [];
+
+	private constructor() {
+		for (const id of ['entry-a', 'entry-b']) {
+			this._hosts.push({
+				role: 'entry',
+				id,
+				zone: id,
+				region: 'great-lakes',
+				peerAddress: id,
+				state: 'live',
+			});
+		}
+	}
+
+	async start(id: string, incarnation: string): Promise<RateTask> {
+		const task = RateTask.create({
+			self: {id, zone: id, region: 'great-lakes'},
+			incarnation,
+			peerAddress: id,
+			environment: 'test',
+			table: this.table,
+			peers: this._peers(),
+			config: createTestConfig([customer]),
+			membership: {
+				hosts: () => this._hosts,
+				find: hostId => this._hosts.find(host => host.id === hostId),
+				onChanged: () => ({dispose: () => undefined}),
+			},
+			telemetry: createTestTelemetry(),
+			clocks: {monotonic: () => performance.now(), wall: () => Date.now()},
+			leaseTimes: {leaseMs: 60_000, renewalMs: 10_000, pollMsPerShard: 5},
+		});
+		this.tasks.set(id, task);
+		await task.start();
+		return task;
+	}
+
+	/** Waits until the entries hold so many shards together. */
+	async settle(count: number): Promise<void> {
+		const giveUpAt = performance.now() + longestWaitMs;
+		while (this.table.countRows('test.rate-shards', isHeld) < count) {
+			assert.ok(performance.now() < giveUpAt, 'the shards were not taken');
+			// Polls until the leases are there.
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(waitMs);
+		}
+
+		// The next reading of the rows tells all entries.
+		await sleep(10 * waitMs);
+	}
+
+	async stop(): Promise<void> {
+		for (const task of this.tasks.values()) {
+			// One after the other, as a rolling restart does.
+			// eslint-disable-next-line no-await-in-loop
+			await task.stop();
+		}
+	}
+
+	private _peers(): RatePeers {
+		return {
+			requestTransfer: async (address, request) => {
+				const task = this.tasks.get(address);
+				return task === undefined
+					? {kind: 'refused'}
+					: {kind: 'answered', answer: await task.requestTransfer(request)};
+			},
+			settleTransfers: async (address, settlements) => {
+				this.tasks.get(address)?.settleTransfers(settlements);
+			},
+			checkHolder: async (address): Promise<HolderVerdict> =>
+				this.tasks.has(address) ? 'alive' : 'dead',
+		};
+	}
+}
+
+function isHeld(value: unknown): boolean {
+	return (
+		typeof value === 'object' &&
+		value !== null &&
+		'state' in value &&
+		value.state === 'held'
+	);
+}
+
+async function sleep(ms: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
+
+describe('RateTask', () => {
+	const fleet = Fleet.create();
+	after(async () => fleet.stop());
+
+	describe('with two entries', () => {
+		it('lets one entry spend the whole burst and no more', async () => {
+			const a = await fleet.start('entry-a', 'i1');
+			const b = await fleet.start('entry-b', 'i1');
+			await fleet.settle(3);
+			assert.deepEqual(await a.reserve('r1', 'lakeshore', 2900), {
+				kind: 'reserved',
+			});
+			const refused = await b.reserve('r2', 'lakeshore', 200);
+			assert.equal(refused.kind, 'refused');
+			assert.ok((refused.retryAfterMs ?? 0) > 0);
+			a.giveBack('lakeshore', 2900, 'r1');
+			// An entry that just found a holder empty does not ask it again at once.
+			await sleep(2 * shortagePauseMs);
+			assert.deepEqual(await b.reserve('r3', 'lakeshore', 2900), {
+				kind: 'reserved',
+			});
+		});
+	});
+
+	describe('with a request larger than the burst', () => {
+		it('refuses it for good', async () => {
+			const task = fleet.tasks.get('entry-a');
+			assert.deepEqual(await task?.reserve('r4', 'lakeshore', 3001), {
+				kind: 'refused',
+			});
+		});
+	});
+
+	describe('when an entry stops', () => {
+		it('leaves its shards and their levels to the other', async () => {
+			const a = fleet.tasks.get('entry-a');
+			fleet.tasks.delete('entry-a');
+			await a?.stop();
+			await fleet.settle(3);
+			const b = fleet.tasks.get('entry-b');
+			const refused = await b?.reserve('r5', 'lakeshore', 200);
+			assert.equal(refused?.kind, 'refused');
+		});
+	});
+});
--- a/packages/daemon/src/rate/rate-task.ts
+++ b/packages/daemon/src/rate/rate-task.ts
@@ -6,6 +6,7 @@
 	type Host,
 	type LeaseCommand,
 	type LeaseEvent,
+	type LeaseTimes,
 	type RateCommand,
 	type RateEvent,
 	type RateHolder,
@@ -17,7 +18,6 @@
 	TransferRequest,
 	TransferSettlement,
 } from '@balsamtray/protocol';
-import type {TableStore} from '../common/table-store.js';
 import type {
 	ConfigService,
 	Disposable,
@@ -26,6 +26,7 @@
 	ReserveResult,
 	Telemetry,
 } from '../common/types.js';
+import type {TableStore} from '../store/types.js';
 import {MonotonicClock, type ClockPair} from './monotonic-clock.js';
 import {SettlementBatcher} from './settlement-batcher.js';
 import {ShardTable, type ShardWrite} from './shard-table.js';
@@ -52,6 +53,7 @@
 	readonly membership: MembershipService;
 	readonly telemetry: Telemetry;
 	readonly clocks: ClockPair;
+	readonly leaseTimes?: LeaseTimes;
 };
 
 /** Carries out the decisions over customers' tokens on an entry. */
@@ -85,7 +87,14 @@
 	private constructor(private readonly _options: RateTaskOptions) {
 		const {self, incarnation, peerAddress, table, environment} = _options;
 		this._core = RateCore.create({self, incarnation});
-		this._leases = ShardLeases.create({self, incarnation, peerAddress});
+		this._leases = ShardLeases.create({
+			self,
+			incarnation,
+			peerAddress,
+			...(_options.leaseTimes === undefined
+				? {}
+				: {times: _options.leaseTimes}),
+		});
 		this._clock = MonotonicClock.create(_options.clocks);
 		this._shardTable = ShardTable.create(table, environment);
 		this._settlements = SettlementBatcher.create((peer, settlements) => {
@@ -309,6 +318,11 @@
 					break;
 				}
 
+				case 'refreshHolders': {
+					this._handleLease({type: 'rowsWanted'});
+					break;
+				}
+
 				case 'confirmTransfer': {
 					const {peer, transferId, customer} = command;
 					this._settlements.add(peer, {kind: 'spent', transferId, customer});
--- a/packages/daemon/src/rate/shard-table.ts
+++ b/packages/daemon/src/rate/shard-table.ts
@@ -8,7 +8,8 @@
 	type VersionedShardRow,
 } from '@balsamtray/core';
 import {z} from 'zod';
-import {isSurelyNotWritten, type TableStore} from '../common/table-store.js';
+import {StoreError} from '../store/store-error.js';
+import type {TableStore} from '../store/types.js';
 
 const rowsPerPage = 1000;
 
@@ -114,11 +115,13 @@
 			}
 
 			const current = result.conflicts[0]?.current;
-			return current === undefined || current === null
+			return current === undefined
 				? {kind: 'conflict'}
 				: {kind: 'conflict', current: toVersionedRow(current)};
 		} catch (error) {
-			return {kind: isSurelyNotWritten(error) ? 'unavailable' : 'lost'};
+			const isWithoutEffect =
+				error instanceof StoreError && error.outcome === 'notWritten';
+			return {kind: isWithoutEffect ? 'unavailable' : 'lost'};
 		}
 	}
 
--- a/packages/daemon/src/rate/trpc-rate-peers.ts
+++ b/packages/daemon/src/rate/trpc-rate-peers.ts
@@ -7,7 +7,7 @@
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
 import type {Dispatcher} from 'undici';
 import {z} from 'zod';
-import {createLinkFetch} from '../common/link-fetch.js';
+import {createLinkFetch} from '../config/undici-fetch.js';
 import type {RatePeers, TransferResult} from './types.js';
 
 const identitySchema = z.object({incarnation: z.string()});
--- a/packages/scenarios/src/measure/rate-fleet/rate-fleet.ts
+++ b/packages/scenarios/src/measure/rate-fleet/rate-fleet.ts
@@ -280,6 +280,11 @@
 				break;
 			}
 
+			case 'refreshHolders': {
+				from.handleLease({type: 'rowsWanted'});
+				break;
+			}
+
 			case 'confirmTransfer': {
 				const {peer, transferId, customer} = command;
 				this._send(from, peer, {type: 'transferSpent', transferId, customer});
--- a/packages/scenarios/src/measure/rate-fleet/rate-schedule.ts
+++ b/packages/scenarios/src/measure/rate-fleet/rate-schedule.ts
@@ -23,7 +23,7 @@
 export const shortTimes: LeaseTimes = {
 	leaseMs: 5000,
 	renewalMs: 1500,
-	pollMs: 700,
+	pollMsPerShard: 200,
 };
 
 /** What one schedule showed. */
