--- a/packages/daemon/src/entry/caller-response.ts
+++ b/packages/daemon/src/entry/caller-response.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {RecordedOutcome, Refusal} from '@balsamtray/core';
-import {callerStallMs, cutFlushMs} from './constants.js';
+import {callerStallMs, cutFlushMs, cutLingerMs} from './constants.js';
 import {errorAnswer, errorBody, requestIdHeader} from './error-body.js';
 
 /** The caller's side of one request. It sends one whole answer, one refusal, or an answer that is seen to be cut. */
@@ -10,6 +10,8 @@
 		return new CallerResponse(res, requestId);
 	}
 
+	private _contentType = '';
+
 	private constructor(
 		private readonly _res: ServerResponse,
 		private readonly _requestId: string,
@@ -86,6 +88,7 @@
 			return;
 		}
 
+		this._contentType = contentType;
 		this._res.writeHead(status, {
 			[requestIdHeader]: this._requestId,
 			'content-type': contentType,
@@ -136,8 +139,7 @@
 			this._res.destroy();
 		};
 
-		const contentType = String(this._res.getHeader('content-type'));
-		if (!contentType.startsWith('text/event-stream')) {
+		if (!this._contentType.startsWith('text/event-stream')) {
 			destroy();
 			return;
 		}
@@ -147,6 +149,9 @@
 		this._res.once('close', () => {
 			clearTimeout(timer);
 		});
-		this._res.write(`\n\nevent: error\ndata: ${body}\n\n`, destroy);
+		// Many clients drop what they have not read yet when the connection breaks.
+		this._res.write(`\n\nevent: error\ndata: ${body}\n\n`, () => {
+			setTimeout(destroy, cutLingerMs);
+		});
 	}
 }
--- a/packages/daemon/src/entry/constants.ts
+++ b/packages/daemon/src/entry/constants.ts
@@ -39,3 +39,6 @@
 
 /** Longest path, with its query, that is handed on to a back end. */
 export const longestPath = 8000;
+
+/** Time between the last words of a broken answer and the end of its connection. */
+export const cutLingerMs = 50;
