Measure what a routing decision costs

Added measureRouting: time of a decision and bytes of state with 12, 1,000 and 10,000 servers and 11,000 adapters, for the default and the naive policy.

--- /dev/null
+++ b/packages/scenarios/src/measure/routing.ts
@@ -0,0 +1,173 @@
+/** Measures what a routing decision costs, and what an entry remembers for it. */
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {
+	ConfigState,
+	createRandom,
+	defaultRoutingPolicy,
+	naiveRoutingPolicy,
+	Router,
+	type AgentHost,
+	type Random,
+	type RoutingPolicy,
+	type RoutingQuery,
+} from '@balsamtray/core';
+
+/** What is measured. */
+export type RoutingMeasureOptions = {
+	readonly seed: number;
+	readonly serverCounts: readonly number[];
+	readonly adapters: number;
+	readonly decisions: number;
+};
+
+/** Cost of routing with one policy at one size. */
+export type RoutingMeasurement = {
+	readonly policy: string;
+	readonly servers: number;
+	readonly adapters: number;
+	/** Mean of decisions for adapters that were routed before. */
+	readonly microsecondsEach: number;
+	/** Mean of the first decision for each adapter since its servers changed. */
+	readonly microsecondsFirst: number;
+	/** Time to take in a host list of which one server changed. */
+	readonly hostListMs: number;
+	/** Heap that the router holds, the host list aside. */
+	readonly stateBytes: number;
+};
+
+const defaults: RoutingMeasureOptions = {
+	seed: 1,
+	serverCounts: [12, 1000, 10_000],
+	adapters: 11_000,
+	decisions: 200_000,
+};
+
+const regionCount = 7;
+const zoneCount = 15;
+const inFlightAtOnce = 400;
+const nobody: ReadonlySet<string> = new Set();
+const microsecondsInMs = 1000;
+
+/** Measures both policies at each size. The naive one scans the fleet, so it gets fewer decisions. */
+export function measureRouting(
+	options: Partial<RoutingMeasureOptions> = {},
+): readonly RoutingMeasurement[] {
+	const full = {...defaults, ...options};
+	return full.serverCounts.flatMap(servers => [
+		measure(defaultRoutingPolicy, servers, full),
+		measure(naiveRoutingPolicy, servers, {
+			...full,
+			decisions: Math.ceil(full.decisions / 100),
+		}),
+	]);
+}
+
+function measure(
+	policy: RoutingPolicy,
+	servers: number,
+	{seed, adapters, decisions}: RoutingMeasureOptions,
+): RoutingMeasurement {
+	const random = createRandom(seed);
+	const hosts = hostsOf(servers);
+	const before = heapBytes();
+	const config = ConfigState.empty();
+	const router = Router.create({
+		entryId: 'e1',
+		region: 'region-0',
+		view: () => config,
+		policy,
+	});
+	router.updateHosts(hosts, 0);
+	const subjects = Array.from({length: adapters}, (_, i) => `adapter-${i}@v1`);
+	const firstPass =
+		policy === defaultRoutingPolicy ? subjects : subjects.slice(0, 100);
+	const microsecondsFirst = timeDecisions(router, firstPass);
+	const drawn = Array.from(
+		{length: decisions},
+		() => subjects[drawRank(random, adapters)]!,
+	);
+	const microsecondsEach = timeDecisions(router, drawn);
+	const stateBytes = heapBytes() - before;
+	const hostListMs = timeHostList(router, hosts);
+	return {
+		policy: policy.name,
+		servers,
+		adapters,
+		microsecondsEach,
+		microsecondsFirst,
+		hostListMs,
+		stateBytes,
+	};
+}
+
+/** Routes each subject and keeps a number of dispatches in flight. Returns the mean time of a decision. */
+function timeDecisions(router: Router, subjects: readonly string[]): number {
+	const inFlight: Array<readonly [string, string]> = [];
+	const startedAt = performance.now();
+	for (const subject of subjects) {
+		const choice = router.choose(queryOf(subject), startedAt);
+		if (choice.kind === 'server') {
+			router.noteDispatch(subject, choice.host.id);
+			inFlight.push([subject, choice.host.id]);
+		}
+
+		if (inFlight.length > inFlightAtOnce) {
+			const [ended, server] = inFlight.shift()!;
+			router.noteEnd(ended, server);
+		}
+	}
+
+	const spentMs = performance.now() - startedAt;
+	for (const [subject, server] of inFlight) {
+		router.noteEnd(subject, server);
+	}
+
+	return (spentMs * microsecondsInMs) / subjects.length;
+}
+
+function timeHostList(router: Router, hosts: readonly AgentHost[]): number {
+	const changed = hosts.map((host, i) =>
+		i === 0 ? {...host, state: 'leaving' as const} : {...host},
+	);
+	const startedAt = performance.now();
+	router.updateHosts(changed, startedAt);
+	return performance.now() - startedAt;
+}
+
+function queryOf(subject: string): RoutingQuery {
+	return {
+		subject,
+		backend: {kind: 'engine', baseModel: 'base'},
+		avoid: nobody,
+		timeLeftMs: 30_000,
+	};
+}
+
+function hostsOf(count: number): readonly AgentHost[] {
+	return Array.from({length: count}, (_, i) => {
+		const zone = i % zoneCount;
+		return {
+			role: 'agent',
+			id: `server-${i}`,
+			zone: `zone-${zone}`,
+			region: `region-${count < 100 ? 0 : zone % regionCount}`,
+			peerAddress: `10.${Math.floor(i / 256)}.${i % 256}.1:9000`,
+			state: 'live',
+			backend: {kind: 'engine', baseModel: 'base'},
+		};
+	});
+}
+
+/** Draws a rank with a share in proportion to its inverse, as few adapters are hot. */
+function drawRank(random: Random, count: number): number {
+	return Math.floor(count ** random()) - 1;
+}
+
+function heapBytes(): number {
+	setFlagsFromString('--expose-gc');
+	runInNewContext('gc()');
+	return process.memoryUsage().heapUsed;
+}
