--- a/packages/scenarios/src/measure/rate-fleet/rate-run.ts
+++ b/packages/scenarios/src/measure/rate-fleet/rate-run.ts
@@ -10,7 +10,11 @@
 } from '@balsamtray/core';
 import {RateFleet} from './rate-fleet.js';
 import type {RatePolicy} from './virtual-entry.js';
-import {remainingTokens, type LimitInForce, type Spend} from './window-check.js';
+import {
+	remainingTokens,
+	type LimitInForce,
+	type Spend,
+} from './window-check.js';
 
 /** Ways to divide a customer's rate. */
 export type RatePolicyName = 'ours' | 'evenShares' | 'oneOwner';
@@ -229,7 +233,8 @@
 	}
 
 	private _planReturn(requestId: string, entry: string, spend: Spend): void {
-		const usedShare = 2 * meanUsedShare - 1 + this._random() * (2 - 2 * meanUsedShare);
+		const usedShare =
+			2 * meanUsedShare - 1 + this._random() * (2 - 2 * meanUsedShare);
 		const unused = Math.floor(spend.tokens * (1 - usedShare));
 		this._fleet.time.after(1000 + this._random() * 7000, () => {
 			spend.tokens -= unused;
