--- a/packages/daemon/src/rate/trpc-rate-peers.ts
+++ b/packages/daemon/src/rate/trpc-rate-peers.ts
@@ -1,13 +1,13 @@
 import type {HolderVerdict} from '@balsamtray/core';
 import {
-	createLinkFetch,
 	type PeerRouter,
 	type TransferRequest,
 	type TransferSettlement,
 } from '@balsamtray/protocol';
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
-import {fetch, type Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 import {z} from 'zod';
+import {createLinkFetch} from '../common/link-fetch.js';
 import type {RatePeers, TransferResult} from './types.js';
 
 const identitySchema = z.object({incarnation: z.string()});
@@ -99,9 +99,7 @@
 			links: [
 				httpLink({
 					url: `${peerUrl(address)}/trpc`,
-					fetch: createLinkFetch(async (url, req) =>
-						fetch(url, {...req, dispatcher: peerDispatcher()}),
-					),
+					fetch: createLinkFetch(peerDispatcher),
 				}),
 			],
 		});
