--- /dev/null
+++ b/packages/scenarios/src/measure/serving/figures.ts
@@ -0,0 +1,129 @@
+import {measuredMs} from './constants.js';
+import type {FleetCounts, RequestRecord} from './types.js';
+import {workloadCustomers} from './workload.js';
+
+/** What one run of an experiment measured. */
+export type ServingFigures = {
+	readonly requests: number;
+	readonly answeredShare: number;
+	/** Share of answered requests that waited for an adapter load, and their waits. */
+	readonly loadWaitShare: number;
+	readonly loadWaitP50Ms: number;
+	readonly loadWaitP99Ms: number;
+	readonly loadsPerMinute: number;
+	readonly requestsPerBatch: number;
+	readonly tokensPerSecond: number;
+	readonly firstTokenP50Ms: number;
+	readonly firstTokenP99Ms: number;
+	/** Of the customer that fares worst, the overloading one left out. */
+	readonly worstServedShare: number;
+	readonly worstFirstTokenP99Ms: number;
+	/** Jain's index over the shares of requests inside the rate that were answered. */
+	readonly jainIndex: number;
+	/** Refusals of requests inside their customer's rate, in 10,000 requests. */
+	readonly refusedInsidePer10000: number;
+	/** Of those, the ones because of the rate. */
+	readonly rateRefusedInsidePer10000: number;
+	/** Share of refusals with a time to come back. */
+	readonly retryTimeShare: number;
+	readonly lostOrCut: number;
+	readonly engineCrashes: number;
+	/** Innocent requests that were refused for good because of a crash. */
+	readonly innocentQuarantined: number;
+	readonly overruns: number;
+	readonly refusals: Readonly<Record<string, number>>;
+};
+
+/** Value below which the share of the values lies. Zero where there are none. */
+export function quantile(values: readonly number[], share: number): number {
+	const sorted = values.toSorted((a, b) => a - b);
+	const index = Math.min(sorted.length - 1, Math.floor(sorted.length * share));
+	return sorted[index] ?? 0;
+}
+
+function firstTokenTimes(records: readonly RequestRecord[]): readonly number[] {
+	return records.flatMap(({end}) =>
+		end.kind === 'answered' ? [end.firstTokenMs] : [],
+	);
+}
+
+function servedShare(records: readonly RequestRecord[]): number {
+	const inside = records.filter(
+		({end}) => end.kind !== 'refused' || end.isInsideRate,
+	);
+	const answered = inside.filter(({end}) => end.kind === 'answered');
+	return inside.length === 0 ? 1 : answered.length / inside.length;
+}
+
+function jainIndex(shares: readonly number[]): number {
+	const sum = shares.reduce((total, share) => total + share, 0);
+	const squares = shares.reduce((total, share) => total + share * share, 0);
+	return squares === 0 ? 0 : sum ** 2 / (shares.length * squares);
+}
+
+function countBy(codes: readonly string[]): Readonly<Record<string, number>> {
+	const counts: Record<string, number> = {};
+	for (const code of codes.toSorted()) {
+		counts[code] = (counts[code] ?? 0) + 1;
+	}
+
+	return counts;
+}
+
+/** Computes the figures of a run. */
+export function figuresOf(
+	records: readonly RequestRecord[],
+	counts: FleetCounts,
+	totalMs: number,
+	overloadingCustomer?: string,
+): ServingFigures {
+	const sent = records.filter(({request}) => !request.isPoison);
+	const refused = sent.flatMap(({end}) =>
+		end.kind === 'refused' ? [end] : [],
+	);
+	const answered = sent.filter(({end}) => end.kind === 'answered');
+	const waits = answered
+		.map(({loadWaitMs}) => loadWaitMs)
+		.filter(waitMs => waitMs > 0);
+	const others = workloadCustomers
+		.filter(({name}) => name !== overloadingCustomer)
+		.map(({name}) => sent.filter(({request}) => request.customer === name));
+	const inside = refused.filter(({isInsideRate}) => isInsideRate);
+	const insideByRate = inside.filter(({code}) => code === 'rate_exceeded');
+	const tokens = answered.reduce(
+		(sum, {end}) => sum + (end.kind === 'answered' ? end.tokens : 0),
+		0,
+	);
+	const times = firstTokenTimes(sent);
+	return {
+		requests: sent.length,
+		answeredShare: answered.length / sent.length,
+		loadWaitShare: waits.length / answered.length,
+		loadWaitP50Ms: quantile(waits, 0.5),
+		loadWaitP99Ms: quantile(waits, 0.99),
+		loadsPerMinute: counts.loads / (totalMs / 60_000),
+		requestsPerBatch: counts.requestsPerBatch,
+		tokensPerSecond: tokens / (measuredMs / 1000),
+		firstTokenP50Ms: quantile(times, 0.5),
+		firstTokenP99Ms: quantile(times, 0.99),
+		worstServedShare: Math.min(...others.map(group => servedShare(group))),
+		worstFirstTokenP99Ms: Math.max(
+			...others.map(group => quantile(firstTokenTimes(group), 0.99)),
+		),
+		jainIndex: jainIndex(others.map(group => servedShare(group))),
+		refusedInsidePer10000: (inside.length / sent.length) * 10_000,
+		rateRefusedInsidePer10000: (insideByRate.length / sent.length) * 10_000,
+		retryTimeShare:
+			refused.length === 0
+				? 1
+				: refused.filter(({hasRetryTime}) => hasRetryTime).length /
+					refused.length,
+		lostOrCut: sent.filter(({end}) => end.kind === 'lost' || end.kind === 'cut')
+			.length,
+		engineCrashes: counts.engineCrashes,
+		innocentQuarantined: refused.filter(({code}) => code === 'quarantined')
+			.length,
+		overruns: counts.overruns,
+		refusals: countBy(refused.map(({code}) => code)),
+	};
+}
--- /dev/null
+++ b/packages/scenarios/src/measure/serving/global-bucket.ts
@@ -0,0 +1,37 @@
+/** One customer's tokens counted in one place, as the measure of what is inside the rate. */
+export class GlobalBucket {
+	static create(tokensPerSecond: number, burstTokens: number): GlobalBucket {
+		return new GlobalBucket(tokensPerSecond, burstTokens);
+	}
+
+	private _tokens: number;
+	private _countedAt = 0;
+
+	private constructor(
+		private readonly _tokensPerSecond: number,
+		private readonly _burstTokens: number,
+	) {
+		this._tokens = _burstTokens;
+	}
+
+	hasRoomFor(tokens: number, now: number): boolean {
+		this._accrue(now);
+		return this._tokens >= tokens;
+	}
+
+	spend(tokens: number, now: number): void {
+		this._accrue(now);
+		this._tokens -= tokens;
+	}
+
+	giveBack(tokens: number, now: number): void {
+		this._accrue(now);
+		this._tokens = Math.min(this._burstTokens, this._tokens + tokens);
+	}
+
+	private _accrue(now: number): void {
+		const accrued = ((now - this._countedAt) / 1000) * this._tokensPerSecond;
+		this._tokens = Math.min(this._burstTokens, this._tokens + accrued);
+		this._countedAt = now;
+	}
+}
--- /dev/null
+++ b/packages/scenarios/src/measure/serving/request-ledger.ts
@@ -0,0 +1,99 @@
+import type {Refusal} from '@balsamtray/core';
+import {GlobalBucket} from './global-bucket.js';
+import type {RequestEnd, RequestRecord, WorkloadRequest} from './types.js';
+import {workloadCustomers} from './workload.js';
+
+/** Seconds of its rate that a customer may spend at once. */
+export const burstSeconds = 10;
+
+/** Code of a refusal because of the rate. */
+const reasonRate = 'rate_exceeded';
+
+/** Keeps what became of each request. */
+export class RequestLedger {
+	static create(): RequestLedger {
+		return new RequestLedger();
+	}
+
+	private readonly _records: RequestRecord[] = [];
+	private readonly _firstTokenAt = new Map<string, number>();
+	private readonly _loadWaits = new Map<string, number>();
+	private readonly _reserved = new Map<string, number>();
+	private readonly _ended = new Set<string>();
+	private readonly _buckets = new Map(
+		workloadCustomers.map(({name, tokensPerSecond}) => [
+			name,
+			GlobalBucket.create(tokensPerSecond, tokensPerSecond * burstSeconds),
+		]),
+	);
+
+	private constructor() {}
+
+	records(): readonly RequestRecord[] {
+		return this._records;
+	}
+
+	onLoadWait(request: WorkloadRequest, waitMs: number): void {
+		this._loadWaits.set(request.id, waitMs);
+	}
+
+	onReserved(
+		{id, customer, promptTokens, maxTokens}: WorkloadRequest,
+		now: number,
+	): void {
+		const tokens = promptTokens + maxTokens;
+		this._reserved.set(id, tokens);
+		this._buckets.get(customer)?.spend(tokens, now);
+	}
+
+	onGivenBack({customer}: WorkloadRequest, tokens: number, now: number): void {
+		this._buckets.get(customer)?.giveBack(tokens, now);
+	}
+
+	onFirstToken({id}: WorkloadRequest, now: number): void {
+		this._firstTokenAt.set(id, now);
+	}
+
+	onAnswered(request: WorkloadRequest, now: number): void {
+		const firstTokenAt = this._firstTokenAt.get(request.id) ?? now;
+		this._end(request, {
+			kind: 'answered',
+			firstTokenMs: firstTokenAt - request.at,
+			tokens: request.answerTokens,
+		});
+	}
+
+	onRefused(request: WorkloadRequest, refusal: Refusal, now: number): void {
+		const {customer, promptTokens, maxTokens} = request;
+		const hasRoom = this._buckets
+			.get(customer)
+			?.hasRoomFor(promptTokens + maxTokens, now);
+		this._end(request, {
+			kind: 'refused',
+			code: refusal.code,
+			hasRetryTime: refusal.retryAfterMs !== undefined,
+			isInsideRate: refusal.code !== reasonRate || hasRoom === true,
+		});
+	}
+
+	onCut(request: WorkloadRequest): void {
+		this._end(request, {kind: 'cut'});
+	}
+
+	onLost(request: WorkloadRequest): void {
+		this._end(request, {kind: 'lost'});
+	}
+
+	private _end(request: WorkloadRequest, end: RequestEnd): void {
+		if (this._ended.has(request.id)) {
+			throw new Error(`request ${request.id} ended twice`);
+		}
+
+		this._ended.add(request.id);
+		this._records.push({
+			request,
+			end,
+			loadWaitMs: this._loadWaits.get(request.id) ?? 0,
+		});
+	}
+}
