Pace adapter loads by a rate, and refuse what a load can't reach in time

Cause: a window of loads in flight kept 12 agents' loads queued in the weight store (median load 4.3 s in steady state against 0.25 s uncongested), where they can't be reordered or given up. Change: a rate with additive increase by time and decrease by how far a load exceeds twice the uncongested time, one load in flight unless it is stuck; waits count the loads before the own.

--- a/packages/core/src/agent/adapter-loader.ts
+++ b/packages/core/src/agent/adapter-loader.ts
@@ -49,9 +49,9 @@
 		return this._wakeAt;
 	}
 
-	/** Expected time until an absent adapter version is resident. */
-	expectedLoadMs(): number {
-		return this._limiter.expectedLoadMs();
+	/** Expected time until an adapter version is resident that comes after so many others. */
+	expectedLoadMs(loadsBefore: number, now: number): number {
+		return this._limiter.expectedLoadMs(loadsBefore, now);
 	}
 
 	/** Milliseconds for which an adapter version whose loads failed is not tried again. */
@@ -107,7 +107,7 @@
 	onLoadCompleted(loadId: string, now: number): void {
 		const slot = this.slots.completeLoad(loadId, now);
 		if (slot) {
-			this._limiter.onCompleted(now - this._takeStart(loadId, now));
+			this._limiter.onCompleted(now - this._takeStart(loadId, now), now);
 			this._failures.delete(slot.servedName);
 		}
 	}
@@ -124,7 +124,7 @@
 		}
 
 		this._takeStart(loadId, now);
-		this._limiter.onFailed();
+		this._limiter.onFailed(now);
 		this._noteFailure(slot.servedName, now);
 		return {
 			servedName: slot.servedName,
--- a/packages/core/src/agent/agent-core.ts
+++ b/packages/core/src/agent/agent-core.ts
@@ -255,7 +255,7 @@
 			return this._refusals.deadlineExceeded(0);
 		}
 
-		const waitMs = this._scheduler.expectedWaitMs(request);
+		const waitMs = this._scheduler.expectedWaitMs(request, now);
 		const isHopeless =
 			this._scheduler.isEstimateReliable && now + waitMs > request.deadlineAt;
 		return isHopeless
--- a/packages/core/src/agent/load-limiter.ts
+++ b/packages/core/src/agent/load-limiter.ts
@@ -6,72 +6,115 @@
 	/** Time from which a load may start, or undefined while one in flight must end first. */
 	nextStartAt(inFlight: number): number | undefined;
 	onStarted(now: number): void;
-	onCompleted(tookMs: number): void;
-	onFailed(): void;
-	/** Expected time of a load. */
-	expectedLoadMs(): number;
+	onCompleted(tookMs: number, now: number): void;
+	onFailed(now: number): void;
+	/** Expected time until an adapter version is loaded that comes after so many others. */
+	expectedLoadMs(loadsBefore: number, now: number): number;
 };
 
-const largestWindow = 4;
-const smallestWindow = 0.1;
-const growthPerLoad = 0.2;
-const decreaseFactor = 0.5;
+const initialLoadsPerSecond = 0.5;
+const largestLoadsPerSecond = 8;
+const smallestLoadsPerSecond = 0.05;
+/** Growth of the rate in each second, in loads a second. */
+const growthPerSecond = 0.06;
+const failureDecrease = 0.3;
+const mostDecrease = 0.5;
+/** Share of the time beyond the target by which the rate goes down. */
+const decreaseGain = 0.4;
+/** A load that takes so much longer than an uncongested one shows that the weight store is congested. */
 const congestedFactor = 2;
+const mostInFlight = 3;
+/** A load that takes so many times the average is stuck and no longer holds up the next. */
+const stuckFactor = 3;
+/** Loads that may start without spacing after a pause. */
+const burstLoads = 2;
 const averageWeight = 0.2;
 const baseGrowthPerLoad = 1.01;
+const secondMs = 1000;
 
 /**
- * Additive increase, multiplicative decrease of the loads in flight, by the load times seen.
+ * Additive increase, multiplicative decrease of the load rate, by the load times seen.
  * Agents share the weight store without a common counter: each takes longer loads as its congestion signal.
- * A window under one load spaces the starts further apart than a load takes.
+ * What can't be loaded in time waits at the agents, where it can still be reordered or given up,
+ * and not in the weight store.
  */
 export class AdaptiveLoadLimiter implements LoadLimiter {
 	static create(): AdaptiveLoadLimiter {
 		return new AdaptiveLoadLimiter();
 	}
 
-	private _window = 1;
+	private _loadsPerSecond = initialLoadsPerSecond;
 	private _baseMs: number | undefined;
 	private _averageMs = initialLoadMs;
 	private _lastStartAt = Number.NEGATIVE_INFINITY;
+	private _slowedDownAt = Number.NEGATIVE_INFINITY;
+	/** Time at which the next load would start if all loads were spaced evenly. */
+	private _nextAt = Number.NEGATIVE_INFINITY;
 
 	private constructor() {}
 
 	nextStartAt(inFlight: number): number | undefined {
-		return inFlight >= Math.max(1, Math.floor(this._window))
+		const pacedAt = this._nextAt - (burstLoads - 1) * this._gapMs();
+		if (inFlight === 0) {
+			return pacedAt;
+		}
+
+		return inFlight >= mostInFlight
 			? undefined
-			: this._lastStartAt + this._gapMs();
+			: Math.max(pacedAt, this._lastStartAt + stuckFactor * this._averageMs);
 	}
 
 	onStarted(now: number): void {
 		this._lastStartAt = now;
+		const earliest = now - (burstLoads - 1) * this._gapMs();
+		this._nextAt = Math.max(this._nextAt, earliest) + this._gapMs();
 	}
 
-	onCompleted(tookMs: number): void {
+	onCompleted(tookMs: number, now: number): void {
 		this._averageMs += averageWeight * (tookMs - this._averageMs);
 		// The base drifts upwards, so that a store that became slower for good is accepted in time.
 		this._baseMs = Math.min(
 			tookMs,
 			(this._baseMs ?? tookMs) * baseGrowthPerLoad,
 		);
-		if (tookMs > congestedFactor * this._baseMs) {
-			this.onFailed();
+		const targetMs = congestedFactor * this._baseMs;
+		if (tookMs > targetMs) {
+			const excess = (tookMs - targetMs) / tookMs;
+			this._slowDown(decreaseGain * excess, now - tookMs, now);
 			return;
 		}
 
-		this._window = Math.min(largestWindow, this._window + growthPerLoad);
+		this._loadsPerSecond = Math.min(
+			largestLoadsPerSecond,
+			this._loadsPerSecond + growthPerSecond / this._loadsPerSecond,
+		);
+	}
+
+	onFailed(now: number): void {
+		this._slowDown(failureDecrease, now, now);
 	}
 
-	onFailed(): void {
-		this._window = Math.max(smallestWindow, this._window * decreaseFactor);
+	expectedLoadMs(loadsBefore: number, now: number): number {
+		const burstMs = (burstLoads - 1) * this._gapMs();
+		const startMs = Math.max(0, this._nextAt - burstMs - now);
+		return startMs + loadsBefore * this._gapMs() + this._averageMs;
 	}
 
-	expectedLoadMs(): number {
-		return Math.max(this._averageMs, this._gapMs());
+	/** Loads that started before the last decrease say nothing about the rate since. */
+	private _slowDown(decrease: number, startedAt: number, now: number): void {
+		if (startedAt < this._slowedDownAt) {
+			return;
+		}
+
+		this._slowedDownAt = now;
+		this._loadsPerSecond = Math.max(
+			smallestLoadsPerSecond,
+			this._loadsPerSecond * (1 - Math.min(mostDecrease, decrease)),
+		);
 	}
 
 	private _gapMs(): number {
-		return (this._baseMs ?? initialLoadMs) / this._window;
+		return secondMs / this._loadsPerSecond;
 	}
 }
 
--- a/packages/core/src/agent/scheduler.ts
+++ b/packages/core/src/agent/scheduler.ts
@@ -88,14 +88,14 @@
 	}
 
 	/** Expected time until a new request starts. */
-	expectedWaitMs({dispatch, servedName}: QueuedRequest): number {
+	expectedWaitMs({dispatch, servedName}: QueuedRequest, now: number): number {
 		const {customer, weight} = dispatch;
 		const queueMs = this._msUntilFree(
 			this._queue.tokensAhead(customer, weight),
 		);
-		return this._isReady(servedName)
+		return servedName === undefined || this._isReady(servedName)
 			? queueMs
-			: Math.max(queueMs, this.loader.expectedLoadMs());
+			: Math.max(queueMs, this._loadWaitMs(servedName, now));
 	}
 
 	/** Expected time until a request starts that comes after all that wait. */
@@ -279,23 +279,60 @@
 		);
 	}
 
+	/** Expected time until an adapter version is resident that a new request needs. */
+	private _loadWaitMs(servedName: string, now: number): number {
+		const {loader, waiting} = this;
+		const isLoading = loader.slots.stateOf(servedName) === 'loading';
+		const isWanted = (name: string) =>
+			name !== servedName && loader.slots.stateOf(name) === 'absent';
+		const before =
+			isLoading || waiting.hasWaiters(servedName)
+				? 0
+				: waiting.servedNames().filter(name => isWanted(name)).length;
+		return loader.expectedLoadMs(before, now);
+	}
+
+	/** Walks through the waiting requests as they would run and finds those whose turn comes too late. */
 	private _findHopeless(now: number): readonly HopelessRequest[] {
 		const capacity = this.window.capacity();
 		const hopeless: HopelessRequest[] = [];
+		const absent = new Set<string>();
 		let tokensAhead = 0;
 		for (const request of this.waiting.inOrder()) {
-			const waitMs = this._times.isReliable
-				? this._times.msFor(tokensAhead, capacity)
-				: 0;
-			if (now + waitMs >= request.deadlineAt) {
+			const {servedName, cost, deadlineAt} = request;
+			const queueMs = this._times.msFor(tokensAhead, capacity);
+			const loadMs = this._loadMsAfter(absent, servedName, now);
+			const waitMs = this._times.isReliable ? Math.max(queueMs, loadMs) : 0;
+			if (now + waitMs >= deadlineAt) {
 				hopeless.push({request, retryAfterMs: waitMs});
-			} else {
-				tokensAhead += request.cost;
+				continue;
+			}
+
+			tokensAhead += cost;
+			if (loadMs > 0 && servedName !== undefined) {
+				absent.add(servedName);
 			}
 		}
 
 		return hopeless;
 	}
+
+	/** Expected time until an adapter version is resident that is loaded after those given. */
+	private _loadMsAfter(
+		absent: ReadonlySet<string>,
+		servedName: string | undefined,
+		now: number,
+	): number {
+		const isAbsent =
+			servedName !== undefined &&
+			this.loader.slots.stateOf(servedName) === 'absent';
+		if (!isAbsent) {
+			return 0;
+		}
+
+		const before = absent.has(servedName) ? absent.size - 1 : absent.size;
+		return this.loader.expectedLoadMs(before, now);
+	}
 }
 
 /** Whether the backend server may have died. */
--- a/packages/core/src/agent/waiting-requests.ts
+++ b/packages/core/src/agent/waiting-requests.ts
@@ -50,6 +50,11 @@
 		return this._waiters.has(servedName);
 	}
 
+	/** Names of the adapter versions that waiting requests need. */
+	servedNames(): readonly string[] {
+		return [...this._waiters.keys()];
+	}
+
 	/** Adapter versions that waiting requests need, in the order of the requests. */
 	*wantedAdapters(): Generator<WantedAdapter> {
 		const seen = new Set<string>();
--- /dev/null
+++ b/packages/scenarios/src/measure/agents/agent-figures.ts
@@ -0,0 +1,77 @@
+import {measuredMs} from '../serving/constants.js';
+import {workloadCustomers} from '../serving/workload.js';
+import type {AgentFleetResult, AgentRecord} from './agent-fleet.js';
+
+/** Figures of one run. */
+export type AgentFigures = {
+	/** Share of all requests that waited for a load. */
+	readonly stalledShare: number;
+	readonly stallP50Ms: number;
+	readonly stallP99Ms: number;
+	readonly loadsPerMinute: number;
+	readonly requestsPerBatch: number;
+	readonly tokensPerSecond: number;
+	readonly servedShare: number;
+	/** Served share and first-token time of the customer that fares worst in each. */
+	readonly worstServedShare: number;
+	readonly worstFirstTokenP99Ms: number;
+	/** Jain's index over the served shares of the customers. */
+	readonly jainIndex: number;
+};
+
+const p50 = 0.5;
+const p99 = 0.99;
+
+/** Computes the figures of a run. */
+export function figuresOf(result: AgentFleetResult): AgentFigures {
+	const {records, loads, requestsPerBatch} = result;
+	const stalls = records
+		.filter(({isStalled}) => isStalled)
+		.map(({stallMs}) => stallMs);
+	const byCustomer = workloadCustomers.map(({name}) =>
+		records.filter(({request}) => request.customer === name),
+	);
+	const shares = byCustomer.map(servedShareOf);
+	const tokens = records
+		.filter(isAnswered)
+		.reduce((sum, {request}) => sum + request.answerTokens, 0);
+	return {
+		stalledShare: stalls.length / records.length,
+		stallP50Ms: quantile(stalls, p50),
+		stallP99Ms: quantile(stalls, p99),
+		loadsPerMinute: (loads * 60_000) / measuredMs,
+		requestsPerBatch,
+		tokensPerSecond: (tokens * 1000) / measuredMs,
+		servedShare: servedShareOf(records),
+		worstServedShare: Math.min(...shares),
+		worstFirstTokenP99Ms: Math.max(...byCustomer.map(firstTokenP99Of)),
+		jainIndex: jainIndexOf(shares),
+	};
+}
+
+function isAnswered({code}: AgentRecord): boolean {
+	return code === undefined;
+}
+
+function servedShareOf(records: readonly AgentRecord[]): number {
+	return records.filter(isAnswered).length / Math.max(1, records.length);
+}
+
+function firstTokenP99Of(records: readonly AgentRecord[]): number {
+	const times = records.map(({firstTokenMs}) => firstTokenMs ?? Infinity);
+	return quantile(
+		times.filter(time => Number.isFinite(time)),
+		p99,
+	);
+}
+
+function jainIndexOf(values: readonly number[]): number {
+	const sum = values.reduce((total, value) => total + value, 0);
+	const squares = values.reduce((total, value) => total + value ** 2, 0);
+	return squares === 0 ? 0 : sum ** 2 / (values.length * squares);
+}
+
+function quantile(values: readonly number[], share: number): number {
+	const sorted = values.toSorted((a, b) => a - b);
+	return sorted[Math.floor(share * (sorted.length - 1))] ?? 0;
+}
