Load what most requests wait for, and evict by uses over all times in a slot

Cause: with the weight store at its limit, what counts is how many requests each load serves. Change: loads go to the adapter version with the most waiting requests first; the victim is the idle one with the fewest recent uses, remembered also while it was not resident. Both are parts of the policy.

--- a/packages/core/src/agent/adapter-loader.ts
+++ b/packages/core/src/agent/adapter-loader.ts
@@ -1,5 +1,5 @@
 import type {AgentPolicy} from './agent-policy.js';
-import {AdapterSlots} from './adapter-slots.js';
+import {AdapterSlots, type Slot} from './adapter-slots.js';
 import {
 	loadFailureBackoffMs,
 	loadTriesBeforeRefusal,
@@ -7,11 +7,14 @@
 } from './constants.js';
 import type {LoadLimiter} from './load-limiter.js';
 import type {AgentCommand, AgentLimits, AgentSettings} from './types.js';
+import {UseHistory} from './use-history.js';
 
 /** An adapter version that waiting requests need. */
 export type WantedAdapter = {
 	readonly servedName: string;
 	readonly weights: string;
+	/** Requests that wait for it. */
+	readonly waiters: number;
 };
 
 type LoadFailures = {
@@ -28,6 +31,7 @@
 	readonly slots: AdapterSlots;
 
 	private readonly _limiter: LoadLimiter;
+	private readonly _uses = UseHistory.create();
 	private readonly _startedAt = new Map<string, number>();
 	private readonly _failures = new Map<string, LoadFailures>();
 	private readonly _unloadRetries = new Map<string, number>();
@@ -64,16 +68,22 @@
 		return Math.max(0, failures.lastAt + loadFailureBackoffMs - now);
 	}
 
-	/** Orders what the wanted adapter versions need, the most urgent one first. */
+	/** A request starts to run on an adapter version. */
+	acquire(servedName: string, now: number): Slot {
+		this._uses.add(servedName, now);
+		return this.slots.acquire(servedName, now);
+	}
+
+	/** Orders what the wanted adapter versions need. They come in the order of the requests that wait for them. */
 	plan(
-		wanted: Iterable<WantedAdapter>,
+		wanted: readonly WantedAdapter[],
 		hasWaiters: (servedName: string) => boolean,
 		now: number,
 	): readonly AgentCommand[] {
 		this._wakeAt = undefined;
 		const commands = [...this._retryUnloads(now)];
 		let freeing = this.slots.unloading;
-		for (const adapter of wanted) {
+		for (const adapter of this._policy.orderLoads(wanted)) {
 			if (!this._mayStartLoad(now)) {
 				break;
 			}
@@ -213,7 +223,9 @@
 			return undefined;
 		}
 
-		const {servedName} = this._policy.pickVictim(idle, now);
+		const {servedName} = this._policy.pickVictim(idle, name =>
+			this._uses.recentUses(name, now),
+		);
 		const orderId = this._nextOrderId();
 		this.slots.beginUnload(servedName, orderId);
 		return unloadCommand(orderId, servedName);
--- a/packages/core/src/agent/adapter-slots.ts
+++ b/packages/core/src/agent/adapter-slots.ts
@@ -11,8 +11,6 @@
 	readonly orderId: string;
 	/** Requests that run on the adapter version. */
 	readonly users: number;
-	/** Requests that ran on it since it was loaded. */
-	readonly uses: number;
 	readonly lastUsedAt: number;
 	readonly loadedAt: number;
 	/** The backend server does not report the adapter version, while requests run on it. */
@@ -77,7 +75,6 @@
 			state: 'loading',
 			orderId,
 			users: 0,
-			uses: 0,
 			lastUsedAt: now,
 			loadedAt: now,
 			isMissing: false,
@@ -104,7 +101,6 @@
 			state: 'resident',
 			orderId: '',
 			users: 0,
-			uses: 0,
 			lastUsedAt: now,
 			loadedAt: now,
 			isMissing: false,
@@ -176,7 +172,6 @@
 		}
 
 		slot.users++;
-		slot.uses++;
 		slot.lastUsedAt = now;
 		return slot;
 	}
--- a/packages/core/src/agent/agent-policy.ts
+++ b/packages/core/src/agent/agent-policy.ts
@@ -1,3 +1,4 @@
+import type {WantedAdapter} from './adapter-loader.js';
 import type {Slot} from './adapter-slots.js';
 import {ArrivalQueue} from './arrival-queue.js';
 import {
@@ -20,20 +21,23 @@
 	createQueue(): RequestQueue;
 	createWindow(limits: AgentLimits): ConcurrencyWindow;
 	createLoadLimiter(): LoadLimiter;
+	/** Orders the absent adapter versions by which is loaded first. They come in the order of the queue. */
+	orderLoads(wanted: readonly WantedAdapter[]): readonly WantedAdapter[];
 	/** Chooses which of the idle adapter versions gives up its slot. The list is never empty. */
-	pickVictim(idle: readonly Slot[], now: number): Slot;
+	pickVictim(
+		idle: readonly Slot[],
+		recentUses: (servedName: string) => number,
+	): Slot;
 };
 
-/** Half-life with which the uses of an adapter version lose weight in the choice of a victim. */
-const useHalfLifeMs = 60_000;
-
 /** The policy that agents run with. */
 export const defaultAgentPolicy: AgentPolicy = {
 	name: 'default',
 	createQueue: () => FairQueue.create(),
 	createWindow: limits => ColdStartWindow.create(limits),
 	createLoadLimiter: () => AdaptiveLoadLimiter.create(),
-	pickVictim: leastUseful,
+	orderLoads: mostWaitersFirst,
+	pickVictim: leastUsed,
 };
 
 /** First come first served, least recently used, fixed window and unlimited loads, for comparison. */
@@ -42,6 +46,7 @@
 	createQueue: () => ArrivalQueue.create(),
 	createWindow: limits => createFixedWindow(limits),
 	createLoadLimiter: () => createUnlimitedLoads(),
+	orderLoads: wanted => wanted,
 	pickVictim: leastRecentlyUsed,
 };
 
@@ -50,12 +55,19 @@
 	return smallestBy(idle, slot => slot.lastUsedAt);
 }
 
-/** The idle adapter version with the fewest uses, those long ago counting less. */
-export function leastUseful(idle: readonly Slot[], now: number): Slot {
-	return smallestBy(
-		idle,
-		slot => slot.uses * 0.5 ** ((now - slot.lastUsedAt) / useHalfLifeMs),
-	);
+/** The idle adapter version with the fewest recent uses, counted over all its times in a slot. */
+export function leastUsed(
+	idle: readonly Slot[],
+	recentUses: (servedName: string) => number,
+): Slot {
+	return smallestBy(idle, ({servedName}) => recentUses(servedName));
+}
+
+/** The more requests a load lets run, the sooner; otherwise in the order of the queue. */
+export function mostWaitersFirst(
+	wanted: readonly WantedAdapter[],
+): readonly WantedAdapter[] {
+	return wanted.toSorted((a, b) => b.waiters - a.waiters);
 }
 
 function smallestBy(
--- a/packages/core/src/agent/scheduler.ts
+++ b/packages/core/src/agent/scheduler.ts
@@ -152,7 +152,9 @@
 
 	orderAdapters(now: number): readonly AgentCommand[] {
 		return this.loader.plan(
-			this.waiting.wantedAdapters(),
+			this.waiting
+				.wantedAdapters()
+				.filter(({servedName}) => !this.loader.slots.has(servedName)),
 			servedName => this.waiting.hasWaiters(servedName),
 			now,
 		);
@@ -233,7 +235,7 @@
 		this.running.add({
 			request,
 			...(servedName !== undefined && {
-				slot: this.loader.slots.acquire(servedName, now),
+				slot: this.loader.acquire(servedName, now),
 			}),
 			startedAt: now,
 			isCancelled: false,
--- a/packages/core/src/agent/waiting-requests.ts
+++ b/packages/core/src/agent/waiting-requests.ts
@@ -56,18 +56,21 @@
 	}
 
 	/** Adapter versions that waiting requests need, in the order of the requests. */
-	*wantedAdapters(): Generator<WantedAdapter> {
-		const seen = new Set<string>();
+	wantedAdapters(): readonly WantedAdapter[] {
+		const wanted = new Map<string, WantedAdapter>();
 		for (const {servedName, dispatch} of this._queue.inOrder()) {
 			if (
 				servedName !== undefined &&
 				dispatch.target.kind === 'adapter' &&
-				!seen.has(servedName)
+				!wanted.has(servedName)
 			) {
-				seen.add(servedName);
-				yield {servedName, weights: dispatch.target.weights};
+				const {weights} = dispatch.target;
+				const waiters = this._waiters.get(servedName) ?? 0;
+				wanted.set(servedName, {servedName, weights, waiters});
 			}
 		}
+
+		return [...wanted.values()];
 	}
 
 	private _forget(request: QueuedRequest): void {
--- a/packages/scenarios/src/measure/agents/agent-figures.ts
+++ b/packages/scenarios/src/measure/agents/agent-figures.ts
@@ -31,9 +31,9 @@
 	const byCustomer = workloadCustomers.map(({name}) =>
 		records.filter(({request}) => request.customer === name),
 	);
-	const shares = byCustomer.map(servedShareOf);
+	const shares = byCustomer.map(list => servedShareOf(list));
 	const tokens = records
-		.filter(isAnswered)
+		.filter(record => isAnswered(record))
 		.reduce((sum, {request}) => sum + request.answerTokens, 0);
 	return {
 		stalledShare: stalls.length / records.length,
@@ -44,7 +44,9 @@
 		tokensPerSecond: (tokens * 1000) / measuredMs,
 		servedShare: servedShareOf(records),
 		worstServedShare: Math.min(...shares),
-		worstFirstTokenP99Ms: Math.max(...byCustomer.map(firstTokenP99Of)),
+		worstFirstTokenP99Ms: Math.max(
+			...byCustomer.map(list => firstTokenP99Of(list)),
+		),
 		jainIndex: jainIndexOf(shares),
 	};
 }
@@ -54,7 +56,10 @@
 }
 
 function servedShareOf(records: readonly AgentRecord[]): number {
-	return records.filter(isAnswered).length / Math.max(1, records.length);
+	return (
+		records.filter(record => isAnswered(record)).length /
+		Math.max(1, records.length)
+	);
 }
 
 function firstTokenP99Of(records: readonly AgentRecord[]): number {
--- a/packages/scenarios/src/measure/agents/policies.ts
+++ b/packages/scenarios/src/measure/agents/policies.ts
@@ -17,4 +17,5 @@
 	['fixed-window', without('createWindow')],
 	['unlimited-loads', without('createLoadLimiter')],
 	['lru', without('pickVictim')],
+	['loads-in-queue-order', without('orderLoads')],
 ]);
