Hold the configuration's spread against one variable, and speed it up under loss

The replica counted itself among the peers that must answer at a start, and forgot who had sent changes after a gap.

--- a/packages/core/src/spread/config-replica.ts
+++ b/packages/core/src/spread/config-replica.ts
@@ -50,6 +50,7 @@
 	private readonly gate: StartGate;
 	private present: ConfigState;
 	private peers: readonly string[] = [];
+	private peerCount = 0;
 	private highestSeen = 0;
 	private highestPeer: string | undefined;
 	private pullStartedAt: number | undefined;
@@ -99,7 +100,7 @@
 		const commands = this.decide(event, now);
 		const isOpened = this.gate.tryOpen(
 			this.present.version,
-			this.peers.length,
+			this.peerCount,
 			now,
 		);
 		return isOpened ? [...commands, {type: 'ready'}] : commands;
@@ -135,6 +136,7 @@
 
 			case 'peersChanged': {
 				this.peers = event.peers;
+				this.peerCount = event.peers.filter(peer => peer !== this.id).length;
 				this.polls.setFleetSize(event.fleetSize);
 				return [];
 			}
@@ -155,12 +157,15 @@
 			return [];
 		}
 
+		this.noteHighest(peer, version);
+		return this.pullIfBehind(now);
+	}
+
+	private noteHighest(peer: string, version: number): void {
 		if (version > this.highestSeen || this.highestPeer === undefined) {
 			this.highestSeen = version;
 			this.highestPeer = peer;
 		}
-
-		return this.pullIfBehind(now);
 	}
 
 	private receiveChanges(
@@ -170,6 +175,11 @@
 	): readonly SpreadCommand[] {
 		const fromVersion = this.present.version;
 		const isWhole = this.applyAll(changes);
+		if (!isWhole && source !== storeSource) {
+			// Whoever sent later changes has the missing ones, or knows who has.
+			this.noteHighest(source, Math.max(...changes.map(c => c.version)));
+		}
+
 		return this.settleFetch(source, fromVersion, isWhole, now);
 	}
 
@@ -223,7 +233,7 @@
 		if (isAdvanced) {
 			this.pullStartedAt = undefined;
 			this.pullFailures = 0;
-		} else if (source === this.highestPeer) {
+		} else if (isWhole && source === this.highestPeer) {
 			// The peer does not have what it was said to have.
 			this.forgetHighest();
 		}
@@ -296,8 +306,8 @@
 
 		this.pullStartedAt = now;
 		// After a failure other peers are asked as well, as they probably have the changes too.
-		const others = Math.min(this.pullFailures, mostParallelPulls - 1);
-		return [this.highestPeer, ...this.pickPeers(others)].map(peer => ({
+		const wanted = Math.min(2 ** this.pullFailures, mostParallelPulls);
+		return [this.highestPeer, ...this.pickPeers(wanted - 1)].map(peer => ({
 			type: 'pullFromPeer',
 			peer,
 			afterVersion: this.present.version,
--- a/packages/core/src/spread/constants.ts
+++ b/packages/core/src/spread/constants.ts
@@ -17,7 +17,7 @@
 export const exchangesPerSecond = 2;
 
 /** Exchanges a second that come on top while no peer answers. */
-export const extraExchangesPerSecond = 6;
+export const extraExchangesPerSecond = 10;
 
 /** Peers that are told at once of a version that a process has just reached. */
 export const advanceFanout = 3;
@@ -26,13 +26,13 @@
 export const extraAdvanceFanout = 5;
 
 /** Weight of the latest exchange in the moving share of failed ones. */
-export const failureShareWeight = 0.1;
+export const failureShareWeight = 0.3;
 
 /** Time after which an unanswered pull is repeated from more peers. */
-export const pullPatienceMs = 250;
+export const pullPatienceMs = 150;
 
 /** Most peers from which a process pulls at the same time. */
-export const mostParallelPulls = 4;
+export const mostParallelPulls = 6;
 
 /** Changes that a process keeps to hand to peers that are behind. */
 export const retainedChangeCount = 4096;
