Split the entry's decisions by what they answer to

No decision changed. A stop at once now breaks the connections of callers that still wait, which kept the server from closing.

--- a/packages/core/src/entry/entry-core.ts
+++ b/packages/core/src/entry/entry-core.ts
@@ -1,26 +1,17 @@
 import type {ConfigView} from '../config/types.js';
-import {refuseMaybeRun, refuseNotRun} from '../refusal/refusals.js';
-import type {Refusal, RefusalCode} from '../refusal/types.js';
 import {defaultRoutingPolicy} from '../routing/default-routing-policy.js';
 import {Router} from '../routing/router.js';
 import type {RoutingPolicy} from '../routing/types.js';
-import {isKeyValid} from './authorize.js';
-import {
-	configWaitMs,
-	defaultRetryAfterMs,
-	maxRedecisions,
-} from './constants.js';
+import {AttemptEvents} from './attempt-events.js';
+import {type EntryContext, refuseForNow} from './entry-context.js';
 import {RequestFlow} from './request-flow.js';
 import {RequestState} from './request-state.js';
 import {RequestTable} from './request-table.js';
 import {RetryBudget} from './retry-budget.js';
+import {ServiceEvents} from './service-events.js';
 import {SuspectRegistry} from './suspect-registry.js';
-import type {
-	ClaimResult,
-	EntryCommand,
-	EntryEvent,
-	EntryRequest,
-} from './types.js';
+import type {EntryCommand, EntryEvent, EntryRequest} from './types.js';
+import {WaitingEvents} from './waiting-events.js';
 import {WakeQueue} from './wake-queue.js';
 
 /** What an entry's decisions need. */
@@ -53,41 +44,41 @@
 		return new EntryCore(options);
 	}
 
-	private readonly _requests = RequestTable.create();
-	private readonly _wakes = WakeQueue.create();
-	private readonly _suspects = SuspectRegistry.create();
-	private readonly _router: Router;
+	private readonly _context: EntryContext;
 	private readonly _flow: RequestFlow;
+	private readonly _services: ServiceEvents;
+	private readonly _attempts: AttemptEvents;
+	private readonly _waiting: WaitingEvents;
 	private _commands: EntryCommand[] = [];
 	private _isShuttingDown = false;
 	private _isDrained = false;
 
-	private constructor(private readonly _options: EntryCoreOptions) {
-		const {entryId, region, view, policy, now} = _options;
-		this._router = Router.create({
-			entryId,
-			region,
-			view,
-			policy: policy ?? defaultRoutingPolicy,
-		});
-		this._flow = RequestFlow.create({
+	private constructor(options: EntryCoreOptions) {
+		const {entryId, region, view, now} = options;
+		const policy = options.policy ?? defaultRoutingPolicy;
+		this._context = {
 			entryId,
 			view,
-			router: this._router,
-			requests: this._requests,
+			router: Router.create({entryId, region, view, policy}),
+			requests: RequestTable.create(),
 			budget: RetryBudget.create(now),
-			suspects: this._suspects,
+			suspects: SuspectRegistry.create(),
+			wakes: WakeQueue.create(),
 			emit: command => {
 				this._commands.push(command);
 			},
-		});
+		};
+		this._flow = RequestFlow.create(this._context);
+		this._services = ServiceEvents.create(this._context, this._flow);
+		this._attempts = AttemptEvents.create(this._context, this._flow);
+		this._waiting = WaitingEvents.create(this._context, this._flow);
 	}
 
 	/** Takes in one event and returns what has to be done, in order. */
 	handle(event: EntryEvent, now: number): readonly EntryCommand[] {
 		this._commands = [];
 		this._decide(event, now);
-		if (this._isShuttingDown && this._requests.size === 0) {
+		if (this._isShuttingDown && this._context.requests.size === 0) {
 			this._isShuttingDown = false;
 			this._isDrained = true;
 			this._commands.push({type: 'drained'});
@@ -98,17 +89,18 @@
 
 	/** Time at which the next `tick` is due, if any. */
 	nextWakeAt(): number | undefined {
-		const times = [this._wakes.nextAt, this._router.nextProbeAt()].filter(
-			at => at !== undefined,
-		);
+		const times = [
+			this._context.wakes.nextAt,
+			this._context.router.nextProbeAt(),
+		].filter(at => at !== undefined);
 		return times.length === 0 ? undefined : Math.min(...times);
 	}
 
 	stats(): EntryCoreStats {
-		const {servers, subjects} = this._router.sizes();
+		const {servers, subjects} = this._context.router.sizes();
 		return {
-			openRequests: this._requests.size,
-			suspectedServers: [...this._router.suspected],
+			openRequests: this._context.requests.size,
+			suspectedServers: [...this._context.router.suspected],
 			knownServers: servers,
 			knownSubjects: subjects,
 			isShuttingDown: this._isShuttingDown || this._isDrained,
@@ -123,57 +115,57 @@
 			}
 
 			case 'callerGone': {
-				this._forgetCaller(event.requestId);
+				this._waiting.onCallerGone(event.requestId);
 				break;
 			}
 
 			case 'tokensReserved': {
-				this._onTokensReserved(event.requestId, now);
+				this._services.onTokensReserved(event.requestId, now);
 				break;
 			}
 
 			case 'tokensRefused': {
-				this._onTokensRefused(event);
+				this._services.onTokensRefused(event);
 				break;
 			}
 
 			case 'claimSettled': {
-				this._onClaimSettled(event, now);
+				this._services.onClaimSettled(event, now);
 				break;
 			}
 
 			case 'dispatchRefused': {
-				this._onDispatchRefused(event, now);
+				this._attempts.onDispatchRefused(event, now);
 				break;
 			}
 
 			case 'dispatchFailed': {
-				this._onDispatchFailed(event, now);
+				this._attempts.onDispatchFailed(event, now);
 				break;
 			}
 
 			case 'answerStarted': {
-				this._onAnswerStarted(event, now);
+				this._attempts.onAnswerStarted(event, now);
 				break;
 			}
 
 			case 'answerCompleted': {
-				this._onAnswerCompleted(event, now);
+				this._attempts.onAnswerCompleted(event, now);
 				break;
 			}
 
 			case 'answerCut': {
-				this._onAnswerCut(event, now);
+				this._attempts.onAnswerCut(event, now);
 				break;
 			}
 
 			case 'configAdvanced': {
-				this._onConfigAdvanced(now);
+				this._waiting.onConfigAdvanced(now);
 				break;
 			}
 
 			case 'membershipChanged': {
-				this._router.updateHosts(event.hosts, now);
+				this._context.router.updateHosts(event.hosts, now);
 				break;
 			}
 
@@ -183,7 +175,7 @@
 			}
 
 			case 'suspectsReported': {
-				this._suspects.noteCrash(event.fingerprints, event.bootId, now);
+				this._context.suspects.noteCrash(event.fingerprints, event.bootId, now);
 				break;
 			}
 
@@ -200,425 +192,56 @@
 	}
 
 	private _accept(request: EntryRequest, now: number): void {
-		if (this._requests.request(request.requestId) !== undefined) {
+		if (this._context.requests.request(request.requestId) !== undefined) {
 			return;
 		}
 
 		const state = RequestState.create(request);
-		this._requests.open(state);
+		this._context.requests.open(state);
 		if (this._isShuttingDown || this._isDrained) {
-			this._flow.giveUp(state, this._notRun('shutting_down', 'accept'));
+			this._flow.giveUp(
+				state,
+				refuseForNow(this._context, 'shutting_down', 'accept'),
+			);
 			return;
 		}
 
 		if (request.deadlineAt <= now) {
-			this._flow.giveUp(state, this._notRun('deadline_unreachable', 'accept'));
+			this._flow.giveUp(
+				state,
+				refuseForNow(this._context, 'deadline_unreachable', 'accept'),
+			);
 			return;
 		}
 
-		this._wakes.add(request.deadlineAt, state.id);
+		this._context.wakes.add(request.deadlineAt, state.id);
 		this._flow.proceed(state, now);
-		this._wakes.compact(
-			id => this._requests.request(id) !== undefined,
-			this._requests.size,
-		);
-	}
-
-	private _forgetCaller(requestId: string): void {
-		const state = this._requests.request(requestId);
-		if (state === undefined || state.isAnswered) {
-			return;
-		}
-
-		state.isAnswered = true;
-		if (state.phase === 'reserving' || state.phase === 'claiming') {
-			return;
-		}
-
-		// A call that may not be repeated runs on, so that its outcome is recorded for the next call with its key.
-		if (state.hasClaim && state.attempt !== undefined) {
-			this._collect(state);
-			return;
-		}
-
-		this._flow.cancelAttempt(state);
-		this._flow.giveUp(state, this._notRun('cancelled', 'accept'));
-	}
-
-	private _onTokensReserved(requestId: string, now: number): void {
-		const state = this._requests.request(requestId);
-		if (state?.phase !== 'reserving') {
-			return;
-		}
-
-		this._resume(state, now);
-	}
-
-	private _onTokensRefused(event: EventOf<'tokensRefused'>): void {
-		const state = this._requests.request(event.requestId);
-		if (state?.phase !== 'reserving') {
-			return;
-		}
-
-		state.reservedTokens = undefined;
-		const {retryAfterMs} = event;
-		const code: RefusalCode =
-			retryAfterMs === undefined ? 'exceeds_burst' : 'rate_exceeded';
-		this._flow.giveUp(
-			state,
-			refuseNotRun(code, {
-				step: 'rate',
-				peer: this._options.entryId,
-				retryAfterMs,
-			}),
+		this._context.wakes.compact(
+			id => this._context.requests.request(id) !== undefined,
+			this._context.requests.size,
 		);
 	}
 
-	private _onClaimSettled(event: EventOf<'claimSettled'>, now: number): void {
-		const state = this._requests.request(event.requestId);
-		if (state?.phase !== 'claiming') {
-			return;
-		}
-
-		const {result} = event;
-		if (result.kind === 'granted') {
-			state.hasClaim = true;
-			this._resume(state, now);
-		} else if (result.kind === 'recorded') {
-			this._flow.replay(state, result.outcome);
-		} else {
-			this._flow.giveUp(state, this._claimRefusal(result));
-		}
-	}
-
-	/** Goes on with a request whose caller may have its answer already. */
-	private _resume(state: RequestState, now: number): void {
-		state.phase = 'deciding';
-		if (state.isAnswered) {
-			this._flow.giveUp(state, this._notRun('cancelled', 'accept'));
-		} else {
-			this._flow.proceed(state, now);
-		}
-	}
-
-	private _claimRefusal(
-		result: Exclude<ClaimResult, {kind: 'granted' | 'recorded'}>,
-	): Refusal {
-		const details = {step: 'claim', peer: this._options.entryId} as const;
-		switch (result.kind) {
-			case 'inProgress': {
-				const {retryAfterMs} = result;
-				return refuseMaybeRun('in_progress', {...details, retryAfterMs});
-			}
-
-			case 'unknownOutcome': {
-				return refuseMaybeRun('outcome_unknown', details);
-			}
-
-			case 'mismatch': {
-				return refuseNotRun('idempotency_mismatch', details);
-			}
-
-			case 'unavailable': {
-				const {retryAfterMs} = result;
-				return refuseNotRun('store_unavailable', {...details, retryAfterMs});
-			}
-		}
-	}
-
-	private _onDispatchRefused(
-		{attemptId, refusal, status, changes}: EventOf<'dispatchRefused'>,
-		now: number,
-	): void {
-		if (changes.length > 0) {
-			this._commands.push({type: 'learnChanges', changes});
-		}
-
-		const state = this._requests.requestOfAttempt(attemptId);
-		if (state === undefined) {
-			return;
-		}
-
-		if (state.phase === 'answering') {
-			this._cut(state, now, true);
-			return;
-		}
-
-		const hasFailed = !refusal.notRun;
-		const attempt = this._flow.endAttempt(
-			state,
-			hasFailed ? 'failed' : 'refused',
-		)!;
-		if (status !== undefined) {
-			this._router.noteStatus({status, subject: attempt.subject}, now);
-		}
-
-		if (refusal.code === 'configuration_behind' && !state.isAnswered) {
-			this._awaitConfig(state, refusal, attempt.configVersion, now);
-			return;
-		}
-
-		this._noteFailure(state, attempt.server, hasFailed);
-		this._flow.retryElsewhere(state, refusal, now);
-	}
-
-	private _awaitConfig(
-		state: RequestState,
-		refusal: Refusal,
-		decidedVersion: number,
-		now: number,
-	): void {
-		state.redecisions++;
-		state.lastRefusal = refusal;
-		if (state.redecisions > maxRedecisions) {
-			this._flow.giveUp(state, refusal);
-		} else if (this._options.view().version > decidedVersion) {
-			this._flow.proceed(state, now);
-		} else {
-			state.phase = 'awaitingConfig';
-			state.awaitedVersion = decidedVersion + 1;
-			this._wakes.add(now + configWaitMs, state.id);
-		}
-	}
-
-	private _onDispatchFailed(
-		{attemptId, fault}: EventOf<'dispatchFailed'>,
-		now: number,
-	): void {
-		const state = this._requests.requestOfAttempt(attemptId);
-		if (state === undefined) {
-			return;
-		}
-
-		if (state.phase === 'answering') {
-			this._cut(state, now, true);
-			return;
-		}
-
-		const {server} = this._flow.endAttempt(state, 'failed')!;
-		const details = {step: 'dispatch', peer: server} as const;
-		if (fault.kind === 'notDelivered') {
-			this._noteFailure(state, server, false);
-			const refusal = refuseNotRun('no_server', {
-				...details,
-				retryAfterMs: defaultRetryAfterMs,
-			});
-			this._flow.retryElsewhere(state, refusal, now);
-			return;
-		}
-
-		this._noteFailure(state, server, true);
-		const code = fault.kind === 'lost' ? 'backend_failed' : 'answer_mismatch';
-		this._flow.retryElsewhere(state, refuseMaybeRun(code, details), now);
-	}
-
-	private _onAnswerStarted(
-		{attemptId, status}: EventOf<'answerStarted'>,
-		now: number,
-	): void {
-		const state = this._requests.requestOfAttempt(attemptId);
-		if (state?.phase !== 'dispatched' || state.attempt === undefined) {
-			this._commands.push({type: 'cancelDispatch', attemptId});
-			return;
-		}
-
-		const {subject, server} = state.attempt;
-		this._router.noteResult(subject, server, 'succeeded');
-		this._router.noteStatus({status, subject}, now);
-		state.phase = 'answering';
-		state.mayHaveRun = true;
-		if (state.isAnswered) {
-			this._collect(state);
-		} else {
-			this._commands.push({
-				type: 'relayAnswer',
-				requestId: state.id,
-				attemptId,
-			});
-		}
-	}
-
-	private _onAnswerCompleted(
-		{attemptId, usage, outcome}: EventOf<'answerCompleted'>,
-		now: number,
-	): void {
-		const state = this._requests.requestOfAttempt(attemptId);
-		if (state === undefined) {
-			return;
-		}
-
-		if (state.phase !== 'answering') {
-			// An end without a start can't be the whole answer.
-			const fault = {kind: 'mismatched'} as const;
-			this._onDispatchFailed({type: 'dispatchFailed', attemptId, fault}, now);
-			return;
-		}
-
-		const attempt = this._flow.endAttempt(state)!;
-		this._flow.finish(state, attempt, usage, outcome);
-	}
-
-	private _onAnswerCut(
-		{attemptId, hasReachedCaller}: EventOf<'answerCut'>,
-		now: number,
-	): void {
-		const state = this._requests.requestOfAttempt(attemptId);
-		if (state !== undefined) {
-			this._cut(state, now, hasReachedCaller);
-		}
-	}
-
-	/** The answer broke off. What did not reach the caller may be done again elsewhere. */
-	private _cut(
-		state: RequestState,
-		now: number,
-		hasReachedCaller: boolean,
-	): void {
-		const {server} = this._flow.endAttempt(state, 'failed')!;
-		this._noteFailure(state, server, true);
-		const refusal = refuseMaybeRun('answer_cut', {
-			step: 'answer',
-			peer: server,
-		});
-		if (hasReachedCaller) {
-			this._flow.cutAnswer(state, refusal);
-		} else {
-			this._flow.retryElsewhere(state, refusal, now);
-		}
-	}
-
-	private _noteFailure(
-		state: RequestState,
-		server: string,
-		mayHaveRun: boolean,
-	): void {
-		state.phase = 'deciding';
-		state.triedServers.add(server);
-		if (mayHaveRun) {
-			state.mayHaveRun = true;
-			state.failedRuns++;
-		}
-	}
-
-	private _onConfigAdvanced(now: number): void {
-		this._router.updateConfig(now);
-		const {version} = this._options.view();
-		for (const state of this._requests.all()) {
-			if (state.phase === 'awaitingConfig') {
-				if (version >= state.awaitedVersion) {
-					this._flow.proceed(state, now);
-				}
-			} else if (state.phase !== 'answering') {
-				this._refuseWithdrawn(state);
-			}
-		}
-	}
-
-	/** A request that waits when its key is withdrawn is refused. A call that may not be repeated and may run is left. */
-	private _refuseWithdrawn(state: RequestState): void {
-		const {entryId, view} = this._options;
-		const {credential} = state.request;
-		const isOpen = state.admission?.keyId === undefined;
-		if (state.isAnswered || isOpen || isKeyValid(credential, view())) {
-			return;
-		}
-
-		const details = {step: 'authorize', peer: entryId} as const;
-		if (state.attempt === undefined) {
-			this._flow.answerWithRefusal(
-				state,
-				refuseNotRun('unauthorized', details),
-			);
-		} else if (state.isRepeatable) {
-			this._flow.cancelAttempt(state);
-			this._flow.giveUp(state, refuseMaybeRun('unauthorized', details));
-		}
-	}
-
 	private _onServerProbed(
 		{server, status}: EventOf<'serverProbed'>,
 		now: number,
 	): void {
-		this._router.noteProbe(server, status !== undefined, now);
+		this._context.router.noteProbe(server, status !== undefined, now);
 		if (status !== undefined) {
-			this._router.noteStatus({status}, now);
+			this._context.router.noteStatus({status}, now);
 		}
 	}
 
 	private _onTick(now: number): void {
-		for (const id of this._wakes.takeDue(now)) {
-			const state = this._requests.request(id);
+		for (const id of this._context.wakes.takeDue(now)) {
+			const state = this._context.requests.request(id);
 			if (state !== undefined && !state.isAnswered) {
-				this._onWake(state, now);
+				this._waiting.onWake(state, now);
 			}
 		}
 
-		for (const server of this._router.takeDueProbes(now)) {
+		for (const server of this._context.router.takeDueProbes(now)) {
 			this._commands.push({type: 'probeServer', server});
 		}
 	}
-
-	private _onWake(state: RequestState, now: number): void {
-		if (state.phase === 'answering') {
-			return;
-		}
-
-		if (now >= state.request.deadlineAt) {
-			this._onDeadline(state);
-		} else if (state.phase === 'awaitingConfig') {
-			this._flow.giveUp(
-				state,
-				state.lastRefusal ?? this._notRun('configuration_behind', 'authorize'),
-			);
-		}
-	}
-
-	private _onDeadline(state: RequestState): void {
-		if (state.phase === 'reserving' || state.phase === 'claiming') {
-			this._flow.answerWithRefusal(
-				state,
-				this._notRun('deadline_exceeded', 'rate'),
-			);
-			return;
-		}
-
-		if (state.attempt === undefined) {
-			this._flow.giveUp(state, this._notRun('deadline_exceeded', 'route'));
-			return;
-		}
-
-		const details = {
-			step: 'dispatch',
-			peer: state.attempt.server,
-			retryAfterMs: defaultRetryAfterMs,
-		} as const;
-		if (state.isRepeatable) {
-			this._flow.cancelAttempt(state, 'failed');
-			this._flow.giveUp(state, refuseMaybeRun('deadline_exceeded', details));
-		} else {
-			// The attempt goes on, so that its outcome is recorded for the next call with its key.
-			this._flow.answerWithRefusal(
-				state,
-				refuseMaybeRun('outcome_unknown', details),
-			);
-		}
-	}
-
-	private _collect(state: RequestState): void {
-		if (state.phase === 'answering') {
-			this._commands.push({
-				type: 'collectAnswer',
-				requestId: state.id,
-				attemptId: state.attempt!.id,
-			});
-		}
-	}
-
-	private _notRun(code: RefusalCode, step: Refusal['step']): Refusal {
-		return refuseNotRun(code, {
-			step,
-			peer: this._options.entryId,
-			retryAfterMs: defaultRetryAfterMs,
-		});
-	}
 }
--- a/packages/core/src/entry/request-flow.ts
+++ b/packages/core/src/entry/request-flow.ts
@@ -1,42 +1,26 @@
 import type {Usage} from '../agent/types.js';
-import type {ConfigView} from '../config/types.js';
 import {refuseMaybeRun, refuseNotRun} from '../refusal/refusals.js';
 import type {Refusal} from '../refusal/types.js';
-import type {Router} from '../routing/router.js';
 import type {DispatchResult} from '../routing/types.js';
 import {type Admission, authorize} from './authorize.js';
 import {buildDispatch} from './build-dispatch.js';
-import {defaultRetryAfterMs} from './constants.js';
+import {type EntryContext, refuseForNow} from './entry-context.js';
 import type {Attempt, RequestState} from './request-state.js';
-import type {RequestTable} from './request-table.js';
-import type {RetryBudget} from './retry-budget.js';
 import {mayTryElsewhere} from './retry-rules.js';
 import {settleClaim, settleTokens} from './settlement.js';
-import type {SuspectRegistry} from './suspect-registry.js';
-import type {EntryCommand, RecordedOutcome} from './types.js';
-
-/** What the steps of a request need from the entry. */
-export type RequestFlowOptions = {
-	readonly entryId: string;
-	readonly view: () => ConfigView;
-	readonly router: Router;
-	readonly requests: RequestTable;
-	readonly budget: RetryBudget;
-	readonly suspects: SuspectRegistry;
-	readonly emit: (command: EntryCommand) => void;
-};
+import type {RecordedOutcome} from './types.js';
 
 /** Takes one request from step to step: authorize, reserve, claim, route, dispatch, and to its one final outcome. */
 export class RequestFlow {
-	static create(options: RequestFlowOptions): RequestFlow {
-		return new RequestFlow(options);
+	static create(context: EntryContext): RequestFlow {
+		return new RequestFlow(context);
 	}
 
-	private constructor(private readonly _options: RequestFlowOptions) {}
+	private constructor(private readonly _context: EntryContext) {}
 
 	/** Does the next step of a request. Each step is decided under the present configuration. */
 	proceed(state: RequestState, now: number): void {
-		const {view, entryId} = this._options;
+		const {view, entryId} = this._context;
 		const authorization = authorize(state.request, view(), entryId);
 		if (authorization.kind === 'refused') {
 			this.giveUp(state, authorization.refusal);
@@ -48,11 +32,7 @@
 		if (state.account !== admission.customer.name) {
 			this.giveUp(
 				state,
-				refuseNotRun('configuration_behind', {
-					step: 'authorize',
-					peer: entryId,
-					retryAfterMs: defaultRetryAfterMs,
-				}),
+				refuseForNow(this._context, 'configuration_behind', 'authorize'),
 			);
 			return;
 		}
@@ -76,7 +56,7 @@
 		if (
 			!state.isAnswered &&
 			mayTryElsewhere(state, refusal.code) &&
-			this._options.budget.tryTake(now)
+			this._context.budget.tryTake(now)
 		) {
 			this.proceed(state, now);
 		} else {
@@ -95,7 +75,7 @@
 	answerWithRefusal(state: RequestState, refusal: Refusal): void {
 		if (!state.isAnswered) {
 			state.isAnswered = true;
-			this._options.emit({type: 'refuse', requestId: state.id, refusal});
+			this._context.emit({type: 'refuse', requestId: state.id, refusal});
 		}
 	}
 
@@ -103,7 +83,7 @@
 	cutAnswer(state: RequestState, refusal: Refusal): void {
 		if (!state.isAnswered) {
 			state.isAnswered = true;
-			this._options.emit({type: 'cutAnswer', requestId: state.id, refusal});
+			this._context.emit({type: 'cutAnswer', requestId: state.id, refusal});
 		}
 
 		this._settle(state, {kind: 'refused', refusal});
@@ -113,7 +93,7 @@
 	replay(state: RequestState, outcome: RecordedOutcome): void {
 		if (!state.isAnswered) {
 			state.isAnswered = true;
-			this._options.emit({type: 'replayOutcome', requestId: state.id, outcome});
+			this._context.emit({type: 'replayOutcome', requestId: state.id, outcome});
 		}
 
 		this._settle(state, outcome);
@@ -128,7 +108,7 @@
 	): void {
 		if (!state.isAnswered) {
 			state.isAnswered = true;
-			this._options.emit({
+			this._context.emit({
 				type: 'finishAnswer',
 				requestId: state.id,
 				attemptId: attempt.id,
@@ -143,11 +123,11 @@
 		state: RequestState,
 		result?: DispatchResult,
 	): Attempt | undefined {
-		const attempt = this._options.requests.endAttempt(state);
+		const attempt = this._context.requests.endAttempt(state);
 		if (attempt !== undefined) {
-			this._options.router.noteEnd(attempt.subject, attempt.server);
+			this._context.router.noteEnd(attempt.subject, attempt.server);
 			if (result !== undefined) {
-				this._options.router.noteResult(
+				this._context.router.noteResult(
 					attempt.subject,
 					attempt.server,
 					result,
@@ -163,7 +143,7 @@
 		const attempt = this.endAttempt(state, result);
 		if (attempt !== undefined) {
 			state.mayHaveRun = true;
-			this._options.emit({type: 'cancelDispatch', attemptId: attempt.id});
+			this._context.emit({type: 'cancelDispatch', attemptId: attempt.id});
 		}
 	}
 
@@ -172,7 +152,7 @@
 		admission: Admission,
 		now: number,
 	): Refusal | undefined {
-		const {entryId, router, suspects} = this._options;
+		const {entryId, router, suspects} = this._context;
 		const forMs = suspects.quarantinedForMs(state.request.bodyDigest, now);
 		if (forMs > 0) {
 			return refuseNotRun('quarantined', {
@@ -198,12 +178,7 @@
 
 			case 'noServer': {
 				return (
-					state.lastRefusal ??
-					refuseNotRun('no_server', {
-						step: 'route',
-						peer: entryId,
-						retryAfterMs: defaultRetryAfterMs,
-					})
+					state.lastRefusal ?? refuseForNow(this._context, 'no_server', 'route')
 				);
 			}
 		}
@@ -212,7 +187,7 @@
 	private _reserve(state: RequestState, {resolved, customer}: Admission): void {
 		state.phase = 'reserving';
 		state.reservedTokens = resolved.promptTokens + resolved.maxTokens;
-		this._options.emit({
+		this._context.emit({
 			type: 'reserveTokens',
 			requestId: state.id,
 			customer: customer.name,
@@ -222,7 +197,7 @@
 
 	private _claim(state: RequestState, {customer}: Admission): void {
 		state.phase = 'claiming';
-		this._options.emit({
+		this._context.emit({
 			type: 'claim',
 			requestId: state.id,
 			customer: customer.name,
@@ -236,7 +211,7 @@
 		admission: Admission,
 		now: number,
 	): void {
-		const {router, requests, budget, emit, entryId, view} = this._options;
+		const {router, requests, budget, emit, entryId, view} = this._context;
 		const choice = router.choose(this._query(state, admission, now), now);
 		if (choice.kind !== 'server') {
 			return;
@@ -275,7 +250,7 @@
 		const avoid = state.isSuspect
 			? new Set([
 					...state.triedServers,
-					...this._options.requests.suspectServers(),
+					...this._context.requests.suspectServers(),
 				])
 			: state.triedServers;
 		return {
@@ -301,7 +276,7 @@
 			kind: 'refused',
 			refusal: refuseMaybeRun('outcome_unknown', {
 				step: 'answer',
-				peer: this._options.entryId,
+				peer: this._context.entryId,
 				message: 'The call ran; its answer was not recorded.',
 			}),
 		};
@@ -316,9 +291,9 @@
 			...settleTokens(state, usage),
 			...settleClaim(state, outcome),
 		]) {
-			this._options.emit(command);
+			this._context.emit(command);
 		}
 
-		this._options.requests.close(state);
+		this._context.requests.close(state);
 	}
 }
--- a/packages/daemon/src/entry/caller-response.ts
+++ b/packages/daemon/src/entry/caller-response.ts
@@ -124,6 +124,11 @@
 		}
 	}
 
+	/** Breaks the connection. */
+	abort(): void {
+		this._res.destroy();
+	}
+
 	/** Ends a stream so that the caller sees that it is not whole: an error event where it is SSE, then a closed connection. */
 	cut(refusal: Refusal): void {
 		if (!this.isOpen) {
--- a/packages/daemon/src/entry/callers-routes.test.ts
+++ b/packages/daemon/src/entry/callers-routes.test.ts
@@ -551,6 +551,21 @@
 			assert.equal(text, '{"ok":true}');
 			await drained;
 		});
+
+		it('is cut short by a stop at once', async () => {
+			const {url, entry, agentCalls} = await start({
+				agents: [
+					() => {
+						// The agent hangs.
+					},
+				],
+			});
+			const running = post(`${url}/v1/chat/completions`, chat);
+			await until(() => agentCalls.length === 1);
+			void entry.drain();
+			entry.stop();
+			await assert.rejects(running);
+		});
 	});
 
 	describe('the list of models', () => {
--- a/packages/daemon/src/entry/callers-routes.ts
+++ b/packages/daemon/src/entry/callers-routes.ts
@@ -203,7 +203,7 @@
 		reply: FastifyReply,
 		{work, body, isStreamed, form}: ParsedCall,
 	): Promise<unknown> {
-		if (!this._options.config.isReady()) {
+		if (!this._options.entry.isServing) {
 			return this._refuse(req, reply, 'configuration_unavailable');
 		}
 
--- a/packages/daemon/src/entry/entry-task.ts
+++ b/packages/daemon/src/entry/entry-task.ts
@@ -36,6 +36,7 @@
 	private readonly _drainListeners = new Set<() => void>();
 	private _timer: NodeJS.Timeout | undefined;
 	private _isHandling = false;
+	private _isStarted = false;
 	private _isReady = false;
 	private _isStopped = false;
 
@@ -56,6 +57,11 @@
 		this._calls = ServiceCalls.create(_options, post);
 	}
 
+	/** Whether requests come to a decision here, if only to be refused in a shutdown. */
+	get isServing(): boolean {
+		return this._isStarted && this._options.config.isReady();
+	}
+
 	/** Whether balancers may send new requests here. */
 	get isReady(): boolean {
 		return this._isReady && this._options.config.isReady();
@@ -72,6 +78,7 @@
 			}),
 		);
 		this._post({type: 'membershipChanged', hosts: membership.hosts()});
+		this._isStarted = true;
 		this._isReady = true;
 	}
 
@@ -95,6 +102,9 @@
 		}
 
 		this._attempts.cancelAll();
+		for (const {call} of this._requests.values()) {
+			call.response.abort();
+		}
 	}
 
 	/** Takes in a request. Its response gets exactly one outcome. */
