--- a/packages/core/src/entry/entry-core.property.test.ts
+++ b/packages/core/src/entry/entry-core.property.test.ts
@@ -1,11 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {
-	EntryWorld,
-	type Observation,
-	type WorldOptions,
-} from './entry-world.testing.js';
+import {EntryWorld, type WorldOptions} from './entry-world.testing.js';
+import type {Observation} from './observations.testing.js';
 import {
 	maxAttempts,
 	maxRedecisions,
@@ -38,7 +35,7 @@
 
 function checkRequests(check: (observation: Observation) => void): void {
 	checkWorlds(world => {
-		for (const observation of world.observations.values()) {
+		for (const observation of world.observations.all()) {
 			check(observation);
 		}
 	});
@@ -64,7 +61,7 @@
 	it('runs a call that may not be repeated at most once for each idempotency key', () => {
 		checkWorlds(world => {
 			const runs = new Map<string, number>();
-			for (const observation of world.observations.values()) {
+			for (const observation of world.observations.all()) {
 				if (!observation.isRepeatable) {
 					const key = observation.request.idempotencyKey!;
 					runs.set(key, (runs.get(key) ?? 0) + observation.runs.length);
@@ -79,7 +76,7 @@
 
 	it('relays no answer to another request, no two answers to one, and dispatches only what is in force', () => {
 		checkWorlds(world => {
-			assert.deepEqual(world.violations, []);
+			assert.deepEqual(world.observations.violations, []);
 		});
 	});
 
@@ -102,7 +99,7 @@
 	it('leaves nothing open', () => {
 		checkWorlds(world => {
 			assert.equal(world.core.stats().openRequests, 0);
-			for (const {hasOpenClaim} of world.observations.values()) {
+			for (const {hasOpenClaim} of world.observations.all()) {
 				assert.equal(hasOpenClaim, false);
 			}
 		});
@@ -117,7 +114,7 @@
 
 	it('keeps retries within the budget', () => {
 		checkWorlds(world => {
-			const seen = [...world.observations.values()];
+			const seen = world.observations.all();
 			const counts = seen.map(({dispatches}) => dispatches.length);
 			assert.ok(counts.every(count => count <= maxAttempts + maxRedecisions));
 			const first = counts.filter(count => count > 0).length;
@@ -125,7 +122,7 @@
 			const allowed =
 				maxSavedRetries +
 				first * retriesForEachDispatch +
-				(world.now * retriesEachSecond) / 1000;
+				(world.schedule.now * retriesEachSecond) / 1000;
 			assert.ok(total - first <= allowed + first * maxRedecisions);
 		});
 	});
--- /dev/null
+++ b/packages/core/src/entry/virtual-schedule.testing.ts
@@ -0,0 +1,50 @@
+type Scheduled = {
+	readonly at: number;
+	readonly order: number;
+	readonly run: () => void;
+};
+
+/** Things that are to happen in virtual time. Those of the same time happen in the order in which they were planned. */
+export class VirtualSchedule {
+	static create(): VirtualSchedule {
+		return new VirtualSchedule();
+	}
+
+	now = 0;
+	private readonly _queue: Scheduled[] = [];
+	private _order = 0;
+
+	/** Time of the next thing, if any. */
+	get nextAt(): number | undefined {
+		return this._next()?.at;
+	}
+
+	at(at: number, run: () => void): void {
+		this._queue.push({at, order: this._order++, run});
+	}
+
+	/** Moves to the time of the next thing and does it. */
+	runNext(): void {
+		const next = this._next();
+		if (next !== undefined) {
+			this._queue.splice(this._queue.indexOf(next), 1);
+			this.now = Math.max(this.now, next.at);
+			next.run();
+		}
+	}
+
+	private _next(): Scheduled | undefined {
+		let next: Scheduled | undefined;
+		for (const item of this._queue) {
+			if (
+				next === undefined ||
+				item.at < next.at ||
+				(item.at === next.at && item.order < next.order)
+			) {
+				next = item;
+			}
+		}
+
+		return next;
+	}
+}
