--- a/packages/scenarios/src/measure/serving/global-bucket.ts
+++ b/packages/scenarios/src/measure/serving/global-bucket.ts
@@ -14,14 +14,15 @@
 		this._tokens = _burstTokens;
 	}
 
-	hasRoomFor(tokens: number, now: number): boolean {
+	/** Spends the tokens if there are so many. */
+	trySpend(tokens: number, now: number): boolean {
 		this._accrue(now);
-		return this._tokens >= tokens;
-	}
+		if (this._tokens < tokens) {
+			return false;
+		}
 
-	spend(tokens: number, now: number): void {
-		this._accrue(now);
 		this._tokens -= tokens;
+		return true;
 	}
 
 	giveBack(tokens: number, now: number): void {
