--- a/packages/core/src/agent/load-limiter.ts
+++ b/packages/core/src/agent/load-limiter.ts
@@ -12,7 +12,7 @@
 	expectedLoadMs(loadsBefore: number, now: number): number;
 };
 
-const initialLoadsPerSecond = 0.5;
+const initialLoadsPerSecond = 4;
 const largestLoadsPerSecond = 8;
 const smallestLoadsPerSecond = 0.05;
 /** Growth of the rate in each second, in loads a second. */
