--- a/packages/core/src/agent/agent-core.ts
+++ b/packages/core/src/agent/agent-core.ts
@@ -1,14 +1,13 @@
 import type {ConfigView} from '../config/types.js';
 import type {Refusal} from '../refusal/types.js';
-import {checkConfiguration, isServedBy} from './admission.js';
+import {Admission} from './admission.js';
 import {type AgentPolicy, defaultAgentPolicy} from './agent-policy.js';
 import {AgentRefusals} from './agent-refusals.js';
 import {AttemptRegistry} from './attempt-registry.js';
-import {BootWatch} from './boot-watch.js';
 import {attemptMemoryMs} from './constants.js';
-import {CrashQuarantine} from './crash-quarantine.js';
+import {type CrashReport, CrashWatch} from './crash-watch.js';
 import type {QueuedRequest} from './request-queue.js';
-import {isConnectionFault, Scheduler} from './scheduler.js';
+import {Scheduler} from './scheduler.js';
 import type {
 	AgentCommand,
 	AgentEvent,
@@ -41,18 +40,14 @@
 	}
 
 	private readonly _attempts = AttemptRegistry.create(attemptMemoryMs);
-	private readonly _boot = BootWatch.create();
-	private readonly _quarantine = CrashQuarantine.create();
+	private readonly _crashes = CrashWatch.create();
 	private readonly _refusals: AgentRefusals;
 	private readonly _scheduler: Scheduler;
+	private readonly _admission: Admission;
 
-	/** Fingerprints that ran on connections which broke since the last health report. */
-	private _lostFingerprints: string[] = [];
 	private _commands: AgentCommand[] = [];
 	private _checkedConfigVersion: number;
 	private _isHealthAsked = false;
-	private _isHostLeaving = false;
-	private _isShuttingDown = false;
 	private _isDrainedTold = false;
 
 	private constructor(
@@ -62,6 +57,13 @@
 	) {
 		this._refusals = AgentRefusals.create(_settings.server);
 		this._scheduler = Scheduler.create(_settings, policy);
+		this._admission = Admission.create({
+			settings: _settings,
+			config: _config,
+			refusals: this._refusals,
+			crashes: this._crashes,
+			scheduler: this._scheduler,
+		});
 		this._checkedConfigVersion = _config().version;
 	}
 
@@ -88,7 +90,7 @@
 			incarnation,
 			configVersion: this._config().version,
 			backend,
-			isAcceptingWork: this._isAcceptingWork(),
+			isAcceptingWork: this._admission.isOpen,
 			running: running.size,
 			queued: waiting.size,
 			window: window.capacity(),
@@ -162,19 +164,20 @@
 			}
 
 			case 'quarantineLearned': {
-				this._quarantine.refuse(event.fingerprint, event.forMs, now);
+				const {fingerprint, forMs} = event;
+				this._crashes.learnQuarantine(fingerprint, forMs, now);
 				this._refuseQuarantined(now);
 				break;
 			}
 
 			case 'hostStateChanged': {
-				this._isHostLeaving = event.isLeaving;
+				this._admission.setHostLeaving(event.isLeaving);
 				this._recheckWaiting();
 				break;
 			}
 
 			case 'shutdownRequested': {
-				this._isShuttingDown = true;
+				this._admission.shutDown();
 				break;
 			}
 
@@ -203,8 +206,7 @@
 		}
 
 		const request = this._scheduler.requestOf(dispatch, now);
-		const refusal =
-			this._checkState(request, now) ?? this._checkDeadline(request, now);
+		const refusal = this._admission.checkNew(request, now);
 		if (refusal) {
 			this._refuse(dispatch, refusal);
 			return;
@@ -217,52 +219,6 @@
 		}
 	}
 
-	/** What stands against running a request here, other than load. */
-	private _checkState(
-		{dispatch, servedName}: QueuedRequest,
-		now: number,
-	): Refusal | undefined {
-		if (this._isShuttingDown) {
-			return this._refusals.shuttingDown();
-		}
-
-		if (!isServedBy(dispatch, this._settings)) {
-			return this._refusals.wrongBackend();
-		}
-
-		const quarantinedMs = this._quarantine.refusedForMs(
-			dispatch.fingerprint,
-			now,
-		);
-		if (quarantinedMs > 0) {
-			return this._refusals.quarantined(quarantinedMs);
-		}
-
-		if (!this._boot.isUp) {
-			return this._refusals.backendDown();
-		}
-
-		const {loader} = this._scheduler;
-		const failingMs = servedName ? loader.failingForMs(servedName, now) : 0;
-		return failingMs > 0 ? this._refusals.loadFailed(failingMs) : undefined;
-	}
-
-	private _checkDeadline(
-		request: QueuedRequest,
-		now: number,
-	): Refusal | undefined {
-		if (request.deadlineAt <= now) {
-			return this._refusals.deadlineExceeded(0);
-		}
-
-		const waitMs = this._scheduler.expectedWaitMs(request, now);
-		const isHopeless =
-			this._scheduler.isEstimateReliable && now + waitMs > request.deadlineAt;
-		return isHopeless
-			? this._refusals.deadlineUnreachable(now + waitMs - request.deadlineAt)
-			: undefined;
-	}
-
 	private _cancel(attemptId: string): void {
 		const {waiting, running} = this._scheduler;
 		const request = waiting.get(attemptId);
@@ -274,12 +230,14 @@
 	}
 
 	private _onHealth(health: BackendHealth, askedAt: number, now: number): void {
-		const {loader, window} = this._scheduler;
-		const earlierBootId = this._boot.bootId;
-		const change = this._boot.onHealth(health);
+		const {loader, window, running} = this._scheduler;
+		const {change, report} = this._crashes.onHealth(
+			health,
+			running.fingerprints(),
+			now,
+		);
 		this._isHealthAsked = false;
 		if (change === 'restarted') {
-			this._reportCrash(earlierBootId, now);
 			loader.onRestart();
 		}
 
@@ -287,39 +245,27 @@
 			window.onRestart();
 		}
 
-		this._lostFingerprints = [];
 		this._scheduler.onHealth(askedAt);
 		loader.reconcile(health.loadedAdapters, askedAt);
+		this._reportCrash(report, now);
 	}
 
 	private _onUnreachable(now: number): void {
-		this._boot.onUnreachable();
+		const {window, running} = this._scheduler;
+		const report = this._crashes.onUnreachable(running.fingerprints(), now);
 		this._isHealthAsked = false;
-		this._scheduler.window.onSuspicion();
-		if (this._boot.isUp) {
-			return;
+		window.onSuspicion();
+		this._reportCrash(report, now);
+		if (!this._crashes.isUp) {
+			this._giveUpWaiting(() => this._refusals.backendDown());
 		}
-
-		this._reportCrash(this._boot.bootId, now);
-		this._giveUpWaiting(() => this._refusals.backendDown());
 	}
 
-	/** Reports what ran on the backend server when it died. */
-	private _reportCrash(bootId: string, now: number): void {
-		const fingerprints = [
-			...new Set([
-				...this._lostFingerprints,
-				...this._scheduler.running.fingerprints(),
-			]),
-		];
-		this._lostFingerprints = [];
-		if (fingerprints.length === 0) {
-			return;
+	private _reportCrash(report: CrashReport | undefined, now: number): void {
+		if (report) {
+			this._commands.push({type: 'reportSuspects', ...report});
+			this._refuseQuarantined(now);
 		}
-
-		this._quarantine.noteCrash(fingerprints, bootId, now);
-		this._commands.push({type: 'reportSuspects', fingerprints, bootId});
-		this._refuseQuarantined(now);
 	}
 
 	private _onLoadFailed(loadId: string, now: number): void {
@@ -345,14 +291,7 @@
 		}
 
 		const {dispatch} = failed.request;
-		if (isConnectionFault(fault)) {
-			this._boot.onSuspicion();
-		}
-
-		if (fault === 'connection_lost') {
-			this._lostFingerprints.push(dispatch.fingerprint);
-		}
-
+		this._crashes.onFault(fault, dispatch.fingerprint);
 		this._refuse(dispatch, this._refusals.ofFault(fault));
 	}
 
@@ -375,24 +314,17 @@
 	}
 
 	private _refuseByConfiguration(dispatch: Dispatch): boolean {
-		const found = checkConfiguration(
-			dispatch,
-			this._config(),
-			this._settings,
-			this._refusals,
-		);
+		const found = this._admission.checkConfiguration(dispatch);
 		if (found) {
 			this._refuse(dispatch, found.refusal, found.changesAfter);
-		} else if (this._isHostLeaving) {
-			this._refuse(dispatch, this._refusals.serverLeaving());
 		}
 
-		return found !== undefined || this._isHostLeaving;
+		return found !== undefined;
 	}
 
 	private _refuseQuarantined(now: number): void {
 		this._giveUpWaiting(({dispatch}) => {
-			const forMs = this._quarantine.refusedForMs(dispatch.fingerprint, now);
+			const forMs = this._crashes.quarantinedForMs(dispatch.fingerprint, now);
 			return forMs > 0 ? this._refusals.quarantined(forMs) : undefined;
 		});
 	}
@@ -423,7 +355,7 @@
 
 	/** Gives the backend server work and orders, unless it may be down. */
 	private _giveWork(now: number): void {
-		if (!this._boot.isUp || this._boot.isSuspicious) {
+		if (!this._crashes.isUp || this._crashes.isDoubtful) {
 			this._scheduler.loader.pause();
 			return;
 		}
@@ -441,8 +373,7 @@
 			waiting.size > 0 &&
 			running.size >= window.limit() &&
 			window.wantsHealth();
-		const isDoubtful = this._boot.isUp && this._boot.isSuspicious;
-		if ((isBlocked || isDoubtful) && !this._isHealthAsked) {
+		if ((isBlocked || this._crashes.isDoubtful) && !this._isHealthAsked) {
 			this._isHealthAsked = true;
 			this._commands.push({type: 'checkHealth'});
 		}
@@ -451,21 +382,15 @@
 	private _tellDrained(): void {
 		const {waiting, running} = this._scheduler;
 		const isDrained =
-			this._isShuttingDown && waiting.size === 0 && running.size === 0;
+			this._admission.isShuttingDown &&
+			waiting.size === 0 &&
+			running.size === 0;
 		if (isDrained && !this._isDrainedTold) {
 			this._isDrainedTold = true;
 			this._commands.push({type: 'drained'});
 		}
 	}
 
-	private _isAcceptingWork(): boolean {
-		const view = this._config();
-		const {zone, server} = this._settings;
-		const isOut = view.isZoneOut(zone) || view.isServerDrained(server);
-		const isLeaving = this._isHostLeaving || this._isShuttingDown;
-		return this._boot.isUp && !isOut && !isLeaving;
-	}
-
 	private _refuse(
 		{attemptId}: Dispatch,
 		refusal: Refusal,
--- a/packages/core/src/agent/scheduler.ts
+++ b/packages/core/src/agent/scheduler.ts
@@ -2,6 +2,7 @@
 import type {AgentPolicy} from './agent-policy.js';
 import type {ConcurrencyWindow} from './concurrency-window.js';
 import {hopelessCheckIntervalMs} from './constants.js';
+import {isConnectionFault} from './crash-watch.js';
 import type {QueuedRequest, RequestQueue} from './request-queue.js';
 import {type RunningRequest, RunningRequests} from './running-requests.js';
 import {ServiceTimes} from './service-times.js';
@@ -337,11 +338,6 @@
 	}
 }
 
-/** Whether the backend server may have died. */
-export function isConnectionFault(fault: BackendFault): boolean {
-	return fault === 'connection_lost' || fault === 'unreachable';
-}
-
 /** The less time is left, the sooner the backend server should run the request. */
 function priorityOf({deadlineAt}: QueuedRequest, now: number): number {
 	const steps = Math.floor((deadlineAt - now) / priorityStepMs);
