--- a/packages/core/src/spread/config-replica.ts
+++ b/packages/core/src/spread/config-replica.ts
@@ -23,7 +23,7 @@
 	readonly id: string;
 	readonly random: Random;
 	readonly now: number;
-	/** Configuration to begin with, for drivers that have read it already. */
+	/** Configuration to begin with, for drivers that have just read it from the store. */
 	readonly state?: ConfigState;
 };
 
@@ -66,6 +66,10 @@
 		this.polls = PollSchedule.create(options.random, options.now);
 		this.gate = StartGate.create(options.now);
 		this.nextExchangeAt = options.now;
+		if (options.state) {
+			this.gate.storeRead();
+			this.polls.beginAnywhere();
+		}
 	}
 
 	/** The configuration at the highest version that this process has. */
@@ -137,7 +141,7 @@
 			case 'peersChanged': {
 				this.peers = event.peers;
 				this.peerCount = event.peers.filter(peer => peer !== this.id).length;
-				this.polls.setFleetSize(event.fleetSize);
+				this.polls.setFleetSize(event.fleetSize, now);
 				return [];
 			}
 
--- a/packages/core/src/spread/poll-schedule.ts
+++ b/packages/core/src/spread/poll-schedule.ts
@@ -17,6 +17,7 @@
 		return new PollSchedule(random, now);
 	}
 
+	private isBegun = true;
 	private fleetSize = 1;
 	private failures = 0;
 	private startedAt: number | undefined;
@@ -26,8 +27,17 @@
 		private dueAt: number,
 	) {}
 
-	public setFleetSize(fleetSize: number): void {
+	/** Lets the first poll fall anywhere in the first interval, for a process that has read the store already. */
+	public beginAnywhere(): void {
+		this.isBegun = false;
+	}
+
+	public setFleetSize(fleetSize: number, now: number): void {
 		this.fleetSize = fleetSize;
+		if (!this.isBegun) {
+			this.isBegun = true;
+			this.dueAt = now + this.intervalMs() * this.random();
+		}
 	}
 
 	/** Mean time between two polls of this process. */
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -20,3 +20,5 @@
 export * from './rate/trpc-rate-peers.js';
 export type * from './rate/types.js';
 export * from './claims/claim-task.js';
+export * from './main/peer-server.js';
+export * from './transport/transport.js';
--- a/packages/scenarios/src/spread/spread-simulation.ts
+++ b/packages/scenarios/src/spread/spread-simulation.ts
@@ -13,6 +13,8 @@
 import type {SpreadCounts, SpreadFaults, SpreadFleet} from './types.js';
 import {VirtualClock} from './virtual-clock.js';
 
+/** Children of a process in a fixed tree. */
+const treeFanout = 16;
 const exchangeTimeoutMs = 500;
 const pullTimeoutMs = 2000;
 const storeTimeoutMs = 2000;
@@ -32,6 +34,8 @@
 	incarnation: number;
 	replica: ConfigReplica;
 	isReady: boolean;
+	/** Calls that the process sent or got. */
+	calls: number;
 };
 
 /** Called whenever a process has moved forward. */
@@ -100,6 +104,7 @@
 				incarnation: 0,
 				replica: this._createReplica(id, _state),
 				isReady: false,
+				calls: 0,
 			});
 		}
 
@@ -236,12 +241,16 @@
 			}
 
 			case 'exchangeVersion': {
-				this._exchange(process, command.peer, command.version);
+				if ((this._fleet.policy ?? 'exchange') === 'exchange') {
+					this._exchange(process, command.peer, command.version);
+				}
+
 				break;
 			}
 
 			case 'configAdvanced': {
 				this._onAdvanced(process, command.fromVersion, command.toVersion);
+				this._tellChildren(process);
 				break;
 			}
 
@@ -252,6 +261,21 @@
 		}
 	}
 
+	/** In a fixed tree each process tells its children, and an author the root. */
+	private _tellChildren(process: SimulatedProcess): void {
+		if (this._fleet.policy !== 'tree' || !process.isReady) {
+			return;
+		}
+
+		const {announcedVersion} = process.replica;
+		const first = process.index * treeFanout + 1;
+		const children = this._ids.slice(first, first + treeFanout);
+		const root = process.index === 0 ? [] : this._ids.slice(0, 1);
+		for (const id of [...root, ...children]) {
+			this._exchange(process, id, announcedVersion);
+		}
+	}
+
 	private _poll(process: SimulatedProcess, afterVersion: number): void {
 		const {isStoreDown, storeDelayMs, storeLossShare} = this.faults;
 		this.counts.storeReads++;
@@ -292,6 +316,7 @@
 		version: number,
 	): void {
 		this.counts.exchanges++;
+		this._countCall(process, peerId);
 		this._call(process, {
 			peerId,
 			timeoutMs: exchangeTimeoutMs,
@@ -317,6 +342,7 @@
 		afterVersion: number,
 	): void {
 		this.counts.pulls++;
+		this._countCall(process, peerId);
 		this._call(process, {
 			peerId,
 			timeoutMs: pullTimeoutMs,
@@ -367,6 +393,11 @@
 		});
 	}
 
+	private _countCall(process: SimulatedProcess, peerId: string): void {
+		process.calls++;
+		this._find(peerId).calls++;
+	}
+
 	private _find(id: string): SimulatedProcess {
 		const process = this.processes[Number(id.slice('process-'.length))];
 		if (!process) {
--- a/packages/scenarios/src/spread/types.ts
+++ b/packages/scenarios/src/spread/types.ts
@@ -11,6 +11,9 @@
 	readonly cutRegion?: number;
 };
 
+/** How a fleet learns of changes: as the daemon does, by polls alone, or along a fixed tree. */
+export type SpreadPolicy = 'exchange' | 'pollsOnly' | 'tree';
+
 /** The fleet of a simulation. */
 export type SpreadFleet = {
 	readonly seed: number;
@@ -18,6 +21,8 @@
 	/** Processes that each process takes the fleet to have. By default as many as there are. */
 	readonly reportedCount?: number;
 	readonly regionCount: number;
+	/** By default `exchange`. */
+	readonly policy?: SpreadPolicy;
 	/** Time of a message within a region, in milliseconds. */
 	readonly nearDelayMs: number;
 	/** Time of a message between regions, in milliseconds. */
