--- a/packages/core/src/spread/config-replica.ts
+++ b/packages/core/src/spread/config-replica.ts
@@ -9,6 +9,7 @@
 	extraExchangesPerSecond,
 	failureShareWeight,
 	mostParallelPulls,
+	mostPullFailures,
 	pullPatienceMs,
 	startPeerCount,
 	storeSource,
@@ -263,13 +264,8 @@
 			return [];
 		}
 
-		if (this.pullStartedAt === undefined) {
-			return [];
-		}
-
-		this.pullStartedAt = undefined;
-		this.pullFailures++;
-		return this.pullIfBehind(now);
+		// The next tick repeats the pull. At once would be a loop where a peer can't be reached.
+		return [];
 	}
 
 	private tick(now: number): readonly SpreadCommand[] {
@@ -308,6 +304,12 @@
 			this.pullFailures++;
 		}
 
+		if (this.pullFailures > mostPullFailures) {
+			// A later exchange names another peer, if there is one that is ahead.
+			this.forgetHighest();
+			return [];
+		}
+
 		this.pullStartedAt = now;
 		// After a failure other peers are asked as well, as they probably have the changes too.
 		const wanted = Math.min(2 ** this.pullFailures, mostParallelPulls);
--- a/packages/core/src/spread/constants.ts
+++ b/packages/core/src/spread/constants.ts
@@ -34,6 +34,9 @@
 /** Most peers from which a process pulls at the same time. */
 export const mostParallelPulls = 6;
 
+/** Failed pulls after which a process no longer believes that the peer is ahead. */
+export const mostPullFailures = 20;
+
 /** Changes that a process keeps to hand to peers that are behind. */
 export const retainedChangeCount = 4096;
 
