--- a/packages/core/src/spread/config-replica.ts
+++ b/packages/core/src/spread/config-replica.ts
@@ -9,6 +9,7 @@
 	extraExchangesPerSecond,
 	failureShareWeight,
 	mostParallelPulls,
+	mostPullFailures,
 	pullPatienceMs,
 	startPeerCount,
 	storeSource,
@@ -23,7 +24,7 @@
 	readonly id: string;
 	readonly random: Random;
 	readonly now: number;
-	/** Configuration to begin with, for drivers that have read it already. */
+	/** Configuration to begin with, for drivers that have just read it from the store. */
 	readonly state?: ConfigState;
 };
 
@@ -66,6 +67,10 @@
 		this.polls = PollSchedule.create(options.random, options.now);
 		this.gate = StartGate.create(options.now);
 		this.nextExchangeAt = options.now;
+		if (options.state) {
+			this.gate.storeRead();
+			this.polls.beginAnywhere();
+		}
 	}
 
 	/** The configuration at the highest version that this process has. */
@@ -137,7 +142,7 @@
 			case 'peersChanged': {
 				this.peers = event.peers;
 				this.peerCount = event.peers.filter(peer => peer !== this.id).length;
-				this.polls.setFleetSize(event.fleetSize);
+				this.polls.setFleetSize(event.fleetSize, now);
 				return [];
 			}
 
@@ -259,13 +264,8 @@
 			return [];
 		}
 
-		if (this.pullStartedAt === undefined) {
-			return [];
-		}
-
-		this.pullStartedAt = undefined;
-		this.pullFailures++;
-		return this.pullIfBehind(now);
+		// The next tick repeats the pull. At once would be a loop where a peer can't be reached.
+		return [];
 	}
 
 	private tick(now: number): readonly SpreadCommand[] {
@@ -304,6 +304,12 @@
 			this.pullFailures++;
 		}
 
+		if (this.pullFailures > mostPullFailures) {
+			// A later exchange names another peer, if there is one that is ahead.
+			this.forgetHighest();
+			return [];
+		}
+
 		this.pullStartedAt = now;
 		// After a failure other peers are asked as well, as they probably have the changes too.
 		const wanted = Math.min(2 ** this.pullFailures, mostParallelPulls);
