Even out the holders' buckets and let one request wait for accrual

Cause: a full bucket accrues no more while others of the customer are empty, and the credit of unused tokens finds no room where one bucket was full; both lose tokens that one global bucket would have. Change: a holder below 80 in 100 asks the others in turn to even out, at most each 250 ms a customer; one request a customer and entry waits up to 300 ms for tokens that are about to accrue; returned tokens without room here go where the rest came from.

--- a/packages/core/src/rate/constants.ts
+++ b/packages/core/src/rate/constants.ts
@@ -76,3 +76,12 @@
 
 /** Shortest time between readings of the rows that are made because a holder is not known. */
 export const rowsWantedMs = 500;
+
+/** A holder whose buckets of a customer are below this share asks the others to even out. */
+export const refillBelowShare = 0.8;
+
+/** Time between two such questions for one customer. */
+export const refillIntervalMs = 250;
+
+/** Longest time for which a request waits for tokens that accrue, before it is refused. */
+export const accrualWaitMs = 300;
--- a/packages/core/src/rate/gathering.ts
+++ b/packages/core/src/rate/gathering.ts
@@ -30,15 +30,19 @@
 	/** Holders that were not asked yet, nearest first. */
 	readonly peers: string[];
 	readonly deadline: number;
+	/** Whether it has waited for tokens to accrue, which it does once. */
+	readonly hasWaited: boolean;
+	readonly tokens: number;
 	/** Tokens that are still missing. */
 	missing: number;
 	ask: PendingAsk | undefined;
 };
 
-/** A reservation that may still give tokens back. */
-export type OpenReservation = {
+/** A request for tokens. */
+export type TokenRequest = {
+	readonly requestId: string;
 	readonly customer: string;
-	readonly reservedAt: number;
-	readonly own: ReadonlyArray<OwnPart & {readonly mark: number}>;
-	readonly transfers: ReadonlyArray<Omit<TransferPart, 'validUntil'>>;
+	readonly tokens: number;
+	readonly deadline: number;
+	readonly hasWaited?: boolean;
 };
--- a/packages/core/src/rate/rate-core.ts
+++ b/packages/core/src/rate/rate-core.ts
@@ -1,7 +1,9 @@
 import {
-	maxOpenRecords,
+	accrualWaitMs,
 	minRetryAfterMs,
 	openReservationMs,
+	refillBelowShare,
+	shortagePauseMs,
 	shardsPerCustomer,
 	transferOutstandingMs,
 	transferTimeoutMs,
@@ -10,13 +12,15 @@
 } from './constants.js';
 import type {
 	Gathering,
-	OpenReservation,
 	OwnPart,
 	PendingAsk,
+	TokenRequest,
 	TransferPart,
 } from './gathering.js';
-import {HeldShards} from './held-shards.js';
+import {HeldShards, type HeldBucket} from './held-shards.js';
 import {HolderDirectory} from './holder-directory.js';
+import {OpenReservations} from './open-reservations.js';
+import {Refills, type RefillAsk} from './refills.js';
 import type {
 	RateCommand,
 	RateDecider,
@@ -63,7 +67,14 @@
 		PendingAsk & {customer: string}
 	>();
 
-	private readonly _open = new Map<string, OpenReservation>();
+	/** By customer. */
+	private readonly _waiting = new Map<
+		string,
+		{readonly request: TokenRequest; readonly at: number}
+	>();
+
+	private readonly _open = OpenReservations.create();
+	private readonly _refills = Refills.create();
 
 	private constructor(options: RateCoreOptions) {
 		this._idPrefix = `${options.self.id}/${options.incarnation}`;
@@ -201,14 +212,24 @@
 			return [{type: 'reserveRefused', requestId}];
 		}
 
+		return this._gather(
+			{requestId, customer, tokens, deadline: now + patienceMs},
+			now,
+		);
+	}
+
+	private _gather(request: TokenRequest, now: number): readonly RateCommand[] {
+		const {requestId, customer, tokens, deadline} = request;
 		const own = this._holdOwn(customer, tokens, now);
 		const gathering: Gathering = {
 			requestId,
 			customer,
+			tokens,
 			own,
 			transfers: [],
 			peers: [],
-			deadline: now + Math.min(patienceMs, transferValidityMs),
+			deadline: Math.min(deadline, now + transferValidityMs),
+			hasWaited: request.hasWaited ?? false,
 			missing: tokens - sumOf(own),
 			ask: undefined,
 		};
@@ -256,7 +277,7 @@
 			return this._giveUp(gathering, now);
 		}
 
-		const transferId = `${this._idPrefix}/${this._transferCount++}`;
+		const transferId = this._nextTransferId();
 		const {customer, missing: tokens} = gathering;
 		gathering.ask = {peer, transferId, tokens, askedAt: now};
 		this._asks.set(transferId, gathering);
@@ -280,7 +301,7 @@
 					.find(customer, part.shard, part.epoch, now)
 					?.spendHold(part.tokens, now) ?? 0,
 		}));
-		this._open.set(requestId, {
+		this._open.add(requestId, {
 			customer,
 			reservedAt: now,
 			own: marked,
@@ -290,7 +311,7 @@
 				tokens,
 			})),
 		});
-		this._forgetOpen(now);
+		this._refills.noteSpent(customer, now);
 		return [
 			{type: 'reserved', requestId},
 			...transfers.map(({peer, transferId}): RateCommand => ({
@@ -315,17 +336,52 @@
 			this._directory.noteShortage(part.peer, customer, part.tokens, now);
 		}
 
+		const retryAfterMs = this._retryAfterMs(gathering);
+		const isWaiting = this._waitForAccrual(gathering, retryAfterMs, now);
 		return [
-			{
-				type: 'reserveRefused',
-				requestId,
-				retryAfterMs: this._retryAfterMs(gathering),
-			},
+			...(isWaiting
+				? []
+				: [{type: 'reserveRefused', requestId, retryAfterMs} as const]),
 			...transfers.map(part => returnOf(part, customer, part.tokens)),
 			...this._refreshIfUnknown(customer),
 		];
 	}
 
+	/** Lets one request of a customer wait where its tokens are about to accrue. */
+	private _waitForAccrual(
+		gathering: Gathering,
+		accrualMs: number,
+		now: number,
+	): boolean {
+		const {requestId, customer, tokens, deadline, hasWaited} = gathering;
+		// Holders that had too little are not asked again before their pause is over.
+		const at = now + Math.max(accrualMs, shortagePauseMs);
+		if (
+			hasWaited ||
+			accrualMs > accrualWaitMs ||
+			at >= deadline ||
+			this._waiting.has(customer)
+		) {
+			return false;
+		}
+
+		const request = {requestId, customer, tokens, deadline, hasWaited: true};
+		this._waiting.set(customer, {request, at});
+		return true;
+	}
+
+	private _resumeWaiting(now: number): readonly RateCommand[] {
+		const commands: RateCommand[] = [];
+		for (const [customer, {request, at}] of this._waiting) {
+			if (now >= at) {
+				this._waiting.delete(customer);
+				commands.push(...this._gather(request, now));
+			}
+		}
+
+		return commands;
+	}
+
 	private _refreshIfUnknown(customer: string): readonly RateCommand[] {
 		const shards = this._shards.shardsOf(customer);
 		return this._directory.knowsAll(shards) ? [] : [{type: 'refreshHolders'}];
@@ -344,20 +400,18 @@
 		event: EventOf<'tokensReturned'>,
 		now: number,
 	): readonly RateCommand[] {
-		const open = this._open.get(event.requestId);
+		const open = this._open.take(event.requestId);
 		if (open === undefined) {
 			return [];
 		}
 
-		this._open.delete(event.requestId);
 		const {customer} = open;
+		// What a bucket here has no room for may still have some where the rest came from.
 		let left = Math.floor(event.tokens);
 		for (const part of open.own) {
 			const tokens = Math.min(left, part.tokens);
-			this._shards
-				.find(customer, part.shard, part.epoch, now)
-				?.credit(part.mark, tokens);
-			left -= tokens;
+			const bucket = this._shards.find(customer, part.shard, part.epoch, now);
+			left -= Math.ceil(bucket?.credit(part.mark, tokens) ?? 0);
 		}
 
 		const commands: RateCommand[] = [];
@@ -376,16 +430,23 @@
 		event: EventOf<'transferRequested'>,
 		now: number,
 	): readonly RateCommand[] {
-		const {peer, transferId, customer, tokens} = event;
+		const {peer, transferId, customer, fillShare} = event;
+		const buckets = this._shards.bucketsOf(customer, now);
+		const wanted = Math.ceil(event.tokens);
+		const tokens =
+			fillShare === undefined
+				? wanted
+				: Math.min(wanted, surplusOver(buckets, fillShare));
 		let sent = 0;
-		for (const {bucket} of this._shards.bucketsOf(customer, now)) {
-			const part = Math.min(Math.ceil(tokens) - sent, bucket.available);
+		for (const {bucket} of buckets) {
+			const part = Math.min(tokens - sent, bucket.available);
 			if (part > 0 && !bucket.hasSent(transferId)) {
 				bucket.send(transferId, part, now + transferOutstandingMs);
 				sent += part;
 			}
 		}
 
+		this._refills.noteSpent(customer, now);
 		const limit = this._shards.limitOf(customer);
 		const tokensPerMs = (limit?.tokensPerSecond ?? 0) / 1000;
 		const retry =
@@ -410,6 +471,11 @@
 	): readonly RateCommand[] {
 		const {peer, transferId, tokens} = event;
 		this._directory.noteAlive(peer);
+		const refill = this._refills.take(transferId);
+		if (refill !== undefined) {
+			return this._absorb(refill, transferId, tokens, now);
+		}
+
 		const gathering = this._asks.get(transferId);
 		const ask = gathering?.ask;
 		if (gathering === undefined || ask === undefined) {
@@ -496,8 +562,10 @@
 			}
 		}
 
+		commands.push(...this._resumeWaiting(now), ...this._refillLow(now));
 		this._directory.expire(now);
-		this._forgetOpen(now);
+		this._open.expire(now);
+		this._refills.expire(now);
 		for (const [transferId, ask] of this._abandoned) {
 			if (now - ask.askedAt >= openReservationMs) {
 				this._abandoned.delete(transferId);
@@ -507,9 +575,70 @@
 		return commands;
 	}
 
+	/** Asks other holders to even out where the buckets here are low. */
+	private _refillLow(now: number): readonly RateCommand[] {
+		const commands: RateCommand[] = [];
+		for (const customer of this._refills.due(now)) {
+			const {level, burst} = fillOf(this._shards.bucketsOf(customer, now));
+			if (level >= burst * refillBelowShare) {
+				this._refills.noteFull(customer);
+				continue;
+			}
+
+			const shards = this._shards.shardsOf(customer);
+			const peers = this._directory.peersToAsk(customer, shards, 1, now);
+			const peer = this._refills.choosePeer(customer, peers, now);
+			if (peer !== undefined) {
+				const transferId = this._nextTransferId();
+				const tokens = Math.floor(burst - level);
+				const fillShare = Math.max(0, level / burst);
+				this._refills.add(transferId, {customer, peer, askedAt: now});
+				commands.push({
+					type: 'requestTransfer',
+					peer,
+					transferId,
+					customer,
+					tokens,
+					fillShare,
+				});
+			}
+		}
+
+		return commands;
+	}
+
+	/** Takes tokens into the buckets here. What finds no room or comes too late goes back. */
+	private _absorb(
+		ask: RefillAsk,
+		transferId: string,
+		tokens: number,
+		now: number,
+	): readonly RateCommand[] {
+		const {customer, peer, askedAt} = ask;
+		let left = tokens;
+		if (now - askedAt < transferValidityMs) {
+			for (const {bucket} of this._shards.bucketsOf(customer, now)) {
+				left -= bucket.absorb(left);
+			}
+		}
+
+		if (left > 0) {
+			return [returnOf({peer, transferId}, customer, left)];
+		}
+
+		return tokens > 0
+			? [{type: 'confirmTransfer', peer, transferId, customer}]
+			: [];
+	}
+
+	private _nextTransferId(): string {
+		return `${this._idPrefix}/${this._transferCount++}`;
+	}
+
 	/** Shortens what may be spent until a point of time, never what counts against a burst. */
 	private _jump(byMs: number): void {
 		this._shards.advanceLeases(byMs);
+		this._refills.jump(byMs);
 		for (const gathering of this._gatherings.values()) {
 			if (gathering.ask !== undefined) {
 				gathering.ask.askedAt -= byMs;
@@ -520,17 +649,6 @@
 			}
 		}
 	}
-
-	private _forgetOpen(now: number): void {
-		for (const [requestId, open] of this._open) {
-			const isOld = now - open.reservedAt >= openReservationMs;
-			if (!isOld && this._open.size <= maxOpenRecords) {
-				return;
-			}
-
-			this._open.delete(requestId);
-		}
-	}
 }
 
 function sumOf(parts: ReadonlyArray<{readonly tokens: number}>): number {
@@ -542,6 +660,26 @@
 	return sum;
 }
 
+function fillOf(buckets: readonly HeldBucket[]) {
+	let level = 0;
+	let burst = 0;
+	for (const {bucket} of buckets) {
+		level += bucket.level;
+		burst += bucket.limit.burst;
+	}
+
+	return {level, burst};
+}
+
+/** Tokens that even out these buckets with those of an entry that are filled to the share. */
+function surplusOver(
+	buckets: readonly HeldBucket[],
+	fillShare: number,
+): number {
+	const {level, burst} = fillOf(buckets);
+	return Math.max(0, Math.floor((level - fillShare * burst) / 2));
+}
+
 function returnOf(
 	part: Pick<TransferPart, 'peer' | 'transferId'>,
 	customer: string,
--- a/packages/core/src/rate/token-bucket.ts
+++ b/packages/core/src/rate/token-bucket.ts
@@ -108,6 +108,17 @@
 		return this._history.drop(this._total, this._limit.burst, now);
 	}
 
+	/** Takes in tokens that another holder sent, and returns how many found room. */
+	absorb(tokens: number): number {
+		const absorbed = Math.max(
+			0,
+			Math.min(tokens, Math.floor(this._room - this._level)),
+		);
+		this._level += absorbed;
+		this._history.note(this._total);
+		return absorbed;
+	}
+
 	/** Deducts tokens that go to another entry. */
 	send(transferId: string, tokens: number, lapsesAt: number): void {
 		this._level -= tokens;
@@ -154,14 +165,19 @@
 		return known;
 	}
 
-	/** Credits tokens that a reservation made at the mark did not use, as far as the burst allowed them then. */
-	credit(mark: HistoryMark, tokens: number): void {
+	/**
+	 * Credits tokens that a reservation made at the mark did not use, as far as the burst allowed them then.
+	 * Returns how many were credited.
+	 */
+	credit(mark: HistoryMark, tokens: number): number {
 		const room = this._limit.burst - this._history.maxSince(mark);
 		const credited = Math.max(0, Math.min(tokens, room));
 		if (credited > 0) {
 			this._level += credited;
 			this._history.raiseSince(mark, credited);
 		}
+
+		return credited;
 	}
 
 	/** Most tokens that may be here beside those put aside and sent. */
--- a/packages/core/src/rate/types.ts
+++ b/packages/core/src/rate/types.ts
@@ -54,6 +54,8 @@
 			readonly transferId: string;
 			readonly customer: string;
 			readonly tokens: number;
+			/** Given when the asking entry wants to even out: the share to which its own buckets are filled. */
+			readonly fillShare?: number;
 	  }
 	/** Another holder's answer. Zero tokens: it has none to spare. */
 	| {
@@ -119,6 +121,7 @@
 			readonly transferId: string;
 			readonly customer: string;
 			readonly tokens: number;
+			readonly fillShare?: number;
 	  }
 	/** Answer to another entry. The tokens were deducted already. */
 	| {
--- a/packages/daemon/src/rate/rate-task.ts
+++ b/packages/daemon/src/rate/rate-task.ts
@@ -352,9 +352,10 @@
 	private async _askPeer(
 		command: Extract<RateCommand, {readonly type: 'requestTransfer'}>,
 	): Promise<void> {
-		const {peer, transferId, customer, tokens} = command;
+		const {type, ...asked} = command;
+		const {peer, transferId} = asked;
 		const address = this._addresses.get(peer);
-		const request = {peer: this._options.self.id, transferId, customer, tokens};
+		const request = {...asked, peer: this._options.self.id};
 		const result =
 			address === undefined
 				? ({kind: 'failed'} as const)
--- a/packages/protocol/src/peer/rate-router.ts
+++ b/packages/protocol/src/peer/rate-router.ts
@@ -32,6 +32,7 @@
 				transferId: identifier,
 				customer: identifier,
 				tokens,
+				fillShare: z.number().min(0).max(1).exactOptional(),
 			}),
 		)
 		.mutation(async ({ctx, input}) => rateOf(ctx.rate).requestTransfer(input)),
--- a/packages/protocol/src/peer/types.ts
+++ b/packages/protocol/src/peer/types.ts
@@ -15,6 +15,8 @@
 	readonly transferId: string;
 	readonly customer: string;
 	readonly tokens: number;
+	/** Given when the peer wants to even out: the share to which its own buckets are filled. */
+	readonly fillShare?: number;
 };
 
 /** The holder's answer. The tokens were deducted from its own part before it was sent. */
--- a/packages/scenarios/src/measure/rate-fleet/rate-fleet.ts
+++ b/packages/scenarios/src/measure/rate-fleet/rate-fleet.ts
@@ -254,13 +254,11 @@
 			}
 
 			case 'requestTransfer': {
-				const {peer, transferId, customer, tokens} = command;
+				const {peer, transferId} = command;
 				const event: RateEvent = {
+					...command,
 					type: 'transferRequested',
 					peer: from.self.id,
-					transferId,
-					customer,
-					tokens,
 				};
 				this._send(from, peer, event, () => {
 					from.handleRate({type: 'transferFailed', peer, transferId});
