--- /dev/null
+++ b/packages/scenarios/src/measure/capacity/agent-cost.ts
@@ -0,0 +1,190 @@
+import {performance} from 'node:perf_hooks';
+import {AgentCore, type AgentCommand} from '@balsamtray/core';
+import {
+	fixtureAdapter,
+	fixtureBaseModel,
+	fixtureConfig,
+	fixtureDispatch,
+} from './fixture.js';
+import {heapBytes} from './heap.js';
+
+/** Cost of an agent's decisions with so many requests in its queue. */
+export type AgentCost = {
+	readonly queued: number;
+	/** All decisions of one request, from arrival to its end. */
+	readonly microsecondsPerRequest: number;
+	readonly bytesPerQueuedRequest: number;
+};
+
+const adapters = 64;
+const slots = 64;
+const window = 64;
+const warmRequests = 5000;
+const measuredRequests = 30_000;
+const microsecondsInMs = 1000;
+
+/** Keeps an agent at a constant queue and completes requests one by one. */
+class AgentBench {
+	static create(queued: number): AgentBench {
+		return new AgentBench(queued);
+	}
+
+	private readonly _core: AgentCore;
+	private readonly _running: string[] = [];
+	private _count = 0;
+	private _now = 1000;
+
+	private constructor(queued: number) {
+		const config = fixtureConfig(adapters);
+		this._core = AgentCore.create({
+			settings: {
+				server: 'server-0',
+				zone: 'zone-0',
+				incarnation: '1',
+				backend: {kind: 'engine', baseModel: fixtureBaseModel},
+				limits: {
+					adapterSlots: slots,
+					coldWindow: window,
+					maxWindow: window,
+					maxQueued: 10_000,
+					loadTimeoutMs: 30_000,
+				},
+			},
+			config: () => config,
+		});
+		this._reportHealth();
+		for (let i = 0; i < window + queued; i++) {
+			this.arrive();
+		}
+	}
+
+	get isFull(): boolean {
+		return this._running.length === window;
+	}
+
+	arrive(): void {
+		const number = this._count++;
+		const dispatch = fixtureDispatch(
+			`a${number}`,
+			fixtureAdapter(number % adapters),
+		);
+		this._carryOut(
+			this._core.handle({type: 'dispatchArrived', dispatch}, this._now),
+		);
+	}
+
+	/** Ends the request that has run longest and lets another one arrive. */
+	step(): void {
+		this._now++;
+		const attemptId = this._running.shift();
+		if (attemptId !== undefined) {
+			this._carryOut(
+				this._core.handle(
+					{
+						type: 'answerCompleted',
+						attemptId,
+						usage: {promptTokens: 200, completionTokens: 100},
+					},
+					this._now,
+				),
+			);
+		}
+
+		this.arrive();
+	}
+
+	/** Lets all adapters load. */
+	settle(): void {
+		for (let i = 0; i < adapters * 100 && !this.isFull; i++) {
+			this._now += 100;
+			this._reportHealth();
+			this._carryOut(this._core.handle({type: 'tick'}, this._now));
+		}
+	}
+
+	private _reportHealth(): void {
+		this._carryOut(
+			this._core.handle(
+				{
+					type: 'backendHealthy',
+					health: {
+						bootId: 'boot',
+						uptimeMs: this._now,
+						loadedAdapters: Array.from(
+							{length: adapters},
+							(_, i) => `${fixtureAdapter(i)}@v1`,
+						),
+					},
+					askedAt: this._now,
+				},
+				this._now,
+			),
+		);
+	}
+
+	private _carryOut(commands: readonly AgentCommand[]): void {
+		for (const command of commands) {
+			this._carryOutOne(command);
+		}
+	}
+
+	/** The engine of the bench runs and loads at once. */
+	private _carryOutOne(command: AgentCommand): void {
+		switch (command.type) {
+			case 'runOnBackend': {
+				this._running.push(command.attemptId);
+				break;
+			}
+
+			case 'loadAdapter': {
+				const {loadId} = command;
+				this._carryOut(
+					this._core.handle(
+						{type: 'loadCompleted', loadId, bootId: 'boot'},
+						this._now,
+					),
+				);
+				break;
+			}
+
+			case 'refuse': {
+				throw new Error(`refused: ${command.refusal.code}`);
+			}
+
+			case 'unloadAdapter':
+			case 'cancelOnBackend':
+			case 'checkHealth':
+			case 'reportSuspects':
+			case 'drained': {
+				break;
+			}
+		}
+	}
+}
+
+function measureWith(queued: number): AgentCost {
+	const before = heapBytes();
+	const bench = AgentBench.create(queued);
+	bench.settle();
+	const stateBytes = heapBytes() - before;
+	for (let i = 0; i < warmRequests; i++) {
+		bench.step();
+	}
+
+	const startedAt = performance.now();
+	for (let i = 0; i < measuredRequests; i++) {
+		bench.step();
+	}
+
+	const tookMs = performance.now() - startedAt;
+	return {
+		queued,
+		microsecondsPerRequest: (tookMs / measuredRequests) * microsecondsInMs,
+		bytesPerQueuedRequest: stateBytes / (queued + window),
+	};
+}
+
+/** Measures the agent's decisions with short and long queues. */
+export function measureAgentCost(): readonly AgentCost[] {
+	return [0, 100, 1000].map(queued => measureWith(queued));
+}
--- a/packages/scenarios/src/measure/routing.ts
+++ b/packages/scenarios/src/measure/routing.ts
@@ -1,8 +1,5 @@
 /** Measures what a routing decision costs, and what an entry remembers for it. */
 import {performance} from 'node:perf_hooks';
-import process from 'node:process';
-import {setFlagsFromString} from 'node:v8';
-import {runInNewContext} from 'node:vm';
 import {
 	ConfigState,
 	createRandom,
@@ -14,6 +11,7 @@
 	type RoutingPolicy,
 	type RoutingQuery,
 } from '@balsamtray/core';
+import {heapBytes} from './capacity/heap.js';
 
 /** What is measured. */
 export type RoutingMeasureOptions = {
@@ -165,9 +163,3 @@
 function drawRank(random: Random, count: number): number {
 	return Math.floor(count ** random()) - 1;
 }
-
-function heapBytes(): number {
-	setFlagsFromString('--expose-gc');
-	runInNewContext('gc()');
-	return process.memoryUsage().heapUsed;
-}
