Split the wait estimate and the work on the backend server into modules of their own

Change: no behaviour, but that expected costs are whole tokens, so that sums of them end at zero, and that nothing is decided any more once the task was stopped. Result: 27 core and 9 daemon tests of the agent pass.

--- a/packages/core/src/agent/admission.ts
+++ b/packages/core/src/agent/admission.ts
@@ -133,8 +133,9 @@
 			return refusals.deadlineExceeded(0);
 		}
 
-		const startAt = now + scheduler.expectedWaitMs(request, now);
-		return scheduler.isEstimateReliable && startAt > request.deadlineAt
+		const {estimate} = scheduler;
+		const startAt = now + estimate.startMs(request, now);
+		return estimate.isReliable && startAt > request.deadlineAt
 			? refusals.deadlineUnreachable(startAt - request.deadlineAt)
 			: undefined;
 	}
--- a/packages/core/src/agent/agent-core.ts
+++ b/packages/core/src/agent/agent-core.ts
@@ -94,7 +94,7 @@
 			running: running.size,
 			queued: waiting.size,
 			window: window.capacity(),
-			expectedWaitMs: Math.ceil(this._scheduler.expectedDrainMs()),
+			expectedWaitMs: Math.ceil(this._scheduler.estimate.drainMs()),
 			adapterState:
 				servedName === undefined ? 'absent' : loader.slots.stateOf(servedName),
 		};
@@ -214,7 +214,7 @@
 
 		const drop = this._scheduler.add(request);
 		if (drop) {
-			const retryAfterMs = this._scheduler.expectedDrainMs();
+			const retryAfterMs = this._scheduler.estimate.drainMs();
 			this._refuse(drop.dispatch, this._refusals.overloaded(retryAfterMs));
 		}
 	}
--- a/packages/core/src/agent/scheduler.ts
+++ b/packages/core/src/agent/scheduler.ts
@@ -13,18 +13,13 @@
 	Dispatch,
 	Usage,
 } from './types.js';
+import {type HopelessRequest, WaitEstimate} from './wait-estimate.js';
 import {WaitingRequests} from './waiting-requests.js';
 
 /** Largest number that the scheduler gives as a priority; smaller numbers run sooner. */
 const lowestPriority = 9;
 const priorityStepMs = 1000;
 
-/** A waiting request that can't make its deadline, and the time after which a new try could. */
-export type HopelessRequest = {
-	readonly request: QueuedRequest;
-	readonly retryAfterMs: number;
-};
-
 /** Lets requests wait, starts them within the window and has adapter versions loaded for them. */
 export class Scheduler {
 	static create(settings: AgentSettings, policy: AgentPolicy): Scheduler {
@@ -35,6 +30,7 @@
 	readonly loader: AdapterLoader;
 	readonly waiting: WaitingRequests;
 	readonly running = RunningRequests.create();
+	readonly estimate: WaitEstimate;
 
 	private readonly _queue: RequestQueue;
 	private readonly _times = ServiceTimes.create();
@@ -51,6 +47,14 @@
 		this.waiting = WaitingRequests.create(this._queue);
 		this.window = policy.createWindow(_settings.limits);
 		this.loader = AdapterLoader.create(_settings, policy);
+		this.estimate = WaitEstimate.create({
+			times: this._times,
+			queue: this._queue,
+			waiting: this.waiting,
+			running: this.running,
+			window: this.window,
+			loader: this.loader,
+		});
 	}
 
 	requestOf(dispatch: Dispatch, now: number): QueuedRequest {
@@ -64,7 +68,7 @@
 			}),
 			arrivedAt: now,
 			deadlineAt: now + timeLeftMs,
-			cost: Math.max(1, tokens),
+			cost: Math.max(1, Math.ceil(tokens)),
 		};
 	}
 
@@ -88,32 +92,6 @@
 		return drop;
 	}
 
-	/** Expected time until a new request starts. */
-	expectedWaitMs({dispatch, servedName}: QueuedRequest, now: number): number {
-		const {customer, weight} = dispatch;
-		const queueMs = this._msUntilFree(
-			this._queue.tokensAhead(customer, weight),
-		);
-		return servedName === undefined || this._isReady(servedName)
-			? queueMs
-			: Math.max(queueMs, this._loadWaitMs(servedName, now));
-	}
-
-	/** Expected time until a request starts that comes after all that wait. */
-	expectedDrainMs(): number {
-		let tokens = 0;
-		for (const {cost} of this._queue.inOrder()) {
-			tokens += cost;
-		}
-
-		return this._msUntilFree(tokens);
-	}
-
-	/** Whether an expected wait is sure enough to refuse by it. */
-	get isEstimateReliable(): boolean {
-		return this._times.isReliable;
-	}
-
 	/** Takes out the requests that can't start before their deadlines any more. */
 	takeHopeless(now: number): readonly HopelessRequest[] {
 		if (!this._isHopelessCheckDue(now)) {
@@ -121,14 +99,12 @@
 		}
 
 		this._hopelessCheckAt = now + hopelessCheckIntervalMs;
-		const hopeless = this._findHopeless(now);
+		const hopeless = this.estimate.findHopeless(now);
 		for (const {request} of hopeless) {
 			this.waiting.remove(request);
 		}
 
-		this._earliestDeadlineAt = Math.min(
-			...this.waiting.all().map(({deadlineAt}) => deadlineAt),
-		);
+		this._earliestDeadlineAt = this.waiting.earliestDeadlineAt();
 		return hopeless;
 	}
 
@@ -266,76 +242,12 @@
 		}
 	}
 
-	private _msUntilFree(tokensAhead: number): number {
-		const capacity = this.window.capacity();
-		const isFree = this.running.size < capacity && tokensAhead === 0;
-		return isFree
-			? 0
-			: this._times.msFor(tokensAhead, capacity) +
-					this._times.requestMs / capacity;
-	}
-
 	private _isHopelessCheckDue(now: number): boolean {
 		return (
 			this.waiting.size > 0 &&
 			(now >= this._hopelessCheckAt || now >= this._earliestDeadlineAt)
 		);
 	}
-
-	/** Expected time until an adapter version is resident that a new request needs. */
-	private _loadWaitMs(servedName: string, now: number): number {
-		const {loader, waiting} = this;
-		const isLoading = loader.slots.stateOf(servedName) === 'loading';
-		const isWanted = (name: string) =>
-			name !== servedName && loader.slots.stateOf(name) === 'absent';
-		const before =
-			isLoading || waiting.hasWaiters(servedName)
-				? 0
-				: waiting.servedNames().filter(name => isWanted(name)).length;
-		return loader.expectedLoadMs(before, now);
-	}
-
-	/** Walks through the waiting requests as they would run and finds those whose turn comes too late. */
-	private _findHopeless(now: number): readonly HopelessRequest[] {
-		const capacity = this.window.capacity();
-		const hopeless: HopelessRequest[] = [];
-		const absent = new Set<string>();
-		let tokensAhead = 0;
-		for (const request of this.waiting.inOrder()) {
-			const {servedName, cost, deadlineAt} = request;
-			const queueMs = this._times.msFor(tokensAhead, capacity);
-			const loadMs = this._loadMsAfter(absent, servedName, now);
-			const waitMs = this._times.isReliable ? Math.max(queueMs, loadMs) : 0;
-			if (now + waitMs >= deadlineAt) {
-				hopeless.push({request, retryAfterMs: waitMs});
-				continue;
-			}
-
-			tokensAhead += cost;
-			if (loadMs > 0 && servedName !== undefined) {
-				absent.add(servedName);
-			}
-		}
-
-		return hopeless;
-	}
-
-	/** Expected time until an adapter version is resident that is loaded after those given. */
-	private _loadMsAfter(
-		absent: ReadonlySet<string>,
-		servedName: string | undefined,
-		now: number,
-	): number {
-		const isAbsent =
-			servedName !== undefined &&
-			this.loader.slots.stateOf(servedName) === 'absent';
-		if (!isAbsent) {
-			return 0;
-		}
-
-		const before = absent.has(servedName) ? absent.size - 1 : absent.size;
-		return this.loader.expectedLoadMs(before, now);
-	}
 }
 
 /** The less time is left, the sooner the backend server should run the request. */
--- /dev/null
+++ b/packages/core/src/agent/wait-estimate.ts
@@ -0,0 +1,117 @@
+import type {AdapterLoader} from './adapter-loader.js';
+import type {ConcurrencyWindow} from './concurrency-window.js';
+import type {QueuedRequest, RequestQueue} from './request-queue.js';
+import type {RunningRequests} from './running-requests.js';
+import type {ServiceTimes} from './service-times.js';
+import type {WaitingRequests} from './waiting-requests.js';
+
+/** What the estimates are made from. */
+export type WaitEstimateOptions = {
+	readonly times: ServiceTimes;
+	readonly queue: RequestQueue;
+	readonly waiting: WaitingRequests;
+	readonly running: RunningRequests;
+	readonly window: ConcurrencyWindow;
+	readonly loader: AdapterLoader;
+};
+
+/** A waiting request that can't make its deadline, and the time after which a new try could. */
+export type HopelessRequest = {
+	readonly request: QueuedRequest;
+	readonly retryAfterMs: number;
+};
+
+/** Estimates how long requests wait for their turn and for their adapter versions. */
+export class WaitEstimate {
+	static create(options: WaitEstimateOptions): WaitEstimate {
+		return new WaitEstimate(options);
+	}
+
+	private constructor(private readonly _options: WaitEstimateOptions) {}
+
+	/** Whether enough was measured to refuse by an estimate. */
+	get isReliable(): boolean {
+		return this._options.times.isReliable;
+	}
+
+	/** Expected time until a new request starts. */
+	startMs({dispatch, servedName}: QueuedRequest, now: number): number {
+		const {customer, weight} = dispatch;
+		const tokens = this._options.queue.tokensAhead(customer, weight);
+		const queueMs = this._msUntilFree(tokens);
+		return servedName === undefined
+			? queueMs
+			: Math.max(queueMs, this._loadMs(servedName, now));
+	}
+
+	/** Expected time until a request starts that comes after all that wait. */
+	drainMs(): number {
+		return this._msUntilFree(this._options.waiting.tokens);
+	}
+
+	/** Walks through the waiting requests as they would run and finds those whose turn comes too late. */
+	findHopeless(now: number): readonly HopelessRequest[] {
+		const {times, window, waiting} = this._options;
+		const hopeless: HopelessRequest[] = [];
+		const absent = new Set<string>();
+		let tokensAhead = 0;
+		for (const request of waiting.inOrder()) {
+			const {servedName, cost, deadlineAt} = request;
+			const queueMs = times.msFor(tokensAhead, window.capacity());
+			const loadMs = this._loadMsAfter(absent, servedName, now);
+			const waitMs = times.isReliable ? Math.max(queueMs, loadMs) : 0;
+			if (now + waitMs >= deadlineAt) {
+				hopeless.push({request, retryAfterMs: waitMs});
+				continue;
+			}
+
+			tokensAhead += cost;
+			if (loadMs > 0 && servedName !== undefined) {
+				absent.add(servedName);
+			}
+		}
+
+		return hopeless;
+	}
+
+	private _msUntilFree(tokensAhead: number): number {
+		const {times, running, window} = this._options;
+		const capacity = window.capacity();
+		const isFree = running.size < capacity && tokensAhead === 0;
+		return isFree
+			? 0
+			: times.msFor(tokensAhead, capacity) + times.requestMs / capacity;
+	}
+
+	/** Expected time until an adapter version is resident that a new request needs. */
+	private _loadMs(servedName: string, now: number): number {
+		const {loader, waiting} = this._options;
+		const state = loader.slots.stateOf(servedName);
+		if (state === 'resident') {
+			return 0;
+		}
+
+		const isFirst = state === 'loading' || waiting.hasWaiters(servedName);
+		const absent = waiting
+			.servedNames()
+			.filter(name => loader.slots.stateOf(name) === 'absent');
+		return loader.expectedLoadMs(isFirst ? 0 : absent.length, now);
+	}
+
+	/** Expected time until an adapter version is resident that is loaded after those given. */
+	private _loadMsAfter(
+		absent: ReadonlySet<string>,
+		servedName: string | undefined,
+		now: number,
+	): number {
+		const {loader} = this._options;
+		const isAbsent =
+			servedName !== undefined && loader.slots.stateOf(servedName) === 'absent';
+		if (!isAbsent) {
+			return 0;
+		}
+
+		const before = absent.has(servedName) ? absent.size - 1 : absent.size;
+		return loader.expectedLoadMs(before, now);
+	}
+}
--- a/packages/core/src/agent/waiting-requests.ts
+++ b/packages/core/src/agent/waiting-requests.ts
@@ -9,6 +9,7 @@
 
 	private readonly _byAttempt = new Map<string, QueuedRequest>();
 	private readonly _waiters = new Map<string, number>();
+	private _tokens = 0;
 
 	private constructor(private readonly _queue: RequestQueue) {}
 
@@ -16,7 +17,13 @@
 		return this._byAttempt.size;
 	}
 
+	/** Tokens that all waiting requests are expected to use. */
+	get tokens(): number {
+		return this._tokens;
+	}
+
 	add(request: QueuedRequest): void {
+		this._tokens += request.cost;
 		this._byAttempt.set(request.dispatch.attemptId, request);
 		this._countWaiter(request.servedName, 1);
 		this._queue.add(request);
@@ -46,6 +53,16 @@
 		return this._queue.inOrder();
 	}
 
+	/** Infinity where nothing waits. */
+	earliestDeadlineAt(): number {
+		let earliest = Number.POSITIVE_INFINITY;
+		for (const {deadlineAt} of this._byAttempt.values()) {
+			earliest = Math.min(earliest, deadlineAt);
+		}
+
+		return earliest;
+	}
+
 	hasWaiters(servedName: string): boolean {
 		return this._waiters.has(servedName);
 	}
@@ -74,6 +91,7 @@
 	}
 
 	private _forget(request: QueuedRequest): void {
+		this._tokens -= request.cost;
 		this._byAttempt.delete(request.dispatch.attemptId);
 		this._countWaiter(request.servedName, -1);
 	}
--- a/packages/daemon/src/agent/agent-task.ts
+++ b/packages/daemon/src/agent/agent-task.ts
@@ -10,21 +10,13 @@
 import type {FastifyInstance} from 'fastify';
 import type {Disposable} from '../common/types.js';
 import {BackendClient} from './backend-client.js';
-import {
-	heldBodiesLimitBytes,
-	overloadRetryAfterMs,
-	tokenReportIntervalMs,
-} from './constants.js';
+import {BackendWorker} from './backend-worker.js';
+import {heldBodiesLimitBytes, overloadRetryAfterMs} from './constants.js';
 import type {DispatchExchange} from './dispatch-exchange.js';
 import {registerDispatchRoute} from './dispatch-route.js';
 import {HealthMonitor} from './health-monitor.js';
-import {type HeldAttempt, HeldAttempts} from './held-attempts.js';
-import type {AgentTaskOptions, AnswerSink} from './types.js';
-
-type CommandOf<T extends AgentCommand['type']> = Extract<
-	AgentCommand,
-	{readonly type: T}
->;
+import {HeldAttempts} from './held-attempts.js';
+import type {AgentTaskOptions, CommandOf} from './types.js';
 
 /** The task of an agent: carries events to the core, and the core's commands to the backend server and the entries. */
 export class AgentTask {
@@ -36,10 +28,12 @@
 	private readonly _client: BackendClient;
 	private readonly _health: HealthMonitor;
 	private readonly _attempts: HeldAttempts;
+	private readonly _worker: BackendWorker;
 	private readonly _subscriptions: Disposable[] = [];
 	private readonly _drainListeners: Array<() => void> = [];
 	private _timer: NodeJS.Timeout | undefined;
 	private _isDrained = false;
+	private _isStopped = false;
 	private _isBackendUp = false;
 	private _bootId = '';
 
@@ -52,6 +46,19 @@
 			fencingToken,
 			tellsHealth: settings.backend.kind === 'engine',
 		});
+		this._worker = BackendWorker.create({
+			client: this._client,
+			attempts: this._attempts,
+			telemetry,
+			clock: _options.clock,
+			status: servedName =>
+				this.probe({
+					...(servedName !== undefined && {servedName}),
+				}),
+			onEvent: event => {
+				this._handle(event);
+			},
+		});
 		this._health = HealthMonitor.create({
 			ask: async () => this._client.health(),
 			clock: _options.clock,
@@ -108,6 +115,7 @@
 
 	/** Ends at once. Running calls are cut. */
 	async stop(): Promise<void> {
+		this._isStopped = true;
 		clearTimeout(this._timer);
 		this._health.stop();
 		for (const subscription of this._subscriptions) {
@@ -213,6 +221,10 @@
 
 	/** Lets the core decide and carries its commands out. */
 	private _handle(event: AgentEvent, newcomer?: DispatchExchange): void {
+		if (this._isStopped) {
+			return;
+		}
+
 		const now = this._options.clock();
 		for (const command of this._core.handle(event, now)) {
 			this._execute(command, newcomer);
@@ -224,7 +236,7 @@
 	private _execute(command: AgentCommand, newcomer?: DispatchExchange): void {
 		switch (command.type) {
 			case 'runOnBackend': {
-				void this._run(command);
+				void this._worker.run(command);
 				break;
 			}
 
@@ -234,12 +246,12 @@
 			}
 
 			case 'loadAdapter': {
-				void this._load(command);
+				void this._worker.load(command, this._bootId);
 				break;
 			}
 
 			case 'unloadAdapter': {
-				void this._unload(command);
+				void this._worker.unload(command);
 				break;
 			}
 
@@ -275,101 +287,6 @@
 		}
 	}
 
-	private async _run(command: CommandOf<'runOnBackend'>): Promise<void> {
-		const {attemptId, servedName, priority} = command;
-		const held = this._attempts.begin(attemptId);
-		if (!held) {
-			this._handle({type: 'answerFailed', attemptId, fault: 'rejected'});
-			return;
-		}
-
-		const {exchange, span, controller} = held;
-		const backendSpan = this._options.telemetry.tracer.startSpan(
-			'backend',
-			span.traceparent,
-		);
-		const outcome = await this._client.run(
-			{
-				attemptId,
-				...(servedName !== undefined && {servedName}),
-				priority,
-				promptTokens: exchange.dispatch.promptTokens,
-				call: exchange.call,
-				body: exchange.body,
-				traceparent: backendSpan.traceparent,
-			},
-			this._sinkOf(held, servedName),
-			controller.signal,
-		);
-		if (outcome.kind === 'completed') {
-			backendSpan.end('ok');
-			exchange.end(outcome.usage);
-			this._options.telemetry.metrics.increment('agent.answered');
-			this._handle({type: 'answerCompleted', attemptId, usage: outcome.usage});
-			this._attempts.release(attemptId, 'ok');
-		} else {
-			backendSpan.end(outcome.fault);
-			this._handle({type: 'answerFailed', attemptId, fault: outcome.fault});
-			// A cancelled attempt gets no refusal.
-			this._attempts.release(attemptId, 'cancelled');
-		}
-	}
-
-	private _sinkOf(
-		{exchange}: HeldAttempt,
-		servedName: string | undefined,
-	): AnswerSink {
-		const {clock} = this._options;
-		const {attemptId} = exchange.dispatch;
-		let unreported = 0;
-		let reportedAt = clock();
-		return {
-			begin: (status, contentType) => {
-				const server = this._core.status(servedName, clock());
-				exchange.begin(status, contentType, server);
-			},
-			write: async chunk => exchange.write(chunk),
-			onTokens: tokens => {
-				unreported += tokens;
-				if (clock() - reportedAt >= tokenReportIntervalMs) {
-					this._handle({
-						type: 'tokensGenerated',
-						attemptId,
-						tokens: unreported,
-					});
-					unreported = 0;
-					reportedAt = clock();
-				}
-			},
-		};
-	}
-
-	private async _load(command: CommandOf<'loadAdapter'>): Promise<void> {
-		const {loadId, servedName, weights, timeoutMs} = command;
-		const {telemetry, clock} = this._options;
-		const bootId = this._bootId;
-		const startedAt = clock();
-		try {
-			await this._client.load(servedName, weights, timeoutMs);
-			telemetry.metrics.timing('agent.load', clock() - startedAt);
-			this._handle({type: 'loadCompleted', loadId, bootId});
-		} catch (error) {
-			telemetry.metrics.increment('agent.load_failed');
-			this._handle({type: 'loadFailed', loadId, reason: String(error)});
-		}
-	}
-
-	private async _unload(command: CommandOf<'unloadAdapter'>): Promise<void> {
-		const {loadId, servedName} = command;
-		try {
-			await this._client.unload(servedName);
-			this._options.telemetry.metrics.increment('agent.unload');
-			this._handle({type: 'unloadCompleted', loadId});
-		} catch (error) {
-			this._handle({type: 'unloadFailed', loadId, reason: String(error)});
-		}
-	}
-
 	private _refuse(
 		command: CommandOf<'refuse'>,
 		newcomer: DispatchExchange | undefined,
--- a/packages/daemon/src/agent/types.ts
+++ b/packages/daemon/src/agent/types.ts
@@ -1,4 +1,9 @@
-import type {AgentSettings, BackendFault, Usage} from '@balsamtray/core';
+import type {
+	AgentCommand,
+	AgentSettings,
+	BackendFault,
+	Usage,
+} from '@balsamtray/core';
 import type {DispatchCall} from '@balsamtray/protocol';
 import type {
 	Clock,
@@ -7,6 +12,12 @@
 	Telemetry,
 } from '../common/types.js';
 
+/** The commands of one type. */
+export type CommandOf<T extends AgentCommand['type']> = Extract<
+	AgentCommand,
+	{readonly type: T}
+>;
+
 /** A call to run on the backend server. */
 export type BackendCall = {
 	readonly attemptId: string;
