Ask for health after a rejection, and test services, whole answers and backpressure

Cause: an engine that came back empty rejected one request after the other until the next report; a connection that closed before its dispatch was held was never noticed. Change: a rejection pauses new work until a health report; a closed connection counts as abandoned at once; spans tell a wait for a load from a wait for the turn; gauges of running, queued, window.

--- a/packages/core/src/agent/boot-watch.ts
+++ b/packages/core/src/agent/boot-watch.ts
@@ -29,7 +29,7 @@
 		);
 	}
 
-	/** Whether a connection broke and no health report has come since. */
+	/** Whether a request was refused or lost and no health report has come since. */
 	get isSuspicious(): boolean {
 		return this._isSuspicious;
 	}
@@ -47,7 +47,7 @@
 		return change;
 	}
 
-	/** A failed health report right after a broken connection is enough; by itself it may be chance. */
+	/** A failed health report right after a refused or lost request is enough; by itself it may be chance. */
 	onUnreachable(): void {
 		this._failures = this._isSuspicious
 			? healthFailuresUntilDown
--- a/packages/core/src/agent/crash-watch.ts
+++ b/packages/core/src/agent/crash-watch.ts
@@ -25,7 +25,7 @@
 		return this._boot.isUp;
 	}
 
-	/** Whether the backend server is up for all that is known, but a connection broke since the last report. */
+	/** Whether the backend server is up for all that is known, but refused or lost a request since the last report. */
 	get isDoubtful(): boolean {
 		return this._boot.isUp && this._boot.isSuspicious;
 	}
@@ -40,8 +40,9 @@
 		this._quarantine.refuse(fingerprint, forMs, now);
 	}
 
+	/** A rejection is doubtful too: the backend server may have started anew and lost its adapters. */
 	onFault(fault: BackendFault, fingerprint: string): void {
-		if (isConnectionFault(fault)) {
+		if (isConnectionFault(fault) || fault === 'rejected') {
 			this._boot.onSuspicion();
 		}
 
--- a/packages/daemon/src/agent/agent-task.test.ts
+++ b/packages/daemon/src/agent/agent-task.test.ts
@@ -2,7 +2,7 @@
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {ConfigView, Dispatch} from '@balsamtray/core';
+import type {BackendKind, ConfigView, Dispatch} from '@balsamtray/core';
 import {
 	callHeader,
 	decodeHeader,
@@ -82,6 +82,10 @@
 	contentType: 'application/json',
 };
 
+const stockCall = {method: 'GET', path: '/stock'};
+
+const streamed = {model: 'x', stream: true, user: 'u'};
+
 /** How the fake engine answers a completion. */
 type Answer = (attemptId: string, res: ServerResponse) => void;
 
@@ -99,12 +103,19 @@
 	res.end('data: [DONE]\n\n');
 };
 
+const stockAnswer: Answer = (attemptId, res) => {
+	res.writeHead(200, {'x-request-id': attemptId});
+	res.end('done');
+};
+
 class FakeEngine {
 	static create(): FakeEngine {
 		return new FakeEngine();
 	}
 
 	answer: Answer = wholeStream;
+	service: Answer = stockAnswer;
+
 	readonly app: FastifyInstance = fastify();
 	readonly loaded = new Set<string>();
 	readonly received: Array<{
@@ -127,6 +138,10 @@
 			res.hijack();
 			this.answer(String(req.headers['x-request-id']), res.raw);
 		});
+		this.app.get('/stock', (req, res) => {
+			res.hijack();
+			this.service(String(req.headers['x-request-id']), res.raw);
+		});
 	}
 }
 
@@ -134,17 +149,22 @@
 	let engine: FakeEngine;
 	let task: AgentTask;
 	let peer: FastifyInstance;
+	let backendUrl: string;
 	let url: string;
 
 	beforeEach(async () => {
 		engine = FakeEngine.create();
-		const backendUrl = await engine.app.listen({host: '127.0.0.1', port: 0});
+		backendUrl = await engine.app.listen({host: '127.0.0.1', port: 0});
+		await start({kind: 'engine', baseModel: 'base'});
+	});
+
+	async function start(backend: BackendKind): Promise<void> {
 		task = AgentTask.create({
 			settings: {
 				server: 's1',
 				zone: 'z1',
 				incarnation: 'i1',
-				backend: {kind: 'engine', baseModel: 'base'},
+				backend,
 				limits: {
 					adapterSlots: 2,
 					coldWindow: 2,
@@ -169,28 +189,34 @@
 		await task.register(peer);
 		url = await peer.listen({host: '127.0.0.1', port: 0});
 		await task.start();
-	});
+	}
 
-	afterEach(async () => {
+	async function stop(): Promise<void> {
 		await task.stop();
 		await peer.close();
+	}
+
+	afterEach(async () => {
+		await stop();
 		engine.app.server.closeAllConnections();
 		await engine.app.close();
 	});
 
 	async function post(
 		changes: Partial<Dispatch> = {},
+		body: Readonly<Record<string, unknown>> = streamed,
 		signal?: AbortSignal,
 	): Promise<Dispatcher.ResponseData> {
+		const isService = changes.target?.kind === 'service';
 		return request(`${url}/dispatch`, {
 			method: 'POST',
 			headers: {
 				'content-type': 'application/json',
 				authorization: 'Bearer secret',
 				[dispatchHeader]: encodeHeader({...dispatch, ...changes}),
-				[callHeader]: encodeHeader(chatCall),
+				[callHeader]: encodeHeader(isService ? stockCall : chatCall),
 			},
-			body: JSON.stringify({model: 'x', stream: true, user: 'u'}),
+			body: isService ? '' : JSON.stringify(body),
 			...(signal && {signal}),
 		});
 	}
@@ -288,6 +314,79 @@
 		});
 	});
 
+	describe('with a whole answer', () => {
+		it('sends it on only if it is its own', async () => {
+			const choices = [{text: 'salt'}];
+			engine.answer = (attemptId, res) => {
+				const id = attemptId === 'a1' ? 'chatcmpl-a1' : 'chatcmpl-other';
+				res.end(JSON.stringify({id, model: 'salt@1', choices}));
+			};
+
+			const own = await post({}, {model: 'x'});
+			assert.match(await own.body.text(), /salt/v);
+			assert.ok(own.trailers[endTrailer]);
+			const other = replyOf(await post({attemptId: 'a2'}, {model: 'x'}));
+			assert.ok(other.kind === 'refused');
+			assert.equal(other.refusal.code, 'answer_mismatch');
+		});
+	});
+
+	describe('in front of a plain service', () => {
+		const call = {
+			target: {kind: 'service', service: 'stock', route: 'stock'},
+		} as const;
+
+		beforeEach(async () => {
+			await stop();
+			await start({kind: 'service', service: 'stock'});
+		});
+
+		it('refuses an answer to another request', async () => {
+			const own = await post(call);
+			assert.equal(await own.body.text(), 'done');
+			engine.service = (_attemptId, res) => {
+				res.writeHead(200, {'x-request-id': 'other'});
+				res.end('done');
+			};
+
+			const other = replyOf(await post({...call, attemptId: 'a2'}));
+			assert.ok(other.kind === 'refused');
+			assert.equal(other.refusal.code, 'answer_mismatch');
+			assert.equal(other.refusal.notRun, false);
+		});
+
+		it('holds the service back while the entry does not read', async () => {
+			const chunk = new Uint8Array(1024 * 1024);
+			const mostChunks = 64;
+			let written = 0;
+			engine.service = (attemptId, res) => {
+				res.writeHead(200, {'x-request-id': attemptId});
+				const write = () => {
+					while (written < mostChunks && res.write(chunk)) {
+						written++;
+					}
+
+					written++;
+					if (written <= mostChunks) {
+						res.once('drain', write);
+					} else {
+						res.end();
+					}
+				};
+
+				write();
+			};
+
+			const res = await post(call);
+			await sleep(200);
+			const before = written;
+			assert.ok(before < mostChunks / 2, `${before} MiB went out`);
+			const {byteLength} = await res.body.arrayBuffer();
+			assert.ok(byteLength >= (mostChunks * chunk.length) / 2);
+			assert.ok(res.trailers[endTrailer]);
+		});
+	});
+
 	describe('with a repeated attempt', () => {
 		it('runs it once', async () => {
 			const first = await post();
@@ -309,7 +408,7 @@
 			});
 
 			const controller = new AbortController();
-			const res = await post({}, controller.signal);
+			const res = await post({}, streamed, controller.signal);
 			assert.equal(replyOf(res).kind, 'answer');
 			controller.abort();
 			await assert.rejects(res.body.text());
--- a/packages/daemon/src/agent/agent-task.ts
+++ b/packages/daemon/src/agent/agent-task.ts
@@ -146,7 +146,7 @@
 		}
 
 		if (!this._attempts.has(attemptId)) {
-			this._attempts.hold(exchange);
+			this._attempts.hold(exchange, this._waitOf(exchange));
 			exchange.onAbandoned(() => {
 				this._onAbandoned(attemptId);
 			});
@@ -155,6 +155,15 @@
 		this._handle({type: 'dispatchArrived', dispatch}, exchange);
 	}
 
+	private _waitOf({dispatch}: DispatchExchange): 'queue' | 'load_wait' {
+		const {target} = dispatch;
+		const isReady =
+			target.kind === 'service' ||
+			this.probe({servedName: `${target.adapter}@${target.version}`})
+				.adapterState === 'resident';
+		return isReady ? 'queue' : 'load_wait';
+	}
+
 	/** What only the task knows to stand against a dispatch. */
 	private _refusalBeforeCore({body}: DispatchExchange): Refusal | undefined {
 		const {config, settings} = this._options;
@@ -199,6 +208,15 @@
 		this._isBackendUp = true;
 		this._bootId = health.bootId;
 		this._handle({type: 'backendHealthy', health, askedAt});
+		this._gaugeLoad();
+	}
+
+	private _gaugeLoad(): void {
+		const {metrics} = this._options.telemetry;
+		const {running, queued, window} = this.probe({});
+		metrics.gauge('agent.running', running);
+		metrics.gauge('agent.queued', queued);
+		metrics.gauge('agent.window', window);
 	}
 
 	private _onUnreachable(): void {
--- a/packages/daemon/src/agent/dispatch-exchange.ts
+++ b/packages/daemon/src/agent/dispatch-exchange.ts
@@ -41,12 +41,18 @@
 
 	/** Calls the listener when the entry closes the connection before the exchange has ended. */
 	onAbandoned(listener: () => void): void {
-		this._res.once('close', () => {
+		const abandon = () => {
 			if (!this._hasEnded) {
 				this._hasEnded = true;
 				listener();
 			}
-		});
+		};
+
+		if (this._res.destroyed) {
+			setImmediate(abandon);
+		} else {
+			this._res.once('close', abandon);
+		}
 	}
 
 	/** Sends a refusal, or cuts the connection where part of an answer went out already. */
@@ -98,7 +104,7 @@
 	/** Resolves once the connection takes more, or is closed. */
 	async write(chunk: Uint8Array): Promise<void> {
 		const res = this._res;
-		if (this._hasEnded || res.write(chunk)) {
+		if (this._hasEnded || res.destroyed || res.write(chunk)) {
 			return;
 		}
 
--- a/packages/daemon/src/agent/held-attempts.ts
+++ b/packages/daemon/src/agent/held-attempts.ts
@@ -7,7 +7,7 @@
 	/** Whole time at the agent. */
 	readonly span: Span;
 	/** Time until the attempt starts to run. */
-	readonly queueSpan: Span;
+	readonly waitSpan: Span;
 	/** Stops the call to the backend server. */
 	readonly controller: AbortController;
 	isRunning: boolean;
@@ -40,13 +40,14 @@
 		return this._attempts.values();
 	}
 
-	hold(exchange: DispatchExchange): void {
+	/** Holds an attempt. The span of its wait tells whether it waits for its turn or for a load. */
+	hold(exchange: DispatchExchange, waitsFor: 'queue' | 'load_wait'): void {
 		const {attemptId, traceparent} = exchange.dispatch;
 		const span = this._tracer.startSpan('agent', traceparent);
 		this._attempts.set(attemptId, {
 			exchange,
 			span,
-			queueSpan: this._tracer.startSpan('queue', span.traceparent),
+			waitSpan: this._tracer.startSpan(waitsFor, span.traceparent),
 			controller: new AbortController(),
 			isRunning: false,
 		});
@@ -58,7 +59,7 @@
 		const held = this._attempts.get(attemptId);
 		if (held) {
 			held.isRunning = true;
-			held.queueSpan.end('ok');
+			held.waitSpan.end('ok');
 		}
 
 		return held;
@@ -74,7 +75,7 @@
 		this._attempts.delete(attemptId);
 		this._bodyBytes -= held.exchange.body.length;
 		if (!held.isRunning) {
-			held.queueSpan.end(outcome);
+			held.waitSpan.end(outcome);
 		}
 
 		held.span.end(outcome);
