--- a/packages/daemon/src/operators/testing.ts
+++ b/packages/daemon/src/operators/testing.ts
@@ -34,6 +34,7 @@
 	const tasks: ConfigTask[] = [];
 	return {
 		table,
+		store,
 		/** Adds an entry. */
 		entry(id: string) {
 			const clock = () => 1_000_000;
