Notice servers that say nothing, and let suspects wait for each other

Change: a server that owes an answer and says nothing for 1 s is probed; after two probes missed, what may be repeated goes elsewhere. Change: only a back end that failed while it ran a request makes it a suspect, and suspects wait for a server without another one. The property tests now include probes and long deadlines.

--- a/packages/core/src/entry/attempt-events.ts
+++ b/packages/core/src/entry/attempt-events.ts
@@ -58,6 +58,7 @@
 			return;
 		}
 
+		state.isSuspect ||= hasFailed && refusal.code === 'backend_failed';
 		this._noteFailure(state, attempt.server, hasFailed);
 		this._flow.retryElsewhere(state, refusal, now);
 	}
@@ -106,6 +107,7 @@
 		const {subject, server} = state.attempt;
 		this._context.router.noteResult(subject, server, 'succeeded');
 		this._context.router.noteStatus({status, subject}, now);
+		this._context.router.noteAnswered(server);
 		state.phase = 'answering';
 		state.mayHaveRun = true;
 		if (state.isAnswered) {
@@ -149,6 +151,21 @@
 		}
 	}
 
+	/** A server says nothing and misses its probes: what may be repeated goes elsewhere. */
+	onServerSilent(server: string, now: number): void {
+		for (const state of this._context.requests.all()) {
+			const isWaiting =
+				state.phase === 'dispatched' && state.attempt?.server === server;
+			if (isWaiting && state.isRepeatable && !state.isAnswered) {
+				this._flow.cancelAttempt(state);
+				this._noteFailure(state, server, true);
+				const details = {step: 'dispatch', peer: server} as const;
+				const refusal = refuseMaybeRun('backend_failed', details);
+				this._flow.retryElsewhere(state, refusal, now);
+			}
+		}
+	}
+
 	/** The answer broke off. What did not reach the caller may be done again elsewhere. */
 	private _cut(
 		state: RequestState,
--- a/packages/core/src/entry/entry-core.ts
+++ b/packages/core/src/entry/entry-core.ts
@@ -21,6 +21,8 @@
 	/** The configuration at the time of the call. */
 	readonly view: () => ConfigView;
 	readonly policy?: RoutingPolicy;
+	/** Failures in a row after which a server goes to the end of the order. */
+	readonly failuresUntilSuspected?: number;
 	readonly now: number;
 };
 
@@ -54,12 +56,12 @@
 	private _isDrained = false;
 
 	private constructor(options: EntryCoreOptions) {
-		const {entryId, region, view, now} = options;
+		const {entryId, view, now} = options;
 		const policy = options.policy ?? defaultRoutingPolicy;
 		this._context = {
 			entryId,
 			view,
-			router: Router.create({entryId, region, view, policy}),
+			router: Router.create({...options, policy}),
 			requests: RequestTable.create(),
 			budget: RetryBudget.create(now),
 			suspects: SuspectRegistry.create(),
@@ -78,6 +80,7 @@
 	handle(event: EntryEvent, now: number): readonly EntryCommand[] {
 		this._commands = [];
 		this._decide(event, now);
+		this._flow.resumeWaiting(now);
 		if (this._isShuttingDown && this._context.requests.size === 0) {
 			this._isShuttingDown = false;
 			this._isDrained = true;
@@ -226,9 +229,13 @@
 		{server, status}: EventOf<'serverProbed'>,
 		now: number,
 	): void {
-		this._context.router.noteProbe(server, status !== undefined, now);
+		const {router} = this._context;
 		if (status !== undefined) {
-			this._context.router.noteStatus({status}, now);
+			router.noteStatus({status}, now);
+		}
+
+		if (router.noteProbe(server, status !== undefined)) {
+			this._attempts.onServerSilent(server, now);
 		}
 	}
 
--- a/packages/core/src/entry/fake-agents.testing.ts
+++ b/packages/core/src/entry/fake-agents.testing.ts
@@ -5,7 +5,7 @@
 import type {Observations} from './observations.testing.js';
 import type {EntryEvent, RecordedOutcome} from './types.js';
 
-const hangMs = 700;
+const hangMs = 6000;
 const usage = {promptTokens: 5, completionTokens: 3};
 
 /** What fake agents need from their world. */
@@ -196,7 +196,8 @@
 	}
 }
 
-function statusOf(server: string): ServerStatus {
+/** What a fake agent says of itself. */
+export function statusOf(server: string): ServerStatus {
 	return {
 		server,
 		zone: 'z0',
--- a/packages/core/src/entry/request-flow.ts
+++ b/packages/core/src/entry/request-flow.ts
@@ -7,6 +7,7 @@
 import {type EntryContext, refuseForNow} from './entry-context.js';
 import type {Attempt, RequestState} from './request-state.js';
 import {mayTryElsewhere} from './retry-rules.js';
+import {routeRequest} from './route-step.js';
 import {settleClaim, settleTokens} from './settlement.js';
 import type {RecordedOutcome} from './types.js';
 
@@ -38,15 +39,18 @@
 		}
 
 		state.admission = admission;
-		const refusal = this._findObstacle(state, admission, now);
-		if (refusal !== undefined) {
-			this.giveUp(state, refusal);
+		const decision = routeRequest(this._context, state, admission, now);
+		if (decision.kind === 'refused') {
+			this.giveUp(state, decision.refusal);
 		} else if (state.reservedTokens === undefined) {
 			this._reserve(state, admission);
 		} else if (!admission.resolved.isRepeatable && !state.hasClaim) {
 			this._claim(state, admission);
+		} else if (decision.kind === 'wait') {
+			state.phase = 'awaitingServer';
+			this._context.requests.waiting.add(state);
 		} else {
-			this._dispatch(state, admission, now);
+			this._dispatch(state, admission, decision.host.id, now);
 		}
 	}
 
@@ -118,6 +122,19 @@
 		this._settle(state, outcome ?? this._unrecordable(), usage);
 	}
 
+	/** Lets suspects that wait for a server have their turn, as far as there are servers for them. */
+	resumeWaiting(now: number): void {
+		const {waiting} = this._context.requests;
+		for (const state of waiting) {
+			waiting.delete(state);
+			state.phase = 'deciding';
+			this.proceed(state, now);
+			if (waiting.has(state)) {
+				return;
+			}
+		}
+	}
+
 	/** Ends the request's attempt in the books of the router. */
 	endAttempt(
 		state: RequestState,
@@ -125,6 +142,10 @@
 	): Attempt | undefined {
 		const attempt = this._context.requests.endAttempt(state);
 		if (attempt !== undefined) {
+			if (state.phase === 'dispatched') {
+				this._context.router.noteAnswered(attempt.server);
+			}
+
 			this._context.router.noteEnd(attempt.subject, attempt.server);
 			if (result !== undefined) {
 				this._context.router.noteResult(
@@ -147,43 +168,6 @@
 		}
 	}
 
-	private _findObstacle(
-		state: RequestState,
-		admission: Admission,
-		now: number,
-	): Refusal | undefined {
-		const {entryId, router, suspects} = this._context;
-		const forMs = suspects.quarantinedForMs(state.request.bodyDigest, now);
-		if (forMs > 0) {
-			return refuseNotRun('quarantined', {
-				step: 'route',
-				peer: entryId,
-				retryAfterMs: forMs,
-			});
-		}
-
-		const choice = router.choose(this._query(state, admission, now), now);
-		switch (choice.kind) {
-			case 'server': {
-				return undefined;
-			}
-
-			case 'tooLate': {
-				return refuseNotRun('deadline_unreachable', {
-					step: 'route',
-					peer: entryId,
-					retryAfterMs: choice.retryAfterMs,
-				});
-			}
-
-			case 'noServer': {
-				return (
-					state.lastRefusal ?? refuseForNow(this._context, 'no_server', 'route')
-				);
-			}
-		}
-	}
-
 	private _reserve(state: RequestState, {resolved, customer}: Admission): void {
 		state.phase = 'reserving';
 		state.reservedTokens = resolved.promptTokens + resolved.maxTokens;
@@ -209,15 +193,10 @@
 	private _dispatch(
 		state: RequestState,
 		admission: Admission,
+		server: string,
 		now: number,
 	): void {
 		const {router, requests, budget, emit, entryId, view} = this._context;
-		const choice = router.choose(this._query(state, admission, now), now);
-		if (choice.kind !== 'server') {
-			return;
-		}
-
-		const server = choice.host.id;
 		const {subject} = admission.resolved;
 		const attemptId = `${state.id}.${state.attempts + 1}`;
 		const configVersion = view().version;
@@ -231,8 +210,9 @@
 			server,
 			subject,
 			configVersion,
+			isSuspect: state.isSuspect,
 		});
-		router.noteDispatch(subject, server);
+		router.noteDispatch(subject, server, now);
 		emit({
 			type: 'dispatch',
 			requestId: state.id,
@@ -246,21 +226,6 @@
 		});
 	}
 
-	private _query(state: RequestState, {resolved}: Admission, now: number) {
-		const avoid = state.isSuspect
-			? new Set([
-					...state.triedServers,
-					...this._context.requests.suspectServers(),
-				])
-			: state.triedServers;
-		return {
-			subject: resolved.subject,
-			backend: resolved.backend,
-			avoid,
-			timeLeftMs: state.request.deadlineAt - now,
-		};
-	}
-
 	/** What the caller is told when a call that may not be repeated may have run. */
 	private _finalRefusal(state: RequestState, refusal: Refusal): Refusal {
 		return state.mayRunAgain
--- a/packages/core/src/entry/request-state.ts
+++ b/packages/core/src/entry/request-state.ts
@@ -9,6 +9,8 @@
 	| 'claiming'
 	/** An agent knows a newer configuration; the request is decided again once it is here. */
 	| 'awaitingConfig'
+	/** A suspect waits for a server that runs no other suspect. */
+	| 'awaitingServer'
 	| 'dispatched'
 	| 'answering';
 
@@ -18,6 +20,8 @@
 	readonly server: string;
 	readonly subject: string;
 	readonly configVersion: number;
+	/** The request was a suspect when it was dispatched. */
+	readonly isSuspect: boolean;
 };
 
 /** Everything that an entry knows of one open request. */
@@ -38,6 +42,8 @@
 	redecisions = 0;
 	/** Configuration version that the request waits for. */
 	awaitedVersion = 0;
+	/** A back end failed while it ran this request, which may be the cause. */
+	isSuspect = false;
 	/** Some attempt may have reached a back end. */
 	mayHaveRun = false;
 	/** The caller has its final answer or went away. The rest settles tokens and claim. */
@@ -59,9 +65,4 @@
 	get mayRunAgain(): boolean {
 		return this.isRepeatable || !this.mayHaveRun;
 	}
-
-	/** A request whose run failed may be what made it fail. */
-	get isSuspect(): boolean {
-		return this.failedRuns > 0;
-	}
 }
--- a/packages/core/src/entry/request-table.ts
+++ b/packages/core/src/entry/request-table.ts
@@ -6,6 +6,8 @@
 		return new RequestTable();
 	}
 
+	/** Suspects that wait for a server without another suspect, in the order of their coming. */
+	readonly waiting = new Set<RequestState>();
 	private readonly _requests = new Map<string, RequestState>();
 	private readonly _attempts = new Map<string, RequestState>();
 	/** Servers on which a suspect runs at present, with the number of suspects. */
@@ -28,8 +30,8 @@
 	}
 
 	/** Servers on which a suspect runs. Suspects are kept apart from each other. */
-	suspectServers(): Iterable<string> {
-		return this._suspectServers.keys();
+	suspectServers(): ReadonlySet<string> {
+		return new Set(this._suspectServers.keys());
 	}
 
 	open(state: RequestState): void {
@@ -38,13 +40,14 @@
 
 	close(state: RequestState): void {
 		this._requests.delete(state.id);
+		this.waiting.delete(state);
 	}
 
 	startAttempt(state: RequestState, attempt: Attempt): void {
 		state.attempt = attempt;
 		state.attempts++;
 		this._attempts.set(attempt.id, state);
-		if (state.isSuspect) {
+		if (attempt.isSuspect) {
 			this._countSuspect(attempt.server, 1);
 		}
 	}
@@ -58,7 +61,7 @@
 
 		state.attempt = undefined;
 		this._attempts.delete(attempt.id);
-		if (state.isSuspect) {
+		if (attempt.isSuspect) {
 			this._countSuspect(attempt.server, -1);
 		}
 
--- a/packages/core/src/entry/waiting-events.ts
+++ b/packages/core/src/entry/waiting-events.ts
@@ -87,11 +87,13 @@
 		}
 
 		const details = {step: 'authorize', peer: entryId} as const;
-		if (state.attempt === undefined) {
+		if (state.phase === 'reserving' || state.phase === 'claiming') {
 			this._flow.answerWithRefusal(
 				state,
 				refuseNotRun('unauthorized', details),
 			);
+		} else if (state.attempt === undefined) {
+			this._flow.giveUp(state, refuseNotRun('unauthorized', details));
 		} else if (state.isRepeatable) {
 			this._flow.cancelAttempt(state);
 			this._flow.giveUp(state, refuseMaybeRun('unauthorized', details));
--- a/packages/core/src/routing/constants.ts
+++ b/packages/core/src/routing/constants.ts
@@ -13,6 +13,12 @@
 /** Time between two probes of a suspected server. */
 export const probeIntervalMs = 1000;
 
+/** Time without a word from a server that has not answered a dispatch, after which it is probed. */
+export const silenceMs = 1000;
+
+/** Probes without an answer in a row after which a server's dispatches are taken for lost. */
+export const probesUntilLost = 2;
+
 /** Most probes that are sent at once. */
 export const probesAtOnce = 16;
 
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -1,8 +1,8 @@
 import type {ConfigView} from '../config/types.js';
 import type {AgentHost, Host} from '../membership/types.js';
 import {
+	failuresUntilSuspected,
 	preferredServers,
-	probeIntervalMs,
 	probesAtOnce,
 	rememberedServers,
 	rememberedSubjects,
@@ -28,6 +28,8 @@
 	readonly region: string;
 	readonly view: () => ConfigView;
 	readonly policy: RoutingPolicy;
+	/** Failures in a row after which a server goes to the end of the order. */
+	readonly failuresUntilSuspected?: number;
 };
 
 /** Chooses servers for requests and learns from what becomes of them. */
@@ -47,13 +49,18 @@
 		preferredServers,
 	);
 
-	private readonly _table = ServerTable.create(rememberedServers);
+	private readonly _table: ServerTable;
 	private readonly _ramp = ReturnRamp.create();
 	private _zonesOut: ReadonlySet<string> = new Set();
 	private _zones: ReadonlySet<string> = new Set();
 	private _hasMembers = false;
 
-	private constructor(private readonly _options: RouterOptions) {}
+	private constructor(private readonly _options: RouterOptions) {
+		this._table = ServerTable.create(
+			rememberedServers,
+			_options.failuresUntilSuspected ?? failuresUntilSuspected,
+		);
+	}
 
 	/** Servers that failed several times in a row. */
 	get suspected(): ReadonlySet<string> {
@@ -147,11 +154,16 @@
 		return this._residency.demand(subject);
 	}
 
-	noteDispatch(subject: string, server: string): void {
-		this._table.noteDispatch(server);
+	noteDispatch(subject: string, server: string, now: number): void {
+		this._table.noteDispatch(server, now);
 		this._residency.noteDispatch(subject, server);
 	}
 
+	/** A dispatch got the start of its answer, or ended without one. */
+	noteAnswered(server: string): void {
+		this._table.noteAnswered(server);
+	}
+
 	noteEnd(subject: string, server: string): void {
 		this._table.noteEnd(server);
 		this._residency.noteEnd(subject);
@@ -171,31 +183,19 @@
 		}
 	}
 
-	noteProbe(server: string, hasSucceeded: boolean, now: number): void {
-		this._table.noteProbe(server, hasSucceeded, now);
+	/** Takes note of a probe. Returns whether the server's dispatches are to be taken for lost. */
+	noteProbe(server: string, hasSucceeded: boolean): boolean {
+		return this._table.noteProbe(server, hasSucceeded);
 	}
 
-	/** Suspected servers that are to be probed now. */
+	/** Servers that are to be probed now. */
 	takeDueProbes(now: number): readonly string[] {
-		const due = [...this._table.suspected]
-			.filter(id => now - this._table.lastProbedAt(id) >= probeIntervalMs)
-			.slice(0, probesAtOnce);
-		for (const id of due) {
-			this._table.noteProbe(id, false, now);
-		}
-
-		return due;
+		return this._table.takeDueProbes(now, probesAtOnce);
 	}
 
-	/** Time of the next probe, if a server is suspected. */
+	/** Time of the next probe, if any server is to be probed. */
 	nextProbeAt(): number | undefined {
-		let next: number | undefined;
-		for (const id of this._table.suspected) {
-			const at = Math.max(0, this._table.lastProbedAt(id) + probeIntervalMs);
-			next = Math.min(next ?? at, at);
-		}
-
-		return next;
+		return this._table.nextProbeAt();
 	}
 
 	/** Sizes of what the router remembers. */
--- a/packages/core/src/routing/server-table.ts
+++ b/packages/core/src/routing/server-table.ts
@@ -1,14 +1,22 @@
 import type {ServerStatus} from '../agent/types.js';
 import {
 	assumedWindow,
-	failuresUntilSuspected,
+	probeIntervalMs,
 	reportDecayMs,
+	silenceMs,
+	probesUntilLost,
 } from './constants.js';
 import type {DispatchResult, ServerLoad} from './types.js';
 
 type ServerRecord = {
 	inFlight: number;
+	/** Dispatches without the start of an answer. */
+	unanswered: number;
+	/** Time of the last word from the server, or of the first dispatch that waits for one. */
+	silentSince: number;
 	failuresInRow: number;
+	/** Probes without an answer in a row. */
+	probesMissed: number;
 	lastProbedAt: number;
 	report: LoadReport | undefined;
 };
@@ -36,14 +44,22 @@
  * It keeps the servers that were used last and those with work in flight.
  */
 export class ServerTable {
-	static create(maxServers: number): ServerTable {
-		return new ServerTable(maxServers);
+	static create(
+		maxServers: number,
+		failuresUntilSuspected: number,
+	): ServerTable {
+		return new ServerTable(maxServers, failuresUntilSuspected);
 	}
 
 	private readonly _records = new Map<string, ServerRecord>();
 	private readonly _suspected = new Set<string>();
+	/** Servers that have not answered some dispatch. */
+	private readonly _awaited = new Set<string>();
 
-	private constructor(private readonly _maxServers: number) {}
+	private constructor(
+		private readonly _maxServers: number,
+		private readonly _failuresUntilSuspected: number,
+	) {}
 
 	get size(): number {
 		return this._records.size;
@@ -54,9 +70,25 @@
 		return this._suspected;
 	}
 
-	noteDispatch(server: string): void {
+	noteDispatch(server: string, now: number): void {
 		const record = this._take(server);
 		record.inFlight++;
+		record.unanswered++;
+		if (record.unanswered === 1) {
+			record.silentSince = now;
+			this._awaited.add(server);
+		}
+	}
+
+	/** A dispatch got the start of its answer, or ended without one. */
+	noteAnswered(server: string): void {
+		const record = this._records.get(server);
+		if (record !== undefined && record.unanswered > 0) {
+			record.unanswered--;
+			if (record.unanswered === 0) {
+				this._awaited.delete(server);
+			}
+		}
 	}
 
 	noteEnd(server: string): void {
@@ -75,6 +107,7 @@
 
 	noteStatus(status: ServerStatus, now: number): void {
 		const record = this._take(status.server);
+		record.silentSince = now;
 		record.report = {
 			at: now,
 			isAcceptingWork: status.isAcceptingWork,
@@ -85,17 +118,53 @@
 		};
 	}
 
-	noteProbe(server: string, hasSucceeded: boolean, now: number): void {
+	/**
+	 * A probe that succeeds gives the all-clear. One that fails puts the server last.
+	 * Returns whether the server has missed so many probes that its dispatches are taken for lost.
+	 */
+	noteProbe(server: string, hasSucceeded: boolean): boolean {
 		const record = this._take(server);
-		record.lastProbedAt = now;
 		if (hasSucceeded) {
 			record.failuresInRow = 0;
-			this._updateSuspicion(server, record);
+			record.probesMissed = 0;
+		} else {
+			record.failuresInRow = this._failuresUntilSuspected;
+			record.probesMissed++;
 		}
+
+		this._updateSuspicion(server, record);
+		return record.probesMissed >= probesUntilLost;
 	}
 
-	lastProbedAt(server: string): number {
-		return this._records.get(server)?.lastProbedAt ?? -Infinity;
+	/** Servers to be probed now: the suspected, and those that owe an answer and say nothing. */
+	takeDueProbes(now: number, most: number): readonly string[] {
+		const due: string[] = [];
+		for (const server of this._watched()) {
+			const record = this._records.get(server);
+			if (
+				record !== undefined &&
+				due.length < most &&
+				this._probeAt(server, record) <= now
+			) {
+				record.lastProbedAt = now;
+				due.push(server);
+			}
+		}
+
+		return due;
+	}
+
+	/** Time of the next probe, if any server is to be probed. */
+	nextProbeAt(): number | undefined {
+		let next: number | undefined;
+		for (const server of this._watched()) {
+			const record = this._records.get(server);
+			if (record !== undefined) {
+				next = Math.min(next ?? Infinity, this._probeAt(server, record));
+			}
+		}
+
+		return next;
 	}
 
 	/** Whether the server said lately that it takes no work. */
@@ -141,11 +210,30 @@
 		return this._records.keys();
 	}
 
+	private *_watched(): Iterable<string> {
+		yield* this._suspected;
+		for (const server of this._awaited) {
+			if (!this._suspected.has(server)) {
+				yield server;
+			}
+		}
+	}
+
+	private _probeAt(server: string, record: ServerRecord): number {
+		const soonest = Math.max(0, record.lastProbedAt + probeIntervalMs);
+		return this._suspected.has(server)
+			? soonest
+			: Math.max(soonest, record.silentSince + silenceMs);
+	}
+
 	private _take(server: string): ServerRecord {
 		const known = this._records.get(server);
 		const record = known ?? {
 			inFlight: 0,
+			unanswered: 0,
+			silentSince: 0,
 			failuresInRow: 0,
+			probesMissed: 0,
 			lastProbedAt: -Infinity,
 			report: undefined,
 		};
@@ -160,7 +248,7 @@
 	}
 
 	private _updateSuspicion(server: string, record: ServerRecord): void {
-		if (record.failuresInRow >= failuresUntilSuspected) {
+		if (record.failuresInRow >= this._failuresUntilSuspected) {
 			this._suspected.add(server);
 		} else {
 			this._suspected.delete(server);
--- a/packages/scenarios/src/measure/routing.ts
+++ b/packages/scenarios/src/measure/routing.ts
@@ -108,18 +108,20 @@
 	for (const subject of subjects) {
 		const choice = router.choose(queryOf(subject), startedAt);
 		if (choice.kind === 'server') {
-			router.noteDispatch(subject, choice.host.id);
+			router.noteDispatch(subject, choice.host.id, startedAt);
 			inFlight.push([subject, choice.host.id]);
 		}
 
 		if (inFlight.length > inFlightAtOnce) {
 			const [ended, server] = inFlight.shift()!;
+			router.noteAnswered(server);
 			router.noteEnd(ended, server);
 		}
 	}
 
 	const spentMs = performance.now() - startedAt;
 	for (const [subject, server] of inFlight) {
+		router.noteAnswered(server);
 		router.noteEnd(subject, server);
 	}
 
