--- a/packages/core/src/refusal/http-status.ts
+++ b/packages/core/src/refusal/http-status.ts
@@ -38,3 +38,8 @@
 export function httpStatusOf(code: RefusalCode): number {
 	return statusOfCode[code];
 }
+
+/** All codes, in the order of the documentation. */
+// The keys of the record are the codes.
+// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+export const refusalCodes = Object.keys(statusOfCode) as readonly RefusalCode[];
--- a/packages/protocol/src/reply-schema.ts
+++ b/packages/protocol/src/reply-schema.ts
@@ -1,4 +1,5 @@
 /** Checks of what an agent sends back on a dispatch. */
+import {refusalCodes} from '@balsamtray/core';
 import {z} from 'zod';
 import {configChangeSchema} from './document/change-schema.js';
 import type {DispatchEnd, DispatchReply} from './dispatch-wire.js';
@@ -7,37 +8,7 @@
 const count = z.number().nonnegative();
 
 const refusal = z.object({
-	code: z.enum([
-		'invalid_request',
-		'body_too_large',
-		'method_not_allowed',
-		'unknown_route',
-		'unknown_model',
-		'unauthorized',
-		'forbidden',
-		'rate_exceeded',
-		'exceeds_burst',
-		'idempotency_key_required',
-		'idempotency_mismatch',
-		'in_progress',
-		'outcome_unknown',
-		'store_unavailable',
-		'configuration_behind',
-		'configuration_unavailable',
-		'no_server',
-		'server_leaving',
-		'zone_out',
-		'overloaded',
-		'deadline_unreachable',
-		'deadline_exceeded',
-		'quarantined',
-		'load_failed',
-		'backend_failed',
-		'answer_cut',
-		'answer_mismatch',
-		'shutting_down',
-		'cancelled',
-	]),
+	code: z.enum(refusalCodes),
 	message: z.string().max(2000),
 	notRun: z.boolean(),
 	step: z.enum([
--- a/scripts/generate-settings-page.js
+++ b/scripts/generate-settings-page.js
@@ -2,15 +2,12 @@
  * Writes docs/operators/settings.md from the daemon's settings definitions.
  * With `--check` it compares instead and exits with 1 when the page is out of date.
  */
-import {readFileSync, writeFileSync} from 'node:fs';
-import process from 'node:process';
 import {
 	definitionsOf,
 	flagOf,
 	variableOf,
 } from '../packages/daemon/dist/settings/settings.js';
-
-const page = 'docs/operators/settings.md';
+import {writeOrCheck} from './generated-page.js';
 
 function defaultOf(definition) {
 	const result = definition.schema.safeParse(undefined);
@@ -52,7 +49,7 @@
 	const entryNames = new Set(entry.map(([name]) => name));
 	return `# Settings of balsamtrayd
 
-This page is generated from the settings' schema by \`npm run docs:settings\`; CI checks that it is current.
+This page is generated from the settings' schema by \`npm run docs:generate\`; CI checks that it is current.
 
 Each setting is read from its flag or its environment variable; the flag goes before the variable.
 Secrets are taken from the environment or a file, never from a flag, and are never logged.
@@ -73,11 +70,4 @@
 `;
 }
 
-if (process.argv.includes('--check')) {
-	if (readFileSync(page, 'utf8') !== pageText()) {
-		console.error(`${page} is out of date: run npm run docs:settings`);
-		process.exitCode = 1;
-	}
-} else {
-	writeFileSync(page, pageText());
-}
+writeOrCheck('docs/operators/settings.md', pageText());
