Add balsamtray load, and test the command line

Cause: operators and experiments need traffic at a set rate that does not slow down with the answers. Change: open-loop arrivals from a seed, latency from the time at which a request was due, outcomes by reason, progress, JSON and an SVG picture; tests of the load tool and of the commands' help, suggestions, exit codes and confirmation. Not yet run against real processes.

--- a/packages/client/src/main.ts
+++ b/packages/client/src/main.ts
@@ -7,6 +7,7 @@
 import {ConfigValidateCommand} from './commands/config-validate-command.js';
 import {KeyIssueCommand} from './commands/key-issue-command.js';
 import {KeyWithdrawCommand} from './commands/key-withdraw-command.js';
+import {LoadCommand} from './commands/load-command.js';
 import {ServerDrainCommand} from './commands/server-drain-command.js';
 import {ServerUndrainCommand} from './commands/server-undrain-command.js';
 import {StatusCommand} from './commands/status-command.js';
@@ -31,6 +32,7 @@
 	ServerDrainCommand,
 	ServerUndrainCommand,
 	StatusCommand,
+	LoadCommand,
 ];
 
 /** Runs `balsamtray` with its arguments and returns the exit code. */
--- a/packages/client/src/settings.ts
+++ b/packages/client/src/settings.ts
@@ -51,25 +51,34 @@
 		throw new UsageError(`${url} is no http or https URL.`);
 	}
 
-	return {url: url.replace(/\/+$/v, ''), key: readKey(env, variables)};
+	return {
+		url: url.replace(/\/+$/v, ''),
+		key: readSecret(env, variables.key, variables.keyFile),
+	};
 }
 
-function readKey(env: Environment, variables: ConnectionVariables): string {
-	const key = env[variables.key];
-	if (key !== undefined && key !== '') {
-		return key;
+/**
+ * Reads a secret from a variable or from the file that another variable names.
+ * @throws UsageError when neither is set or the file can't be read.
+ */
+export function readSecret(
+	env: Environment,
+	variable: string,
+	fileVariable: string,
+): string {
+	const secret = env[variable];
+	if (secret !== undefined && secret !== '') {
+		return secret;
 	}
 
-	const file = env[variables.keyFile];
+	const file = env[fileVariable];
 	if (file === undefined || file === '') {
-		throw new UsageError(`Set ${variables.key} or ${variables.keyFile}.`);
+		throw new UsageError(`Set ${variable} or ${fileVariable}.`);
 	}
 
 	try {
 		return readFileSync(file, 'utf8').trim();
 	} catch {
-		throw new UsageError(
-			`The file that ${variables.keyFile} names can't be read.`,
-		);
+		throw new UsageError(`The file that ${fileVariable} names can't be read.`);
 	}
 }
