Hold adapters closer together, and widen the popular ones sooner

Cause: spilling one place beyond the width cost no more than a load takes, so that a short queue made a second server load a cold adapter and evict another. Change: each place beyond the width weighs 600 ms in place of 300, and two own dispatches in place of four widen an adapter's servers by one. Ruled out on the way: lighter or heavier weights of absent and loading adapters and of a full window change little (within 3% of the loads); a weight of 1,000 ms saves more loads and makes the median wait.

--- a/packages/core/src/routing/default-routing-policy.ts
+++ b/packages/core/src/routing/default-routing-policy.ts
@@ -26,10 +26,10 @@
 const defaultWeights: RoutingWeights = {
 	absentMs: 1000,
 	loadingMs: 300,
-	beyondWidthMs: 300,
+	beyondWidthMs: 600,
 	fullWindowMs: 200,
 	suspectedMs: 600_000,
-	demandForEachServer: 4,
+	demandForEachServer: 2,
 };
 
 /**
