Order adapter loads by customer, and pace only the heaviest

Change: the customer with the fewest loads for its share comes first, and only customers with at least three quarters of the heaviest one's loads are paced. Waits are estimated in this order.

--- a/packages/core/src/agent/adapter-loader.ts
+++ b/packages/core/src/agent/adapter-loader.ts
@@ -1,6 +1,7 @@
 import type {AgentPolicy} from './agent-policy.js';
 import {AdapterSlots, type Slot} from './adapter-slots.js';
 import {
+	customerLoadHalfLifeMs,
 	loadFailureBackoffMs,
 	loadTriesBeforeRefusal,
 	unloadRetryMs,
@@ -13,10 +14,16 @@
 export type WantedAdapter = {
 	readonly servedName: string;
 	readonly weights: string;
+	/** Customer of the first request that waits for it, and its share. */
+	readonly customer: string;
+	readonly share: number;
 	/** Requests that wait for it. */
 	readonly waiters: number;
 };
 
+/** Part of the heaviest customer's recent loads from which on a customer's loads are paced. */
+const pacedShare = 0.75;
+
 type LoadFailures = {
 	readonly count: number;
 	readonly lastAt: number;
@@ -32,6 +39,7 @@
 
 	private readonly _limiter: LoadLimiter;
 	private readonly _uses = UseHistory.create();
+	private readonly _customerLoads = UseHistory.create(customerLoadHalfLifeMs);
 	private readonly _startedAt = new Map<string, number>();
 	private readonly _failures = new Map<string, LoadFailures>();
 	private readonly _unloadRetries = new Map<string, number>();
@@ -74,6 +82,16 @@
 		return this.slots.acquire(servedName, now);
 	}
 
+	/** The wanted adapter versions by which is loaded first. */
+	inOrder(
+		wanted: readonly WantedAdapter[],
+		now: number,
+	): readonly WantedAdapter[] {
+		return this._policy.orderLoads(wanted, customer =>
+			this._customerLoads.recentUses(customer, now),
+		);
+	}
+
 	/** Orders what the wanted adapter versions need. They come in the order of the requests that wait for them. */
 	plan(
 		wanted: readonly WantedAdapter[],
@@ -83,15 +101,15 @@
 		this._wakeAt = undefined;
 		const commands = [...this._retryUnloads(now)];
 		let freeing = this.slots.unloading;
-		for (const adapter of this._policy.orderLoads(wanted)) {
-			if (!this._mayStartLoad(now)) {
-				break;
-			}
-
+		for (const adapter of this.inOrder(wanted, now)) {
 			if (this.slots.has(adapter.servedName)) {
 				continue;
 			}
 
+			if (!this._mayStartLoad(adapter, now)) {
+				break;
+			}
+
 			if (this.slots.free > 0) {
 				commands.push(this._load(adapter, now));
 			} else if (freeing > 0) {
@@ -183,13 +201,18 @@
 		}
 	}
 
-	private _mayStartLoad(now: number): boolean {
+	private _mayStartLoad({customer}: WantedAdapter, now: number): boolean {
 		const startAt = this._limiter.nextStartAt(this.slots.loading);
 		if (startAt === undefined) {
 			return false;
 		}
 
 		if (startAt > now) {
+			// Customers with few loads are not paced: the pace keeps the weight store free for them.
+			if (this.slots.loading === 0 && this._hasFewLoads(customer, now)) {
+				return true;
+			}
+
 			this._wakeBy(startAt);
 			return false;
 		}
@@ -197,8 +220,14 @@
 		return true;
 	}
 
-	private _load({servedName, weights}: WantedAdapter, now: number) {
+	private _hasFewLoads(customer: string, now: number): boolean {
+		const own = this._customerLoads.recentUses(customer, now);
+		return own < pacedShare * this._customerLoads.mostUses(now);
+	}
+
+	private _load({servedName, weights, customer}: WantedAdapter, now: number) {
 		const loadId = this._nextOrderId();
+		this._customerLoads.add(customer, now);
 		this.slots.beginLoad(servedName, loadId, now);
 		this._limiter.onStarted(now);
 		this._startedAt.set(loadId, now);
--- /dev/null
+++ b/packages/core/src/agent/agent-policy.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {WantedAdapter} from './adapter-loader.js';
+import {leastServedCustomerFirst} from './agent-policy.js';
+
+function wanted(
+	servedName: string,
+	customer: string,
+	waiters: number,
+	share = 1,
+): WantedAdapter {
+	return {servedName, weights: servedName, customer, share, waiters};
+}
+
+function namesInOrder(
+	adapters: readonly WantedAdapter[],
+	loads: Readonly<Record<string, number>>,
+): readonly string[] {
+	return leastServedCustomerFirst(
+		adapters,
+		customer => loads[customer] ?? 0,
+	).map(({servedName}) => servedName);
+}
+
+describe('leastServedCustomerFirst', () => {
+	describe('with a customer that had many loads', () => {
+		it('puts the others before it, however many of its requests wait', () => {
+			const adapters = [wanted('a1', 'a', 9), wanted('b1', 'b', 1)];
+			assert.deepEqual(namesInOrder(adapters, {a: 5, b: 0}), ['b1', 'a1']);
+		});
+
+		it('counts loads against the share', () => {
+			const adapters = [wanted('a1', 'a', 1, 4), wanted('b1', 'b', 1, 1)];
+			assert.deepEqual(namesInOrder(adapters, {a: 6, b: 2}), ['a1', 'b1']);
+		});
+	});
+
+	describe('with many adapters of one customer', () => {
+		it('takes turns with the other customers', () => {
+			const adapters = [
+				wanted('a1', 'a', 1),
+				wanted('a2', 'a', 1),
+				wanted('a3', 'a', 1),
+				wanted('b1', 'b', 1),
+			];
+			const order = namesInOrder(adapters, {});
+			assert.ok(order.indexOf('b1') < order.indexOf('a2'));
+		});
+	});
+
+	describe('within one customer', () => {
+		it('puts the adapter for which most requests wait first', () => {
+			const adapters = [wanted('a1', 'a', 1), wanted('a2', 'a', 3)];
+			assert.deepEqual(namesInOrder(adapters, {}), ['a2', 'a1']);
+		});
+	});
+});
--- a/packages/core/src/agent/agent-policy.ts
+++ b/packages/core/src/agent/agent-policy.ts
@@ -22,7 +22,10 @@
 	createWindow(limits: AgentLimits): ConcurrencyWindow;
 	createLoadLimiter(): LoadLimiter;
 	/** Orders the absent adapter versions by which is loaded first. They come in the order of the queue. */
-	orderLoads(wanted: readonly WantedAdapter[]): readonly WantedAdapter[];
+	orderLoads(
+		wanted: readonly WantedAdapter[],
+		recentLoads: (customer: string) => number,
+	): readonly WantedAdapter[];
 	/** Chooses which of the idle adapter versions gives up its slot. The list is never empty. */
 	pickVictim(
 		idle: readonly Slot[],
@@ -36,7 +39,7 @@
 	createQueue: () => FairQueue.create(),
 	createWindow: limits => ColdStartWindow.create(limits),
 	createLoadLimiter: () => AdaptiveLoadLimiter.create(),
-	orderLoads: mostWaitersFirst,
+	orderLoads: leastServedCustomerFirst,
 	pickVictim: leastUsed,
 };
 
@@ -63,6 +66,26 @@
 	return smallestBy(idle, ({servedName}) => recentUses(servedName));
 }
 
+/**
+ * The customer with the fewest loads for its share of late comes first, so that one customer's
+ * many adapters do not hold up the loads of the others; within a customer, the most waiters first.
+ */
+export function leastServedCustomerFirst(
+	wanted: readonly WantedAdapter[],
+	recentLoads: (customer: string) => number,
+): readonly WantedAdapter[] {
+	const loads = new Map<string, number>();
+	const places = mostWaitersFirst(wanted).map(adapter => {
+		const {customer, share} = adapter;
+		const before = loads.get(customer) ?? recentLoads(customer) / share;
+		loads.set(customer, before + 1 / share);
+		return {adapter, before};
+	});
+	return places
+		.toSorted((a, b) => a.before - b.before)
+		.map(({adapter}) => adapter);
+}
+
 /** The more requests a load lets run, the sooner; otherwise in the order of the queue. */
 export function mostWaitersFirst(
 	wanted: readonly WantedAdapter[],
--- a/packages/core/src/agent/constants.ts
+++ b/packages/core/src/agent/constants.ts
@@ -42,3 +42,6 @@
 
 /** Time between two searches for waiting requests that can't make their deadline any more. */
 export const hopelessCheckIntervalMs = 100;
+
+/** Half-life with which a customer's adapter loads lose weight in the order of loads. */
+export const customerLoadHalfLifeMs = 30_000;
--- a/packages/core/src/agent/use-history.ts
+++ b/packages/core/src/agent/use-history.ts
@@ -11,14 +11,14 @@
 
 /** How often adapter versions were used of late, also those that are not resident at present. */
 export class UseHistory {
-	static create(): UseHistory {
-		return new UseHistory();
+	static create(lossHalfLifeMs = halfLifeMs): UseHistory {
+		return new UseHistory(lossHalfLifeMs);
 	}
 
 	/** In order of last use. */
 	private readonly _uses = new Map<string, Uses>();
 
-	private constructor() {}
+	private constructor(private readonly _halfLifeMs: number) {}
 
 	add(servedName: string, now: number): void {
 		const count = this.recentUses(servedName, now) + 1;
@@ -33,6 +33,16 @@
 	/** Number of uses, those long ago counting less. */
 	recentUses(servedName: string, now: number): number {
 		const uses = this._uses.get(servedName);
-		return uses ? uses.count * 0.5 ** ((now - uses.at) / halfLifeMs) : 0;
+		return uses ? uses.count * 0.5 ** ((now - uses.at) / this._halfLifeMs) : 0;
+	}
+
+	/** The most recent uses that one name has. */
+	mostUses(now: number): number {
+		let most = 0;
+		for (const name of this._uses.keys()) {
+			most = Math.max(most, this.recentUses(name, now));
+		}
+
+		return most;
 	}
 }
--- a/packages/core/src/agent/wait-estimate.ts
+++ b/packages/core/src/agent/wait-estimate.ts
@@ -1,8 +1,9 @@
-import type {AdapterLoader} from './adapter-loader.js';
+import type {AdapterLoader, WantedAdapter} from './adapter-loader.js';
 import type {ConcurrencyWindow} from './concurrency-window.js';
 import type {QueuedRequest, RequestQueue} from './request-queue.js';
 import type {RunningRequests} from './running-requests.js';
 import type {ServiceTimes} from './service-times.js';
+import type {Dispatch} from './types.js';
 import type {WaitingRequests} from './waiting-requests.js';
 
 /** What the estimates are made from. */
@@ -41,7 +42,7 @@
 		const queueMs = this._msUntilFree(tokens);
 		return servedName === undefined
 			? queueMs
-			: Math.max(queueMs, this._loadMs(servedName, now));
+			: Math.max(queueMs, this._loadMs(servedName, dispatch, now));
 	}
 
 	/** Expected time until a request starts that comes after all that wait. */
@@ -53,12 +54,15 @@
 	findHopeless(now: number): readonly HopelessRequest[] {
 		const {times, window, waiting} = this._options;
 		const hopeless: HopelessRequest[] = [];
-		const absent = new Set<string>();
+		const {loader} = this._options;
+		const places = placesOf(loader.inOrder(this._absent(), now));
 		let tokensAhead = 0;
 		for (const request of waiting.inOrder()) {
 			const {servedName, cost, deadlineAt} = request;
 			const queueMs = times.msFor(tokensAhead, window.capacity());
-			const loadMs = this._loadMsAfter(absent, servedName, now);
+			const place = places.get(servedName ?? '');
+			const loadMs =
+				place === undefined ? 0 : loader.expectedLoadMs(place, now);
 			const waitMs = times.isReliable ? Math.max(queueMs, loadMs) : 0;
 			if (now + waitMs >= deadlineAt) {
 				hopeless.push({request, retryAfterMs: waitMs});
@@ -66,9 +70,6 @@
 			}
 
 			tokensAhead += cost;
-			if (loadMs > 0 && servedName !== undefined) {
-				absent.add(servedName);
-			}
 		}
 
 		return hopeless;
@@ -84,34 +85,43 @@
 	}
 
 	/** Expected time until an adapter version is resident that a new request needs. */
-	private _loadMs(servedName: string, now: number): number {
+	private _loadMs(
+		servedName: string,
+		{customer, weight: share}: Dispatch,
+		now: number,
+	): number {
 		const {loader, waiting} = this._options;
 		const state = loader.slots.stateOf(servedName);
 		if (state === 'resident') {
 			return 0;
 		}
 
-		const isFirst = state === 'loading' || waiting.hasWaiters(servedName);
-		const absent = waiting
-			.servedNames()
-			.filter(name => loader.slots.stateOf(name) === 'absent');
-		return loader.expectedLoadMs(isFirst ? 0 : absent.length, now);
-	}
-
-	/** Expected time until an adapter version is resident that is loaded after those given. */
-	private _loadMsAfter(
-		absent: ReadonlySet<string>,
-		servedName: string | undefined,
-		now: number,
-	): number {
-		const {loader} = this._options;
-		const isAbsent =
-			servedName !== undefined && loader.slots.stateOf(servedName) === 'absent';
-		if (!isAbsent) {
-			return 0;
+		if (state !== 'absent') {
+			return loader.expectedLoadMs(0, now);
 		}
 
-		const before = absent.has(servedName) ? absent.size - 1 : absent.size;
-		return loader.expectedLoadMs(before, now);
+		const wanted = waiting.hasWaiters(servedName)
+			? this._absent()
+			: [
+					...this._absent(),
+					{servedName, weights: '', customer, share, waiters: 1},
+				];
+		const places = placesOf(loader.inOrder(wanted, now));
+		return loader.expectedLoadMs(places.get(servedName) ?? 0, now);
 	}
+
+	/** Adapter versions that waiting requests need and that are not loading yet. */
+	private _absent(): readonly WantedAdapter[] {
+		const {loader, waiting} = this._options;
+		return waiting
+			.wantedAdapters()
+			.filter(({servedName}) => loader.slots.stateOf(servedName) === 'absent');
+	}
+}
+
+/** Loads that come before that of each adapter version. */
+function placesOf(
+	inOrder: readonly WantedAdapter[],
+): ReadonlyMap<string, number> {
+	return new Map(inOrder.map(({servedName}, i) => [servedName, i]));
 }
--- a/packages/core/src/agent/waiting-requests.ts
+++ b/packages/core/src/agent/waiting-requests.ts
@@ -81,9 +81,10 @@
 				dispatch.target.kind === 'adapter' &&
 				!wanted.has(servedName)
 			) {
+				const {customer, weight: share} = dispatch;
 				const {weights} = dispatch.target;
 				const waiters = this._waiters.get(servedName) ?? 0;
-				wanted.set(servedName, {servedName, weights, waiters});
+				wanted.set(servedName, {servedName, weights, customer, share, waiters});
 			}
 		}
 
