Name a new key only where it may exist

Cause: a refused issue printed the identifier of a key that was never issued. Change: the identifier is printed when the change was accepted or its outcome is unknown.

--- a/packages/client/src/commands/key-issue-command.ts
+++ b/packages/client/src/commands/key-issue-command.ts
@@ -1,3 +1,4 @@
+import type {IssueKeyResult} from '@balsamtray/protocol';
 import {Command, Option} from 'clipanion';
 import type {OperatorClient} from '../operator-client.js';
 import {ChangeCommand} from './change-command.js';
@@ -19,14 +20,19 @@
 			changeId: this.changeId,
 			customer: this.customer,
 		});
-		const lines =
-			issued.key === undefined
-				? [`key identifier ${issued.keyId}`]
-				: [
-						`key identifier ${issued.keyId}`,
-						`key ${issued.key}`,
-						'The key is not shown again.',
-					];
-		return this.reportChange(issued.result, lines, issued);
+		return this.reportChange(issued.result, describeKey(issued), issued);
 	}
 }
+
+/** A key of unknown outcome is named too, so that it can be withdrawn. */
+function describeKey(issued: IssueKeyResult): readonly string[] {
+	const {result, keyId, key} = issued;
+	if (result.kind !== 'accepted' && result.kind !== 'outcomeUnknown') {
+		return [];
+	}
+
+	const name = `key identifier ${keyId}`;
+	return key === undefined
+		? [name]
+		: [name, `key ${key}`, 'The key is not shown again.'];
+}
