--- a/packages/protocol/src/document/parse-document.ts
+++ b/packages/protocol/src/document/parse-document.ts
@@ -6,8 +6,10 @@
 	isSeq,
 	LineCounter,
 	parseDocument as parseYaml,
+	visit,
 	type Document,
 	type Node,
+	type YAMLMap,
 } from 'yaml';
 import {checkDocument} from './check-document.js';
 import {longestDocumentCharacters} from './constants.js';
@@ -22,7 +24,12 @@
 	const lines = new LineCounter();
 	let yaml: Document;
 	try {
-		yaml = parseYaml(source, {lineCounter: lines, stringKeys: true});
+		yaml = parseYaml(source, {
+			lineCounter: lines,
+			stringKeys: true,
+			// The library compares each name with all earlier ones; `duplicateFaults` looks them up.
+			uniqueKeys: false,
+		});
 	} catch (error) {
 		return invalid([{path: [], message: messageOf(error), line: 1}]);
 	}
@@ -37,7 +44,8 @@
 		);
 	}
 
-	return checkYaml(yaml, lines);
+	const duplicates = duplicateFaults(yaml, lines);
+	return duplicates.length > 0 ? invalid(duplicates) : checkYaml(yaml, lines);
 }
 
 /** Writes a fault as one line: line, path and message. */
@@ -66,6 +74,40 @@
 			);
 }
 
+/** Reports names that a mapping has twice. */
+function duplicateFaults(
+	yaml: Document,
+	lines: LineCounter,
+): readonly DocumentFault[] {
+	const faults: DocumentFault[] = [];
+	visit(yaml, (_key, node) => {
+		if (isMap(node)) {
+			faults.push(...duplicatesOf(node, lines));
+		}
+	});
+	return faults;
+}
+
+function duplicatesOf(
+	map: YAMLMap,
+	lines: LineCounter,
+): readonly DocumentFault[] {
+	const names = new Set<unknown>();
+	const faults: DocumentFault[] = [];
+	for (const {key} of map.items) {
+		const name = isScalar(key) ? key.value : undefined;
+		if (names.has(name)) {
+			const {line} = lines.linePos(offsetOf(key) ?? 0);
+			const message = `${String(name)} stands twice in one mapping`;
+			faults.push({path: [], message, line});
+		}
+
+		names.add(name);
+	}
+
+	return faults;
+}
+
 function invalid(faults: readonly DocumentFault[]): DocumentResult {
 	return {kind: 'invalid', faults};
 }
