--- a/packages/client/src/commands/config-apply-command.ts
+++ b/packages/client/src/commands/config-apply-command.ts
@@ -33,7 +33,7 @@
 
 	protected override async call(client: OperatorClient): Promise<number> {
 		const {text} = readDocumentFile(this.file);
-		const plan = await this.plan(client, text);
+		const plan = await this._plan(client, text);
 		if (!this.isJson) {
 			this.context.stdout.write(`${describePlan(plan).join('\n')}\n`);
 		}
@@ -53,7 +53,7 @@
 		return this.reportChange(result);
 	}
 
-	private async plan(client: OperatorClient, text: string): Promise<Plan> {
+	private async _plan(client: OperatorClient, text: string): Promise<Plan> {
 		const plan = await client.plan.mutate({text});
 		if (plan.kind === 'invalid') {
 			const faults = plan.faults.map(fault => formatFault(fault));
--- a/packages/client/src/commands/operator-command.ts
+++ b/packages/client/src/commands/operator-command.ts
@@ -27,7 +27,7 @@
 			);
 			return await this.call(createOperatorClient(connection));
 		} catch (error) {
-			return this.reportError(error);
+			return this._reportError(error);
 		}
 	}
 
@@ -64,7 +64,7 @@
 	/** Calls the API, prints what came of it and returns the exit code. */
 	protected abstract call(client: OperatorClient): Promise<number>;
 
-	private reportError(error: unknown): number {
+	private _reportError(error: unknown): number {
 		if (error instanceof UsageError) {
 			this.context.stderr.write(`${error.message}\n`);
 			return exitCodes.usage;
--- a/packages/core/src/common/persistent-map.ts
+++ b/packages/core/src/common/persistent-map.ts
@@ -25,34 +25,36 @@
 
 	/** @internal */
 	public constructor(
-		private readonly buckets: ReadonlyArray<Bucket<V> | undefined>,
+		private readonly _buckets: ReadonlyArray<Bucket<V> | undefined>,
 		public readonly size: number,
 	) {}
 
 	public get(key: string): V | undefined {
-		return this.buckets[bucketOf(key, this.buckets.length)]?.get(key);
+		return this._buckets[bucketOf(key, this._buckets.length)]?.get(key);
 	}
 
 	public has(key: string): boolean {
-		return this.buckets[bucketOf(key, this.buckets.length)]?.has(key) ?? false;
+		return (
+			this._buckets[bucketOf(key, this._buckets.length)]?.has(key) ?? false
+		);
 	}
 
 	/** Returns a map in which the key has the value. */
 	public set(key: string, value: V): PersistentMap<V> {
-		const index = bucketOf(key, this.buckets.length);
-		const old = this.buckets[index];
+		const index = bucketOf(key, this._buckets.length);
+		const old = this._buckets[index];
 		const size = old?.has(key) ? this.size : this.size + 1;
 		const bucket = new Map(old).set(key, value);
-		const changed = new PersistentMap(this.buckets.with(index, bucket), size);
-		return size > this.buckets.length * entriesPerBucket
-			? build(changed.entries(), this.buckets.length * 2)
+		const changed = new PersistentMap(this._buckets.with(index, bucket), size);
+		return size > this._buckets.length * entriesPerBucket
+			? build(changed.entries(), this._buckets.length * 2)
 			: changed;
 	}
 
 	/** Returns a map without the key. */
 	public delete(key: string): PersistentMap<V> {
-		const index = bucketOf(key, this.buckets.length);
-		const old = this.buckets[index];
+		const index = bucketOf(key, this._buckets.length);
+		const old = this._buckets[index];
 		if (!old?.has(key)) {
 			return this;
 		}
@@ -60,13 +62,13 @@
 		const bucket = new Map(old);
 		bucket.delete(key);
 		return new PersistentMap(
-			this.buckets.with(index, bucket.size === 0 ? undefined : bucket),
+			this._buckets.with(index, bucket.size === 0 ? undefined : bucket),
 			this.size - 1,
 		);
 	}
 
 	public *entries(): IterableIterator<readonly [string, V]> {
-		for (const bucket of this.buckets) {
+		for (const bucket of this._buckets) {
 			if (bucket) {
 				yield* bucket;
 			}
@@ -74,7 +76,7 @@
 	}
 
 	public *values(): IterableIterator<V> {
-		for (const bucket of this.buckets) {
+		for (const bucket of this._buckets) {
 			if (bucket) {
 				yield* bucket.values();
 			}
--- a/packages/core/src/config/config-state.ts
+++ b/packages/core/src/config/config-state.ts
@@ -52,13 +52,13 @@
 
 	private constructor(
 		public readonly version: number,
-		private readonly parts: Parts,
-		private readonly touched: PersistentMap<number>,
-		private readonly baseVersion: number,
+		private readonly _parts: Parts,
+		private readonly _touched: PersistentMap<number>,
+		private readonly _baseVersion: number,
 	) {}
 
 	public get documentDigest(): string {
-		return this.parts.documentDigest;
+		return this._parts.documentDigest;
 	}
 
 	/** Applies the next change. A change that is not the next one leaves the state as it is. */
@@ -71,7 +71,7 @@
 			return {kind: 'gap', missingFrom: this.version + 1};
 		}
 
-		let {parts, touched} = this;
+		let {_parts: parts, _touched: touched} = this;
 		for (const op of change.ops) {
 			parts = applyOp(parts, op);
 			touched = touched.set(subjectOf(op), change.version);
@@ -81,65 +81,65 @@
 			change.version,
 			parts,
 			touched,
-			this.baseVersion,
+			this._baseVersion,
 		);
 		return {kind: 'applied', state};
 	}
 
 	public customer(name: string): Customer | undefined {
-		return this.parts.customers.get(name);
+		return this._parts.customers.get(name);
 	}
 
 	public adapter(name: string): Adapter | undefined {
-		return this.parts.adapters.get(name);
+		return this._parts.adapters.get(name);
 	}
 
 	public route(name: string): Route | undefined {
-		return this.parts.routes.get(name);
+		return this._parts.routes.get(name);
 	}
 
 	public key(id: string): KeyRecord | undefined {
-		return this.parts.keys.get(id);
+		return this._parts.keys.get(id);
 	}
 
 	public isKeyWithdrawn(id: string): boolean {
-		return this.parts.withdrawnKeyIds.has(id);
+		return this._parts.withdrawnKeyIds.has(id);
 	}
 
 	public isZoneOut(zone: string): boolean {
-		return this.parts.zonesOut.has(zone);
+		return this._parts.zonesOut.has(zone);
 	}
 
 	public isServerDrained(server: string): boolean {
-		return this.parts.drainedServers.has(server);
+		return this._parts.drainedServers.has(server);
 	}
 
 	public lastTouched(subject: string): number {
-		return this.touched.get(subject) ?? this.baseVersion;
+		return this._touched.get(subject) ?? this._baseVersion;
 	}
 
 	public customers(): Iterable<Customer> {
-		return this.parts.customers.values();
+		return this._parts.customers.values();
 	}
 
 	public adapters(): Iterable<Adapter> {
-		return this.parts.adapters.values();
+		return this._parts.adapters.values();
 	}
 
 	public routes(): Iterable<Route> {
-		return this.parts.routes.values();
+		return this._parts.routes.values();
 	}
 
 	public keys(): Iterable<KeyRecord> {
-		return this.parts.keys.values();
+		return this._parts.keys.values();
 	}
 
 	public zonesOut(): readonly string[] {
-		return this.parts.zonesOut.sortedKeys();
+		return this._parts.zonesOut.sortedKeys();
 	}
 
 	public drainedServers(): readonly string[] {
-		return this.parts.drainedServers.sortedKeys();
+		return this._parts.drainedServers.sortedKeys();
 	}
 
 	public toSnapshot(): ConfigSnapshot {
@@ -150,7 +150,7 @@
 			adapters: byName(this.adapters()),
 			routes: byName(this.routes()),
 			keys: [...this.keys()].toSorted((a, b) => (a.id < b.id ? -1 : 1)),
-			withdrawnKeyIds: this.parts.withdrawnKeyIds.sortedKeys(),
+			withdrawnKeyIds: this._parts.withdrawnKeyIds.sortedKeys(),
 			zonesOut: this.zonesOut(),
 			drainedServers: this.drainedServers(),
 		};
--- a/packages/core/src/spread/change-log.ts
+++ b/packages/core/src/spread/change-log.ts
@@ -8,32 +8,32 @@
 		return new ChangeLog(version);
 	}
 
-	private changes: ConfigChange[] = [];
+	private _changes: ConfigChange[] = [];
 
-	private constructor(private lastVersion: number) {}
+	private constructor(private _lastVersion: number) {}
 
 	/** Adds the next change. */
 	public push(change: ConfigChange): void {
-		this.changes.push(change);
-		this.lastVersion = change.version;
+		this._changes.push(change);
+		this._lastVersion = change.version;
 		// Dropped in halves, so that the cost for each change is constant.
-		if (this.changes.length > retainedChangeCount * 2) {
-			this.changes = this.changes.slice(-retainedChangeCount);
+		if (this._changes.length > retainedChangeCount * 2) {
+			this._changes = this._changes.slice(-retainedChangeCount);
 		}
 	}
 
 	/** Begins anew after the version of a snapshot. */
 	public reset(version: number): void {
-		this.changes = [];
-		this.lastVersion = version;
+		this._changes = [];
+		this._lastVersion = version;
 	}
 
 	/** All changes after the version, or undefined where some are no longer at hand. */
 	public after(version: number): readonly ConfigChange[] | undefined {
-		const first = this.lastVersion - this.changes.length;
+		const first = this._lastVersion - this._changes.length;
 		return version < first
 			? undefined
-			: this.changes.slice(Math.max(0, version - first));
+			: this._changes.slice(Math.max(0, version - first));
 	}
 
 	/** The changes next after the version, as many as one answer to a peer may hold. */
--- a/packages/core/src/spread/config-replica.ts
+++ b/packages/core/src/spread/config-replica.ts
@@ -44,223 +44,223 @@
 		return new ConfigReplica(options);
 	}
 
-	private readonly id: string;
-	private readonly random: Random;
-	private readonly log: ChangeLog;
-	private readonly polls: PollSchedule;
-	private readonly gate: StartGate;
-	private present: ConfigState;
-	private peers: readonly string[] = [];
-	private peerCount = 0;
-	private highestSeen = 0;
-	private highestPeer: string | undefined;
-	private pullStartedAt: number | undefined;
-	private pullFailures = 0;
-	private nextExchangeAt: number;
-	private failureShare = 0;
+	private readonly _id: string;
+	private readonly _random: Random;
+	private readonly _log: ChangeLog;
+	private readonly _polls: PollSchedule;
+	private readonly _gate: StartGate;
+	private _present: ConfigState;
+	private _peers: readonly string[] = [];
+	private _peerCount = 0;
+	private _highestSeen = 0;
+	private _highestPeer: string | undefined;
+	private _pullStartedAt: number | undefined;
+	private _pullFailures = 0;
+	private _nextExchangeAt: number;
+	private _failureShare = 0;
 
 	private constructor(options: ConfigReplicaOptions) {
-		this.id = options.id;
-		this.random = options.random;
-		this.present = options.state ?? ConfigState.empty();
-		this.log = ChangeLog.create(this.present.version);
-		this.polls = PollSchedule.create(options.random, options.now);
-		this.gate = StartGate.create(options.now);
-		this.nextExchangeAt = options.now;
+		this._id = options.id;
+		this._random = options.random;
+		this._present = options.state ?? ConfigState.empty();
+		this._log = ChangeLog.create(this._present.version);
+		this._polls = PollSchedule.create(options.random, options.now);
+		this._gate = StartGate.create(options.now);
+		this._nextExchangeAt = options.now;
 		if (options.state) {
-			this.gate.storeRead();
-			this.polls.beginAnywhere();
+			this._gate.storeRead();
+			this._polls.beginAnywhere();
 		}
 	}
 
 	/** The configuration at the highest version that this process has. */
 	public get state(): ConfigState {
-		return this.present;
+		return this._present;
 	}
 
 	/** Whether the process may serve with its configuration. */
 	public get isReady(): boolean {
-		return this.gate.isReady;
+		return this._gate.isReady;
 	}
 
 	/** The version to tell peers: 0 until the process may serve, so that no peer starts by it. */
 	public get announcedVersion(): number {
-		return this.isReady ? this.present.version : 0;
+		return this.isReady ? this._present.version : 0;
 	}
 
 	/** All changes after the version, or undefined where they are no longer at hand. */
 	public changesAfter(version: number): readonly ConfigChange[] | undefined {
-		return this.log.after(version);
+		return this._log.after(version);
 	}
 
 	/** Answers a peer that pulls. A long answer is cut, and the peer pulls again. */
 	public answerAfter(version: number): ReplicaAnswer {
-		const changes = this.log.pageAfter(version);
+		const changes = this._log.pageAfter(version);
 		return changes === undefined
-			? {kind: 'snapshot', snapshot: this.present.toSnapshot()}
+			? {kind: 'snapshot', snapshot: this._present.toSnapshot()}
 			: {kind: 'changes', changes};
 	}
 
 	public handle(event: SpreadEvent, now: number): readonly SpreadCommand[] {
-		const commands = this.decide(event, now);
-		const isOpened = this.gate.tryOpen(
-			this.present.version,
-			this.peerCount,
+		const commands = this._decide(event, now);
+		const isOpened = this._gate.tryOpen(
+			this._present.version,
+			this._peerCount,
 			now,
 		);
 		return isOpened ? [...commands, {type: 'ready'}] : commands;
 	}
 
-	private decide(event: SpreadEvent, now: number): readonly SpreadCommand[] {
+	private _decide(event: SpreadEvent, now: number): readonly SpreadCommand[] {
 		switch (event.type) {
 			case 'peerVersionSeen': {
-				return this.seeVersion(event.peer, event.version, now);
+				return this._seeVersion(event.peer, event.version, now);
 			}
 
 			case 'exchangeAnswered': {
-				this.noteExchange(0);
-				return this.seeVersion(event.peer, event.version, now);
+				this._noteExchange(0);
+				return this._seeVersion(event.peer, event.version, now);
 			}
 
 			case 'changesReceived': {
-				return this.receiveChanges(event.source, event.changes, now);
+				return this._receiveChanges(event.source, event.changes, now);
 			}
 
 			case 'snapshotReceived': {
-				return this.receiveSnapshot(event.source, event.snapshot, now);
+				return this._receiveSnapshot(event.source, event.snapshot, now);
 			}
 
 			case 'fetchFailed': {
-				return this.fetchFailed(event.source, now);
+				return this._fetchFailed(event.source, now);
 			}
 
 			case 'exchangeFailed': {
-				this.noteExchange(1);
+				this._noteExchange(1);
 				return [];
 			}
 
 			case 'peersChanged': {
-				this.peers = event.peers;
-				this.peerCount = event.peers.filter(peer => peer !== this.id).length;
-				this.polls.setFleetSize(event.fleetSize, now);
+				this._peers = event.peers;
+				this._peerCount = event.peers.filter(peer => peer !== this._id).length;
+				this._polls.setFleetSize(event.fleetSize, now);
 				return [];
 			}
 
 			case 'tick': {
-				return this.tick(now);
+				return this._tick(now);
 			}
 		}
 	}
 
-	private seeVersion(
+	private _seeVersion(
 		peer: string,
 		version: number,
 		now: number,
 	): readonly SpreadCommand[] {
-		this.gate.peerAnswered(peer, version);
-		if (version <= this.present.version) {
+		this._gate.peerAnswered(peer, version);
+		if (version <= this._present.version) {
 			return [];
 		}
 
-		this.noteHighest(peer, version);
-		return this.pullIfBehind(now);
+		this._noteHighest(peer, version);
+		return this._pullIfBehind(now);
 	}
 
-	private noteHighest(peer: string, version: number): void {
-		if (version > this.highestSeen || this.highestPeer === undefined) {
-			this.highestSeen = version;
-			this.highestPeer = peer;
+	private _noteHighest(peer: string, version: number): void {
+		if (version > this._highestSeen || this._highestPeer === undefined) {
+			this._highestSeen = version;
+			this._highestPeer = peer;
 		}
 	}
 
-	private receiveChanges(
+	private _receiveChanges(
 		source: string,
 		changes: readonly ConfigChange[],
 		now: number,
 	): readonly SpreadCommand[] {
-		const fromVersion = this.present.version;
-		const isWhole = this.applyAll(changes);
+		const fromVersion = this._present.version;
+		const isWhole = this._applyAll(changes);
 		if (!isWhole && source !== storeSource) {
 			// Whoever sent later changes has the missing ones, or knows who has.
-			this.noteHighest(source, Math.max(...changes.map(c => c.version)));
+			this._noteHighest(source, Math.max(...changes.map(c => c.version)));
 		}
 
-		return this.settleFetch(source, fromVersion, isWhole, now);
+		return this._settleFetch(source, fromVersion, isWhole, now);
 	}
 
-	private receiveSnapshot(
+	private _receiveSnapshot(
 		source: string,
 		snapshot: ConfigSnapshot,
 		now: number,
 	): readonly SpreadCommand[] {
-		const fromVersion = this.present.version;
+		const fromVersion = this._present.version;
 		if (snapshot.version > fromVersion) {
-			this.present = ConfigState.fromSnapshot(snapshot);
-			this.log.reset(snapshot.version);
+			this._present = ConfigState.fromSnapshot(snapshot);
+			this._log.reset(snapshot.version);
 		}
 
 		// The store's snapshot may lag behind: the changes that follow it are still to come.
 		const isWhole = source !== storeSource;
-		return this.settleFetch(source, fromVersion, isWhole, now);
+		return this._settleFetch(source, fromVersion, isWhole, now);
 	}
 
 	/** Applies changes in the order of their numbers. Returns false if some before them are missing. */
-	private applyAll(changes: readonly ConfigChange[]): boolean {
+	private _applyAll(changes: readonly ConfigChange[]): boolean {
 		const ordered = changes.toSorted((a, b) => a.version - b.version);
 		for (const change of ordered) {
-			const result = this.present.applyChange(change);
+			const result = this._present.applyChange(change);
 			if (result.kind === 'gap') {
 				return false;
 			}
 
 			if (result.kind === 'applied') {
-				this.present = result.state;
-				this.log.push(change);
+				this._present = result.state;
+				this._log.push(change);
 			}
 		}
 
 		return true;
 	}
 
-	private settleFetch(
+	private _settleFetch(
 		source: string,
 		fromVersion: number,
 		isWhole: boolean,
 		now: number,
 	): readonly SpreadCommand[] {
 		if (source === storeSource && isWhole) {
-			this.gate.storeRead();
-			this.polls.succeed(now);
+			this._gate.storeRead();
+			this._polls.succeed(now);
 		}
 
-		const toVersion = this.present.version;
+		const toVersion = this._present.version;
 		const isAdvanced = toVersion > fromVersion;
 		if (isAdvanced) {
-			this.pullStartedAt = undefined;
-			this.pullFailures = 0;
-		} else if (isWhole && source === this.highestPeer) {
+			this._pullStartedAt = undefined;
+			this._pullFailures = 0;
+		} else if (isWhole && source === this._highestPeer) {
 			// The peer does not have what it was said to have.
-			this.forgetHighest();
+			this._forgetHighest();
 		}
 
-		if (toVersion >= this.highestSeen) {
-			this.forgetHighest();
+		if (toVersion >= this._highestSeen) {
+			this._forgetHighest();
 		}
 
-		const pulls = this.pullIfBehind(now);
+		const pulls = this._pullIfBehind(now);
 		return isAdvanced
 			? [
 					{type: 'configAdvanced', fromVersion, toVersion},
-					...this.announce(),
+					...this._announce(),
 					...pulls,
 				]
 			: pulls;
 	}
 
-	private fetchFailed(source: string, now: number): readonly SpreadCommand[] {
+	private _fetchFailed(source: string, now: number): readonly SpreadCommand[] {
 		if (source === storeSource) {
-			this.gate.storeFailed();
-			this.polls.fail(now, this.isReady);
+			this._gate.storeFailed();
+			this._polls.fail(now, this.isReady);
 			return [];
 		}
 
@@ -268,97 +268,97 @@
 		return [];
 	}
 
-	private tick(now: number): readonly SpreadCommand[] {
+	private _tick(now: number): readonly SpreadCommand[] {
 		const commands: SpreadCommand[] = [];
-		if (this.polls.take(now)) {
+		if (this._polls.take(now)) {
 			commands.push({
 				type: 'pollStore',
-				afterVersion: this.present.version,
+				afterVersion: this._present.version,
 			});
 		}
 
-		if (now >= this.nextExchangeAt) {
-			this.nextExchangeAt = now + this.exchangeIntervalMs();
+		if (now >= this._nextExchangeAt) {
+			this._nextExchangeAt = now + this._exchangeIntervalMs();
 			// A process that can't serve yet asks more peers at once.
 			const count = this.isReady ? 1 : startPeerCount;
-			commands.push(...this.exchangeWith(count));
+			commands.push(...this._exchangeWith(count));
 		}
 
-		commands.push(...this.pullIfBehind(now));
+		commands.push(...this._pullIfBehind(now));
 		return commands;
 	}
 
-	private pullIfBehind(now: number): readonly SpreadCommand[] {
-		if (this.highestPeer === undefined) {
+	private _pullIfBehind(now: number): readonly SpreadCommand[] {
+		if (this._highestPeer === undefined) {
 			return [];
 		}
 
 		const isWaiting =
-			this.pullStartedAt !== undefined &&
-			now - this.pullStartedAt < pullPatienceMs;
+			this._pullStartedAt !== undefined &&
+			now - this._pullStartedAt < pullPatienceMs;
 		if (isWaiting) {
 			return [];
 		}
 
-		if (this.pullStartedAt !== undefined) {
-			this.pullFailures++;
+		if (this._pullStartedAt !== undefined) {
+			this._pullFailures++;
 		}
 
-		if (this.pullFailures > mostPullFailures) {
+		if (this._pullFailures > mostPullFailures) {
 			// A later exchange names another peer, if there is one that is ahead.
-			this.forgetHighest();
+			this._forgetHighest();
 			return [];
 		}
 
-		this.pullStartedAt = now;
+		this._pullStartedAt = now;
 		// After a failure other peers are asked as well, as they probably have the changes too.
-		const wanted = Math.min(2 ** this.pullFailures, mostParallelPulls);
-		return [this.highestPeer, ...this.pickPeers(wanted - 1)].map(peer => ({
+		const wanted = Math.min(2 ** this._pullFailures, mostParallelPulls);
+		return [this._highestPeer, ...this._pickPeers(wanted - 1)].map(peer => ({
 			type: 'pullFromPeer',
 			peer,
-			afterVersion: this.present.version,
+			afterVersion: this._present.version,
 		}));
 	}
 
-	private forgetHighest(): void {
-		this.highestSeen = 0;
-		this.highestPeer = undefined;
-		this.pullStartedAt = undefined;
-		this.pullFailures = 0;
+	private _forgetHighest(): void {
+		this._highestSeen = 0;
+		this._highestPeer = undefined;
+		this._pullStartedAt = undefined;
+		this._pullFailures = 0;
 	}
 
 	/** Tells some peers at once of a version that was just reached. */
-	private announce(): readonly SpreadCommand[] {
-		const extra = Math.round(extraAdvanceFanout * this.failureShare);
-		return this.isReady ? this.exchangeWith(advanceFanout + extra) : [];
+	private _announce(): readonly SpreadCommand[] {
+		const extra = Math.round(extraAdvanceFanout * this._failureShare);
+		return this.isReady ? this._exchangeWith(advanceFanout + extra) : [];
 	}
 
-	private exchangeWith(count: number): readonly SpreadCommand[] {
-		return this.pickPeers(count).map(peer => ({
+	private _exchangeWith(count: number): readonly SpreadCommand[] {
+		return this._pickPeers(count).map(peer => ({
 			type: 'exchangeVersion',
 			peer,
 			version: this.announcedVersion,
 		}));
 	}
 
-	private exchangeIntervalMs(): number {
+	private _exchangeIntervalMs(): number {
 		const rate =
-			exchangesPerSecond + extraExchangesPerSecond * this.failureShare;
-		return (millisecondsPerSecond / rate) * (0.75 + this.random() / 2);
+			exchangesPerSecond + extraExchangesPerSecond * this._failureShare;
+		return (millisecondsPerSecond / rate) * (0.75 + this._random() / 2);
 	}
 
 	/** Follows the share of failed exchanges, so that a process in a bad network asks more often. */
-	private noteExchange(failed: 0 | 1): void {
-		this.failureShare += failureShareWeight * (failed - this.failureShare);
+	private _noteExchange(failed: 0 | 1): void {
+		this._failureShare += failureShareWeight * (failed - this._failureShare);
 	}
 
 	/** Picks distinct random peers. */
-	private pickPeers(count: number): readonly string[] {
+	private _pickPeers(count: number): readonly string[] {
 		const picked = new Set<string>();
-		const tries = Math.min(count, this.peers.length) * 4;
+		const tries = Math.min(count, this._peers.length) * 4;
 		for (let i = 0; i < tries && picked.size < count; i++) {
-			const peer = this.peers[Math.floor(this.random() * this.peers.length)];
-			if (peer !== undefined && peer !== this.id) {
+			const peer = this._peers[Math.floor(this._random() * this._peers.length)];
+			if (peer !== undefined && peer !== this._id) {
 				picked.add(peer);
 			}
 		}
--- a/packages/core/src/spread/poll-schedule.ts
+++ b/packages/core/src/spread/poll-schedule.ts
@@ -17,67 +17,71 @@
 		return new PollSchedule(random, now);
 	}
 
-	private isBegun = true;
-	private fleetSize = 1;
-	private failures = 0;
-	private startedAt: number | undefined;
+	private _isBegun = true;
+	private _fleetSize = 1;
+	private _failures = 0;
+	private _startedAt: number | undefined;
 
 	private constructor(
-		private readonly random: Random,
-		private dueAt: number,
+		private readonly _random: Random,
+		private _dueAt: number,
 	) {}
 
 	/** Lets the first poll fall anywhere in the first interval, for a process that has read the store already. */
 	public beginAnywhere(): void {
-		this.isBegun = false;
+		this._isBegun = false;
 	}
 
 	public setFleetSize(fleetSize: number, now: number): void {
-		this.fleetSize = fleetSize;
-		if (!this.isBegun) {
-			this.isBegun = true;
-			this.dueAt = now + this.intervalMs() * this.random();
+		this._fleetSize = fleetSize;
+		if (!this._isBegun) {
+			this._isBegun = true;
+			this._dueAt = now + this.intervalMs() * this._random();
 		}
 	}
 
 	/** Mean time between two polls of this process. */
 	public intervalMs(): number {
-		const fair = (this.fleetSize / storePollsPerSecond) * millisecondsPerSecond;
+		const fair =
+			(this._fleetSize / storePollsPerSecond) * millisecondsPerSecond;
 		return Math.max(shortestPollIntervalMs, fair);
 	}
 
 	/** Whether a poll is to be sent now. Marks it as sent. */
 	public take(now: number): boolean {
-		if (this.startedAt !== undefined && now - this.startedAt > pollTimeoutMs) {
+		if (
+			this._startedAt !== undefined &&
+			now - this._startedAt > pollTimeoutMs
+		) {
 			this.fail(now, false);
 		}
 
-		if (this.startedAt !== undefined || now < this.dueAt) {
+		if (this._startedAt !== undefined || now < this._dueAt) {
 			return false;
 		}
 
-		this.startedAt = now;
+		this._startedAt = now;
 		return true;
 	}
 
 	public succeed(now: number): void {
-		this.failures = 0;
-		this.startedAt = undefined;
-		this.dueAt = now + this.spread(this.intervalMs());
+		this._failures = 0;
+		this._startedAt = undefined;
+		this._dueAt = now + this._spread(this.intervalMs());
 	}
 
 	/** A process that can't serve yet tries again sooner, with exponential backoff up to the usual interval. */
 	public fail(now: number, isReady: boolean): void {
-		this.failures++;
-		this.startedAt = undefined;
-		const backoff = shortestPollIntervalMs * 2 ** Math.min(this.failures, 20);
+		this._failures++;
+		this._startedAt = undefined;
+		const backoff = shortestPollIntervalMs * 2 ** Math.min(this._failures, 20);
 		const interval = this.intervalMs();
-		this.dueAt =
-			now + this.spread(isReady ? interval : Math.min(backoff, interval));
+		this._dueAt =
+			now + this._spread(isReady ? interval : Math.min(backoff, interval));
 	}
 
 	/** A random time about the interval keeps the processes from polling in step. */
-	private spread(intervalMs: number): number {
-		return intervalMs * (0.5 + this.random());
+	private _spread(intervalMs: number): number {
+		return intervalMs * (0.5 + this._random());
 	}
 }
--- a/packages/core/src/spread/start-gate.ts
+++ b/packages/core/src/spread/start-gate.ts
@@ -9,61 +9,61 @@
 		return new StartGate(now);
 	}
 
-	private isOpen = false;
-	private isStoreRead = false;
-	private isStoreDown = false;
-	private readonly answers = new Map<string, number>();
+	private _isOpen = false;
+	private _isStoreRead = false;
+	private _isStoreDown = false;
+	private readonly _answers = new Map<string, number>();
 
-	private constructor(private readonly startedAt: number) {}
+	private constructor(private readonly _startedAt: number) {}
 
 	public get isReady(): boolean {
-		return this.isOpen;
+		return this._isOpen;
 	}
 
 	public storeRead(): void {
-		this.isStoreRead = true;
+		this._isStoreRead = true;
 	}
 
 	public storeFailed(): void {
-		this.isStoreDown = true;
+		this._isStoreDown = true;
 	}
 
 	/** Notes a peer's version. A peer that can't serve itself announces 0, which counts for nothing. */
 	public peerAnswered(peer: string, version: number): void {
-		if (!this.isOpen && version > 0) {
-			const known = this.answers.get(peer) ?? 0;
-			this.answers.set(peer, Math.max(known, version));
+		if (!this._isOpen && version > 0) {
+			const known = this._answers.get(peer) ?? 0;
+			this._answers.set(peer, Math.max(known, version));
 		}
 	}
 
 	/** Opens the gate if the process may serve with its version. Returns true at that one time. */
 	public tryOpen(version: number, peerCount: number, now: number): boolean {
-		if (this.isOpen) {
+		if (this._isOpen) {
 			return false;
 		}
 
-		this.isOpen =
-			this.isStoreRead ||
-			(this.isStoreDown && this.hasReachedPeers(version, peerCount, now));
-		if (this.isOpen) {
-			this.answers.clear();
+		this._isOpen =
+			this._isStoreRead ||
+			(this._isStoreDown && this._hasReachedPeers(version, peerCount, now));
+		if (this._isOpen) {
+			this._answers.clear();
 		}
 
-		return this.isOpen;
+		return this._isOpen;
 	}
 
-	private hasReachedPeers(
+	private _hasReachedPeers(
 		version: number,
 		peerCount: number,
 		now: number,
 	): boolean {
 		const needed =
-			now - this.startedAt < startPeerWaitMs
+			now - this._startedAt < startPeerWaitMs
 				? Math.min(startPeerCount, peerCount)
 				: 1;
 		return (
-			this.answers.size >= Math.max(1, needed) &&
-			version >= Math.max(...this.answers.values())
+			this._answers.size >= Math.max(1, needed) &&
+			version >= Math.max(...this._answers.values())
 		);
 	}
 }
--- a/packages/daemon/src/config/config-task.ts
+++ b/packages/daemon/src/config/config-task.ts
@@ -45,42 +45,42 @@
 		return new ConfigTask(options);
 	}
 
-	private readonly replica: ConfigReplica;
-	private readonly listeners = new Set<(view: ConfigView) => void>();
-	private readonly disposables: Disposable[] = [];
-	private readonly readyWaiters: Array<() => void> = [];
-	private isStoreDown = false;
-
-	private constructor(private readonly options: ConfigTaskOptions) {
-		this.replica = ConfigReplica.create({
-			id: options.id,
-			random: options.random,
-			now: options.clock(),
+	private readonly _replica: ConfigReplica;
+	private readonly _listeners = new Set<(view: ConfigView) => void>();
+	private readonly _disposables: Disposable[] = [];
+	private readonly _readyWaiters: Array<() => void> = [];
+	private _isStoreDown = false;
+
+	private constructor(private readonly _options: ConfigTaskOptions) {
+		this._replica = ConfigReplica.create({
+			id: _options.id,
+			random: _options.random,
+			now: _options.clock(),
 		});
 	}
 
 	/** Begins to poll the store and to talk with peers. */
 	async start(): Promise<void> {
-		const {membership} = this.options;
-		this.setHosts(membership.hosts());
-		this.disposables.push(
+		const {membership} = this._options;
+		this._setHosts(membership.hosts());
+		this._disposables.push(
 			membership.onChanged(hosts => {
-				this.setHosts(hosts);
+				this._setHosts(hosts);
 			}),
 		);
 		const timer = setInterval(() => {
-			this.feed({type: 'tick'});
+			this._feed({type: 'tick'});
 		}, spreadTickIntervalMs);
-		this.disposables.push({
+		this._disposables.push({
 			dispose() {
 				clearInterval(timer);
 			},
 		});
-		this.feed({type: 'tick'});
+		this._feed({type: 'tick'});
 	}
 
 	async stop(): Promise<void> {
-		for (const disposable of this.disposables.splice(0)) {
+		for (const disposable of this._disposables.splice(0)) {
 			disposable.dispose();
 		}
 	}
@@ -92,137 +92,137 @@
 		}
 
 		await new Promise<void>(resolve => {
-			this.readyWaiters.push(resolve);
+			this._readyWaiters.push(resolve);
 		});
 	}
 
 	view(): ConfigView {
-		return this.replica.state;
+		return this._replica.state;
 	}
 
 	/** The same as `view`, with what operators need besides. */
 	state(): ConfigState {
-		return this.replica.state;
+		return this._replica.state;
 	}
 
 	isReady(): boolean {
-		return this.replica.isReady;
+		return this._replica.isReady;
 	}
 
 	/** Version to tell other processes: 0 until this one may serve. */
 	announcedVersion(): number {
-		return this.replica.announcedVersion;
+		return this._replica.announcedVersion;
 	}
 
 	changesAfter(version: number): readonly ConfigChange[] | undefined {
-		return this.replica.changesAfter(version);
+		return this._replica.changesAfter(version);
 	}
 
 	/** Answer to a peer's `changesAfter`. */
 	answerAfter(version: number): ConfigAnswer {
-		return this.replica.answerAfter(version);
+		return this._replica.answerAfter(version);
 	}
 
 	/** Takes in all of the changes, or none where one of them is malformed. */
 	learn(source: string, changes: readonly ConfigChange[]): void {
 		const result = changesSchema.safeParse(changes);
 		if (result.success) {
-			this.feed({type: 'changesReceived', source, changes: result.data});
+			this._feed({type: 'changesReceived', source, changes: result.data});
 		} else {
-			this.count('config.malformed_changes');
+			this._count('config.malformed_changes');
 		}
 	}
 
 	seeVersion(peer: string, version: number): void {
-		this.feed({type: 'peerVersionSeen', peer, version});
+		this._feed({type: 'peerVersionSeen', peer, version});
 	}
 
 	/** Takes in a change that the store has just accepted from this process. */
 	accept(change: ConfigChange): void {
-		this.feed({type: 'changesReceived', source: 'self', changes: [change]});
+		this._feed({type: 'changesReceived', source: 'self', changes: [change]});
 		if (change.version % snapshotInterval === 0) {
-			void this.storeSnapshot();
+			void this._storeSnapshot();
 		}
 	}
 
 	onAdvanced(listener: (view: ConfigView) => void): Disposable {
-		this.listeners.add(listener);
+		this._listeners.add(listener);
 		return {
 			dispose: () => {
-				this.listeners.delete(listener);
+				this._listeners.delete(listener);
 			},
 		};
 	}
 
-	private setHosts(hosts: readonly Host[]): void {
-		this.feed({
+	private _setHosts(hosts: readonly Host[]): void {
+		this._feed({
 			type: 'peersChanged',
-			peers: hosts.map(({id}) => id).filter(id => id !== this.options.id),
+			peers: hosts.map(({id}) => id).filter(id => id !== this._options.id),
 			fleetSize: Math.max(1, hosts.length),
 		});
 	}
 
-	private feed(event: SpreadEvent): void {
-		for (const command of this.replica.handle(event, this.options.clock())) {
-			this.carryOut(command);
+	private _feed(event: SpreadEvent): void {
+		for (const command of this._replica.handle(event, this._options.clock())) {
+			this._carryOut(command);
 		}
 	}
 
-	private carryOut(command: SpreadCommand): void {
+	private _carryOut(command: SpreadCommand): void {
 		switch (command.type) {
 			case 'pollStore': {
-				void this.pollStore(command.afterVersion);
+				void this._pollStore(command.afterVersion);
 				break;
 			}
 
 			case 'pullFromPeer': {
-				void this.pullFromPeer(command.peer, command.afterVersion);
+				void this._pullFromPeer(command.peer, command.afterVersion);
 				break;
 			}
 
 			case 'exchangeVersion': {
-				void this.exchangeVersion(command.peer, command.version);
+				void this._exchangeVersion(command.peer, command.version);
 				break;
 			}
 
 			case 'configAdvanced': {
-				this.advanced();
+				this._advanced();
 				break;
 			}
 
 			case 'ready': {
-				this.becameReady();
+				this._becameReady();
 				break;
 			}
 		}
 	}
 
-	private async pollStore(afterVersion: number): Promise<void> {
+	private async _pollStore(afterVersion: number): Promise<void> {
 		try {
 			const {snapshot, changes} =
-				await this.options.store.readAfter(afterVersion);
-			this.noteStore(false);
+				await this._options.store.readAfter(afterVersion);
+			this._noteStore(false);
 			if (snapshot) {
-				this.feed({type: 'snapshotReceived', source: storeSource, snapshot});
+				this._feed({type: 'snapshotReceived', source: storeSource, snapshot});
 			}
 
-			this.feed({type: 'changesReceived', source: storeSource, changes});
+			this._feed({type: 'changesReceived', source: storeSource, changes});
 		} catch (error) {
-			this.noteStore(true, error);
-			this.feed({type: 'fetchFailed', source: storeSource});
+			this._noteStore(true, error);
+			this._feed({type: 'fetchFailed', source: storeSource});
 		}
 	}
 
-	private async pullFromPeer(
+	private async _pullFromPeer(
 		peer: string,
 		afterVersion: number,
 	): Promise<void> {
 		try {
-			const answer = await this.options.peers.changesAfter(
-				this.addressOf(peer),
+			const answer = await this._options.peers.changesAfter(
+				this._addressOf(peer),
 				afterVersion,
 			);
-			this.feed(
+			this._feed(
 				answer.kind === 'changes'
 					? {type: 'changesReceived', source: peer, changes: answer.changes}
 					: {
@@ -232,28 +232,28 @@
 						},
 			);
 		} catch {
-			this.count('config.pull_failed');
-			this.feed({type: 'fetchFailed', source: peer});
+			this._count('config.pull_failed');
+			this._feed({type: 'fetchFailed', source: peer});
 		}
 	}
 
-	private async exchangeVersion(peer: string, version: number): Promise<void> {
+	private async _exchangeVersion(peer: string, version: number): Promise<void> {
 		try {
-			const theirs = await this.options.peers.exchangeVersion(
-				this.addressOf(peer),
+			const theirs = await this._options.peers.exchangeVersion(
+				this._addressOf(peer),
 				version,
 			);
-			this.feed({type: 'exchangeAnswered', peer, version: theirs});
+			this._feed({type: 'exchangeAnswered', peer, version: theirs});
 		} catch {
-			this.count('config.exchange_failed');
-			this.feed({type: 'exchangeFailed', peer});
+			this._count('config.exchange_failed');
+			this._feed({type: 'exchangeFailed', peer});
 		}
 	}
 
-	private addressOf(peer: string): string {
+	private _addressOf(peer: string): string {
 		// Not the `find` of an array.
 		// eslint-disable-next-line unicorn/no-array-callback-reference
-		const host = this.options.membership.find(peer);
+		const host = this._options.membership.find(peer);
 		if (!host) {
 			throw new Error(`no host ${peer} in the platform's list`);
 		}
@@ -261,30 +261,30 @@
 		return host.peerAddress;
 	}
 
-	private advanced(): void {
+	private _advanced(): void {
 		const view = this.view();
-		this.options.telemetry.metrics.gauge('config.version', view.version);
-		for (const listener of this.listeners) {
+		this._options.telemetry.metrics.gauge('config.version', view.version);
+		for (const listener of this._listeners) {
 			listener(view);
 		}
 	}
 
-	private becameReady(): void {
-		const {version} = this.replica.state;
-		this.options.telemetry.logger.info('config.ready', {version});
-		for (const resolve of this.readyWaiters.splice(0)) {
+	private _becameReady(): void {
+		const {version} = this._replica.state;
+		this._options.telemetry.logger.info('config.ready', {version});
+		for (const resolve of this._readyWaiters.splice(0)) {
 			resolve();
 		}
 	}
 
-	private noteStore(isDown: boolean, error?: unknown): void {
-		this.count(isDown ? 'config.poll_failed' : 'config.poll');
-		if (isDown === this.isStoreDown) {
+	private _noteStore(isDown: boolean, error?: unknown): void {
+		this._count(isDown ? 'config.poll_failed' : 'config.poll');
+		if (isDown === this._isStoreDown) {
 			return;
 		}
 
-		this.isStoreDown = isDown;
-		const {logger} = this.options.telemetry;
+		this._isStoreDown = isDown;
+		const {logger} = this._options.telemetry;
 		if (isDown) {
 			logger.warn('config.store_down', {
 				step: 'store',
@@ -296,17 +296,17 @@
 		}
 	}
 
-	private async storeSnapshot(): Promise<void> {
+	private async _storeSnapshot(): Promise<void> {
 		try {
-			await this.options.store.writeSnapshot(this.state().toSnapshot());
-			this.count('config.snapshot');
+			await this._options.store.writeSnapshot(this.state().toSnapshot());
+			this._count('config.snapshot');
 		} catch {
 			// The next snapshot takes its place; a starting process reads more changes until then.
-			this.count('config.snapshot_failed');
+			this._count('config.snapshot_failed');
 		}
 	}
 
-	private count(name: string): void {
-		this.options.telemetry.metrics.increment(name);
+	private _count(name: string): void {
+		this._options.telemetry.metrics.increment(name);
 	}
 }
--- a/packages/daemon/src/config/peer-config-client.ts
+++ b/packages/daemon/src/config/peer-config-client.ts
@@ -36,30 +36,30 @@
 		return new PeerConfigClient(options);
 	}
 
-	private constructor(private readonly options: PeerConfigClientOptions) {}
+	private constructor(private readonly _options: PeerConfigClientOptions) {}
 
 	async exchangeVersion(address: string, version: number): Promise<number> {
-		const answer = await this.client(address).exchangeVersion.mutate(
-			{peer: this.options.id, version},
-			{signal: AbortSignal.timeout(this.options.exchangeTimeoutMs)},
+		const answer = await this._client(address).exchangeVersion.mutate(
+			{peer: this._options.id, version},
+			{signal: AbortSignal.timeout(this._options.exchangeTimeoutMs)},
 		);
 		return versionAnswerSchema.parse(answer).version;
 	}
 
 	async changesAfter(address: string, version: number): Promise<ConfigAnswer> {
-		const answer = await this.client(address).changesAfter.query(
+		const answer = await this._client(address).changesAfter.query(
 			{version},
-			{signal: AbortSignal.timeout(this.options.pullTimeoutMs)},
+			{signal: AbortSignal.timeout(this._options.pullTimeoutMs)},
 		);
 		return configAnswerSchema.parse(answer);
 	}
 
-	private client(address: string) {
+	private _client(address: string) {
 		return createTRPCClient<PeerRouter>({
 			links: [
 				httpLink({
-					url: `${this.options.peerUrl(address)}/trpc`,
-					fetch: createLinkFetch(this.options.peerDispatcher),
+					url: `${this._options.peerUrl(address)}/trpc`,
+					fetch: createLinkFetch(this._options.peerDispatcher),
 				}),
 			],
 		});
--- a/packages/daemon/src/operators/config-author.ts
+++ b/packages/daemon/src/operators/config-author.ts
@@ -59,7 +59,7 @@
 		return new ConfigAuthor(options);
 	}
 
-	private constructor(private readonly options: ConfigAuthorOptions) {}
+	private constructor(private readonly _options: ConfigAuthorOptions) {}
 
 	async plan(text: string): Promise<PlanResult> {
 		const result = readCanonicalDocument(text);
@@ -68,8 +68,8 @@
 		}
 
 		// With the store down the plan is made on what this process has.
-		await this.catchUp();
-		const state = this.options.config.state();
+		await this._catchUp();
+		const state = this._options.config.state();
 		const ops = diffDocument(state, result.document, result.digest);
 		return {
 			kind: 'planned',
@@ -90,24 +90,24 @@
 			return {kind: 'digestMismatch', expected: req.digest, actual: digest};
 		}
 
-		const earlier = await this.checkBase(req);
+		const earlier = await this._checkBase(req);
 		if (earlier) {
 			return earlier;
 		}
 
-		return this.submit({
+		return this._submit({
 			author: req.author,
 			changeId: req.changeId,
 			summary: state =>
 				summarizeDocument(digest, diffDocument(state, document, digest)),
 			build: state =>
-				this.documentConflict(req.baseVersion, state) ??
+				this._documentConflict(req.baseVersion, state) ??
 				diffDocument(state, document, digest),
 		});
 	}
 
 	async history(limit: number): Promise<readonly ChangeSummary[]> {
-		const {config, store} = this.options;
+		const {config, store} = this._options;
 		const after = Math.max(0, config.state().version - limit);
 		const changes =
 			config.changesAfter(after) ?? (await store.changesAfter(after));
@@ -115,7 +115,7 @@
 	}
 
 	status(): FleetStatus {
-		const {config, environment, id, membership} = this.options;
+		const {config, environment, id, membership} = this._options;
 		return fleetStatus({
 			process: id,
 			environment,
@@ -133,9 +133,9 @@
 		const {text, record} = createKey(
 			customer,
 			randomBytes,
-			this.options.clock(),
+			this._options.clock(),
 		);
-		const result = await this.submit({
+		const result = await this._submit({
 			author,
 			changeId,
 			summary: () => `issue key ${record.id} to customer ${customer}`,
@@ -154,7 +154,7 @@
 		changeId: string,
 		keyId: string,
 	): Promise<ChangeResult> {
-		return this.submit({
+		return this._submit({
 			author,
 			changeId,
 			summary: () => `withdraw key ${keyId}`,
@@ -176,10 +176,10 @@
 		zone: string,
 		isOut: boolean,
 	): Promise<ChangeResult> {
-		const isKnown = this.options.membership
+		const isKnown = this._options.membership
 			.hosts()
 			.some(host => host.zone === zone);
-		return this.submit({
+		return this._submit({
 			author,
 			changeId,
 			summary: () =>
@@ -204,10 +204,10 @@
 		server: string,
 		isDrained: boolean,
 	): Promise<ChangeResult> {
-		const isKnown = this.options.membership
+		const isKnown = this._options.membership
 			.hosts()
 			.some(host => host.role === 'agent' && host.id === server);
-		return this.submit({
+		return this._submit({
 			author,
 			changeId,
 			summary: () => `${isDrained ? 'drain' : 'undrain'} server ${server}`,
@@ -228,10 +228,10 @@
 	}
 
 	/** Settles a repeated call, a document that lost to another one, and a base that does not exist. */
-	private async checkBase(
+	private async _checkBase(
 		req: ApplyRequest,
 	): Promise<ChangeResult | undefined> {
-		const {config, store} = this.options;
+		const {config, store} = this._options;
 		let changes: readonly ConfigChange[];
 		try {
 			changes = await store.changesAfter(req.baseVersion);
@@ -262,7 +262,7 @@
 		return undefined;
 	}
 
-	private documentConflict(
+	private _documentConflict(
 		baseVersion: number,
 		state: ConfigState,
 	): ChangeResult | undefined {
@@ -270,20 +270,20 @@
 			return undefined;
 		}
 
-		const winner = this.options.config
+		const winner = this._options.config
 			.changesAfter(baseVersion)
 			?.findLast(change => touchesDocument(change));
 		return winner && {kind: 'conflict', winner: summaryOf(winner)};
 	}
 
 	/** Gets a change accepted. It is built anew on each change of others that came first. */
-	private async submit(draft: Draft): Promise<ChangeResult> {
-		const {config, telemetry} = this.options;
+	private async _submit(draft: Draft): Promise<ChangeResult> {
+		const {config, telemetry} = this._options;
 		let result: ChangeResult | undefined;
 		for (let i = 0; i < changeTries; i++) {
 			// Each try is based on what the one before it learned.
 			// eslint-disable-next-line no-await-in-loop
-			const error = await this.catchUp();
+			const error = await this._catchUp();
 			if (error) {
 				return unavailable(error);
 			}
@@ -299,7 +299,7 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop
-			result = await this.offer(draft, state, ops);
+			result = await this._offer(draft, state, ops);
 			if (result.kind !== 'conflict') {
 				break;
 			}
@@ -311,7 +311,7 @@
 		return result ?? {kind: 'outcomeUnknown', changeId: draft.changeId};
 	}
 
-	private async offer(
+	private async _offer(
 		draft: Draft,
 		state: ConfigState,
 		ops: readonly ConfigOp[],
@@ -321,15 +321,15 @@
 			version: state.version + 1,
 			changeId,
 			author,
-			writtenAt: this.options.clock(),
+			writtenAt: this._options.clock(),
 			summary: draft.summary(state),
 			ops,
 		};
-		const result = await this.options.store.append(change);
+		const result = await this._options.store.append(change);
 		switch (result.kind) {
 			case 'accepted': {
-				this.options.config.accept(change);
-				this.options.telemetry.logger.info('config.accepted', {
+				this._options.config.accept(change);
+				this._options.telemetry.logger.info('config.accepted', {
 					version: change.version,
 					changeId,
 					author,
@@ -353,8 +353,8 @@
 	}
 
 	/** Reads the store's changes. Returns the error where it can't be read. */
-	private async catchUp(): Promise<Error | undefined> {
-		const {config, store} = this.options;
+	private async _catchUp(): Promise<Error | undefined> {
+		const {config, store} = this._options;
 		if (!config.isReady()) {
 			return new Error('this entry has no configuration yet');
 		}
--- a/packages/daemon/src/operators/operators-api.ts
+++ b/packages/daemon/src/operators/operators-api.ts
@@ -37,7 +37,7 @@
 		return new OperatorsApi(options);
 	}
 
-	private constructor(private readonly options: OperatorsApiOptions) {}
+	private constructor(private readonly _options: OperatorsApiOptions) {}
 
 	/** Registers the calls in a scope of the server. */
 	async register(app: FastifyInstance): Promise<void> {
@@ -50,10 +50,10 @@
 				trpcOptions: {
 					router: operatorRouter,
 					createContext: ({req}) => {
-						const operator = this.operatorOf(req.headers.authorization);
-						this.count(operator);
+						const operator = this._operatorOf(req.headers.authorization);
+						this._count(operator);
 						return {
-							service: this.options.service,
+							service: this._options.service,
 							...(operator && {operator}),
 						};
 					},
@@ -64,19 +64,19 @@
 	}
 
 	/** Compares with every key, so that the time tells nothing about which one came close. */
-	private operatorOf(authorization: string | undefined): Operator | undefined {
+	private _operatorOf(authorization: string | undefined): Operator | undefined {
 		const text = authorization?.startsWith(bearerPrefix)
 			? authorization.slice(bearerPrefix.length)
 			: '';
-		const matching = this.options.keys.find(({key}) => equalTexts(key, text));
+		const matching = this._options.keys.find(({key}) => equalTexts(key, text));
 		const found = matching;
 		return found && text !== ''
 			? {name: found.name, role: found.role}
 			: undefined;
 	}
 
-	private count(operator: Operator | undefined): void {
-		this.options.telemetry.metrics.increment('operators.call', {
+	private _count(operator: Operator | undefined): void {
+		this._options.telemetry.metrics.increment('operators.call', {
 			role: operator?.role ?? 'none',
 		});
 	}
--- a/packages/daemon/src/store/config-store.ts
+++ b/packages/daemon/src/store/config-store.ts
@@ -55,54 +55,54 @@
 		return new ConfigStore(options);
 	}
 
-	private readonly changesTable: string;
-	private readonly configTable: string;
+	private readonly _changesTable: string;
+	private readonly _configTable: string;
 
-	private constructor(private readonly options: ConfigStoreOptions) {
-		this.changesTable = `${options.environment}.config-changes`;
-		this.configTable = `${options.environment}.config`;
+	private constructor(private readonly _options: ConfigStoreOptions) {
+		this._changesTable = `${_options.environment}.config-changes`;
+		this._configTable = `${_options.environment}.config`;
 	}
 
 	/** Accepts the change if no other has its number. A lost answer is settled by its identifier. */
 	async append(change: ConfigChange): Promise<AppendResult> {
 		let row: ChangeRow;
 		try {
-			row = await this.toRow(change);
+			row = await this._toRow(change);
 		} catch (error) {
 			return {kind: 'unavailable', error: asStoreError(error, 'notWritten')};
 		}
 
-		return this.insert(change, row);
+		return this._insert(change, row);
 	}
 
 	/** Reads what came after the version. */
 	async readAfter(version: number): Promise<ConfigRead> {
-		const first = await this.page(version);
+		const first = await this._page(version);
 		// A pointer is worth its read at the start and when far behind.
 		if (version > 0 && first.length < rowsPerPage) {
-			return {changes: await this.toChanges(first)};
+			return {changes: await this._toChanges(first)};
 		}
 
-		const snapshot = await this.readSnapshot(version);
+		const snapshot = await this._readSnapshot(version);
 		if (snapshot !== undefined) {
 			return {snapshot, changes: await this.changesAfter(snapshot.version)};
 		}
 
-		return {changes: await this.toChanges(await this.rest(first))};
+		return {changes: await this._toChanges(await this._rest(first))};
 	}
 
 	/** Reads all changes after the version. */
 	async changesAfter(version: number): Promise<readonly ConfigChange[]> {
-		return this.toChanges(await this.rest(await this.page(version)));
+		return this._toChanges(await this._rest(await this._page(version)));
 	}
 
 	/** Stores a snapshot and points to it, unless a later one is there. */
 	async writeSnapshot(snapshot: ConfigSnapshot): Promise<void> {
 		const text = canonicalJson(snapshot);
 		const digest = digestText(text);
-		const object = `${this.options.environment}.snapshot.${snapshot.version}.${digest}`;
-		await this.options.objects.put(object, text);
-		const row = await this.options.table.read(this.configTable, snapshotKey);
+		const object = `${this._options.environment}.snapshot.${snapshot.version}.${digest}`;
+		await this._options.objects.put(object, text);
+		const row = await this._options.table.read(this._configTable, snapshotKey);
 		const present = row && parse(snapshotPointerSchema, row.value);
 		if (present && present.version >= snapshot.version) {
 			return;
@@ -114,9 +114,9 @@
 			digest,
 		};
 		// A lost race is no loss: another process has just stored a snapshot.
-		await this.options.table.transact([
+		await this._options.table.transact([
 			{
-				table: this.configTable,
+				table: this._configTable,
 				key: snapshotKey,
 				value: pointer,
 				condition: row
@@ -126,15 +126,15 @@
 		]);
 	}
 
-	private async insert(
+	private async _insert(
 		change: ConfigChange,
 		row: ChangeRow,
 	): Promise<AppendResult> {
-		let result = await this.tryInsert(change, row);
+		let result = await this._tryInsert(change, row);
 		for (let i = 1; i < insertTries && result.kind === 'outcomeUnknown'; i++) {
 			// The insert is idempotent: the row has one number and one identifier.
 			// eslint-disable-next-line no-await-in-loop
-			const next = await this.tryInsert(change, row);
+			const next = await this._tryInsert(change, row);
 			// An earlier try may still take effect where this one surely did not.
 			result = next.kind === 'unavailable' ? result : next;
 		}
@@ -142,12 +142,12 @@
 		return result;
 	}
 
-	private async tryInsert(
+	private async _tryInsert(
 		change: ConfigChange,
 		row: ChangeRow,
 	): Promise<AppendResult> {
 		try {
-			return await this.insertOnce(change, row);
+			return await this._insertOnce(change, row);
 		} catch (error) {
 			const storeError = asStoreError(error, 'unknown');
 			return storeError.outcome === 'unknown'
@@ -156,13 +156,13 @@
 		}
 	}
 
-	private async insertOnce(
+	private async _insertOnce(
 		change: ConfigChange,
 		row: ChangeRow,
 	): Promise<AppendResult> {
-		const result = await this.options.table.transact([
+		const result = await this._options.table.transact([
 			{
-				table: this.changesTable,
+				table: this._changesTable,
 				key: keyOf(change.version),
 				value: row,
 				condition: {kind: 'absent'},
@@ -178,72 +178,74 @@
 			: {kind: 'conflict', winner: headOf(current)};
 	}
 
-	private async page(version: number): Promise<readonly TableRow[]> {
-		return this.options.table.list(this.changesTable, {
+	private async _page(version: number): Promise<readonly TableRow[]> {
+		return this._options.table.list(this._changesTable, {
 			after: keyOf(version),
 			limit: rowsPerPage,
 		});
 	}
 
 	/** Reads on after a first page until a page is not full. */
-	private async rest(first: readonly TableRow[]): Promise<readonly TableRow[]> {
+	private async _rest(
+		first: readonly TableRow[],
+	): Promise<readonly TableRow[]> {
 		const rows = [...first];
 		let page = first;
 		while (page.length === rowsPerPage) {
 			const last = parse(changeRowSchema, page.at(-1)?.value);
 			// Each page begins where the one before it ends.
 			// eslint-disable-next-line no-await-in-loop
-			page = await this.page(last.version);
+			page = await this._page(last.version);
 			rows.push(...page);
 		}
 
 		return rows;
 	}
 
-	private async readSnapshot(
+	private async _readSnapshot(
 		afterVersion: number,
 	): Promise<ConfigSnapshot | undefined> {
-		const row = await this.options.table.read(this.configTable, snapshotKey);
+		const row = await this._options.table.read(this._configTable, snapshotKey);
 		const pointer = row && parse(snapshotPointerSchema, row.value);
 		if (!pointer || pointer.version <= afterVersion) {
 			return undefined;
 		}
 
-		const text = await this.readObject(pointer.object, pointer.digest);
+		const text = await this._readObject(pointer.object, pointer.digest);
 		return parseText(configSnapshotSchema, text);
 	}
 
-	private async toRow(change: ConfigChange): Promise<ChangeRow> {
+	private async _toRow(change: ConfigChange): Promise<ChangeRow> {
 		const text = canonicalJson(change.ops);
 		if (text.length <= longestRowOps) {
 			return {...change, ops: [...change.ops]};
 		}
 
 		const opsDigest = digestText(text);
-		await this.options.objects.put(this.opsObject(opsDigest), text);
+		await this._options.objects.put(this._opsObject(opsDigest), text);
 		return {...headOf(change), opsDigest};
 	}
 
-	private async toChanges(
+	private async _toChanges(
 		rows: readonly TableRow[],
 	): Promise<readonly ConfigChange[]> {
 		return Promise.all(
-			rows.map(async row => this.toChange(parse(changeRowSchema, row.value))),
+			rows.map(async row => this._toChange(parse(changeRowSchema, row.value))),
 		);
 	}
 
-	private async toChange(row: ChangeRow): Promise<ConfigChange> {
+	private async _toChange(row: ChangeRow): Promise<ConfigChange> {
 		if (!('opsDigest' in row)) {
 			return row;
 		}
 
 		const {opsDigest, ...head} = row;
-		const text = await this.readObject(this.opsObject(opsDigest), opsDigest);
+		const text = await this._readObject(this._opsObject(opsDigest), opsDigest);
 		return {...head, ops: parseText(opsObjectSchema, text)};
 	}
 
-	private async readObject(name: string, digest: string): Promise<string> {
-		const text = await this.options.objects.get(name);
+	private async _readObject(name: string, digest: string): Promise<string> {
+		const text = await this._options.objects.get(name);
 		if (text === undefined || digestText(text) !== digest) {
 			throw unreadable('object store', `object ${name} is missing or damaged`);
 		}
@@ -251,8 +253,8 @@
 		return text;
 	}
 
-	private opsObject(digest: string): string {
-		return `${this.options.environment}.ops.${digest}`;
+	private _opsObject(digest: string): string {
+		return `${this._options.environment}.ops.${digest}`;
 	}
 }
 
--- a/packages/daemon/src/store/object-client.ts
+++ b/packages/daemon/src/store/object-client.ts
@@ -19,11 +19,11 @@
 		);
 	}
 
-	private constructor(private readonly http: StoreHttp) {}
+	private constructor(private readonly _http: StoreHttp) {}
 
 	/** Writes an object whose name tells its content, so that one that is there already is as good. */
 	async put(name: string, body: string): Promise<void> {
-		await this.http.call({
+		await this._http.call({
 			method: 'PUT',
 			path: objectPath(name),
 			headers: {
@@ -36,7 +36,7 @@
 	}
 
 	async get(name: string): Promise<string | undefined> {
-		const {status, text} = await this.http.call({
+		const {status, text} = await this._http.call({
 			method: 'GET',
 			path: objectPath(name),
 			statuses: [...okStatuses, notFoundStatus],
@@ -45,7 +45,7 @@
 	}
 
 	async close(): Promise<void> {
-		await this.http.close();
+		await this._http.close();
 	}
 }
 
--- a/packages/daemon/src/store/store-http.ts
+++ b/packages/daemon/src/store/store-http.ts
@@ -45,17 +45,17 @@
 		return new StoreHttp(options);
 	}
 
-	private readonly agent: Dispatcher;
+	private readonly _agent: Dispatcher;
 
-	private constructor(private readonly options: StoreHttpOptions) {
-		this.agent = new Agent({
+	private constructor(private readonly _options: StoreHttpOptions) {
+		this._agent = new Agent({
 			connections: connectionCount,
-			connect: {timeout: options.timeoutMs},
+			connect: {timeout: _options.timeoutMs},
 		});
 	}
 
 	async call(storeCall: StoreCall): Promise<StoreAnswer> {
-		const answer = await this.send(storeCall);
+		const answer = await this._send(storeCall);
 		if (storeCall.statuses.includes(answer.status)) {
 			return answer;
 		}
@@ -63,32 +63,32 @@
 		const isSurelyNotWritten =
 			answer.status < serverErrorStatus || answer.status === unavailableStatus;
 		throw StoreError.create(
-			this.options.peer,
+			this._options.peer,
 			isSurelyNotWritten ? 'notWritten' : 'unknown',
-			`${this.options.peer} answered ${storeCall.method} with status ${answer.status}`,
+			`${this._options.peer} answered ${storeCall.method} with status ${answer.status}`,
 		);
 	}
 
 	async close(): Promise<void> {
-		await this.agent.destroy();
+		await this._agent.destroy();
 	}
 
-	private async send(storeCall: StoreCall): Promise<StoreAnswer> {
+	private async _send(storeCall: StoreCall): Promise<StoreAnswer> {
 		try {
-			const res = await request(new URL(storeCall.path, this.options.url), {
-				dispatcher: this.agent,
+			const res = await request(new URL(storeCall.path, this._options.url), {
+				dispatcher: this._agent,
 				method: storeCall.method,
 				headers: storeCall.headers ?? null,
 				body: storeCall.body ?? null,
-				signal: AbortSignal.timeout(this.options.timeoutMs),
+				signal: AbortSignal.timeout(this._options.timeoutMs),
 			});
 			return {status: res.statusCode, text: await res.body.text()};
 		} catch (error) {
 			const isRead = storeCall.method === 'GET';
 			throw StoreError.create(
-				this.options.peer,
+				this._options.peer,
 				isRead || isConnectError(error) ? 'notWritten' : 'unknown',
-				`${this.options.peer} gave no answer to ${storeCall.method}`,
+				`${this._options.peer} gave no answer to ${storeCall.method}`,
 				error,
 			);
 		}
--- a/packages/daemon/src/store/table-client.ts
+++ b/packages/daemon/src/store/table-client.ts
@@ -43,11 +43,11 @@
 		);
 	}
 
-	private constructor(private readonly http: StoreHttp) {}
+	private constructor(private readonly _http: StoreHttp) {}
 
 	/** Makes all writes or none. */
 	async transact(writes: readonly TableWrite[]): Promise<TransactionResult> {
-		const {status, text} = await this.http.call({
+		const {status, text} = await this._http.call({
 			method: 'POST',
 			path: '/v1/transactions',
 			headers: {'content-type': 'application/json'},
@@ -60,7 +60,7 @@
 	}
 
 	async read(table: string, key: string): Promise<TableRow | undefined> {
-		const {status, text} = await this.http.call({
+		const {status, text} = await this._http.call({
 			method: 'GET',
 			path: `${tablePath(table)}/${encodeURIComponent(key)}`,
 			statuses: [okStatus, notFoundStatus],
@@ -79,7 +79,7 @@
 			query.set('after', range.after);
 		}
 
-		const {text} = await this.http.call({
+		const {text} = await this._http.call({
 			method: 'GET',
 			path: `${tablePath(table)}?${query.toString()}`,
 			statuses: [okStatus],
@@ -88,7 +88,7 @@
 	}
 
 	async close(): Promise<void> {
-		await this.http.close();
+		await this._http.close();
 	}
 }
 
