--- a/packages/core/src/rate/constants.ts
+++ b/packages/core/src/rate/constants.ts
@@ -85,3 +85,6 @@
 
 /** Longest time for which a request waits for tokens that accrue, before it is refused. */
 export const accrualWaitMs = 300;
+
+/** Time between looks at all shards for vacant ones. */
+export const shardReviewMs = 250;
--- a/packages/core/src/rate/shard-leases.ts
+++ b/packages/core/src/rate/shard-leases.ts
@@ -7,6 +7,7 @@
 	rebalanceMs,
 	rowsWantedMs,
 	shardPollMsPerShard,
+	shardReviewMs,
 	vacancyMs,
 } from './constants.js';
 import type {
@@ -93,6 +94,7 @@
 	private _isClosing = false;
 	private _readAt = Number.NEGATIVE_INFINITY;
 	private _checkAt = 0;
+	private _reviewAt = 0;
 	private _rebalanceAt = 0;
 
 	private constructor(options: ShardLeasesOptions) {
@@ -184,6 +186,18 @@
 		return [
 			...this._pollRows(now),
 			...this._renewDue(now),
+			...this._review(now),
+		];
+	}
+
+	/** Looks at all shards, which is too much for each tick of a large fleet. */
+	private _review(now: number): readonly LeaseCommand[] {
+		if (now < this._reviewAt) {
+			return [];
+		}
+
+		this._reviewAt = now + shardReviewMs;
+		return [
 			...this._claimVacant(now),
 			...this._checkNextHolder(now),
 			...this._rebalance(now),
@@ -220,7 +234,7 @@
 			commands.push(...this._learnRow(shard, current, now));
 		}
 
-		return [...commands, this._tellHolders()];
+		return [...commands, this._tellHolders(), ...this._claimVacant(now)];
 	}
 
 	/** Takes note of a row, which may show that a write of this entry took effect or that its lease is lost. */
--- a/packages/scenarios/src/measure/rate-fleet/rate-fleet.ts
+++ b/packages/scenarios/src/measure/rate-fleet/rate-fleet.ts
@@ -17,7 +17,7 @@
 import {VirtualShardTable} from './virtual-shard-table.js';
 import {VirtualTime} from './virtual-time.js';
 
-const tickMs = 50;
+const defaultTickMs = 50;
 const patienceMs = 400;
 
 /** What happens to messages between entries. */
@@ -36,6 +36,8 @@
 	readonly shards: readonly RateShard[];
 	readonly limits: readonly RateLimit[];
 	readonly policy: RatePolicy;
+	/** Time between ticks of an entry. */
+	readonly tickMs?: number;
 };
 
 /** How a request for tokens ended. */
@@ -71,9 +73,11 @@
 	/** Machines that went away without their ports refusing connections. */
 	private readonly _silent = new Set<string>();
 	private _starts = 0;
+	private readonly _tickMs: number;
 
 	private constructor(options: RateFleetOptions) {
 		this._options = options;
+		this._tickMs = options.tickMs ?? defaultTickMs;
 		this._random = createRandom(options.seed);
 		this.table = VirtualShardTable.create(this.time, this._random);
 		for (const limit of options.limits) {
@@ -155,7 +159,7 @@
 	stopGracefully(id: string): void {
 		const entry = this._entries.get(id);
 		entry?.releaseAll();
-		this.time.after(tickMs, () => {
+		this.time.after(this._tickMs, () => {
 			if (entry !== undefined) {
 				entry.isAlive = false;
 			}
@@ -234,7 +238,7 @@
 			entry.handleRate({type: 'tick'});
 		}
 
-		this.time.after(tickMs, () => {
+		this.time.after(this._tickMs, () => {
 			this._tick(entry);
 		});
 	}
--- a/packages/scenarios/src/measure/rate-fleet/rate-run.ts
+++ b/packages/scenarios/src/measure/rate-fleet/rate-run.ts
@@ -10,11 +10,7 @@
 } from '@balsamtray/core';
 import {RateFleet} from './rate-fleet.js';
 import type {RatePolicy} from './virtual-entry.js';
-import {
-	remainingTokens,
-	type LimitInForce,
-	type Spend,
-} from './window-check.js';
+import {isInsideRate, type LimitInForce, type Spend} from './window-check.js';
 
 /** Ways to divide a customer's rate. */
 export type RatePolicyName = 'ours' | 'evenShares' | 'oneOwner';
@@ -222,8 +218,10 @@
 		const {now} = this._fleet.time;
 		if (!isReserved) {
 			this._refused++;
-			const remaining = remainingTokens(state.spends, state.limit, now);
-			this._refusedInsideRate += remaining >= asked.tokens ? 1 : 0;
+			const {spends, limit} = state;
+			this._refusedInsideRate += isInsideRate(spends, limit, asked.tokens, now)
+				? 1
+				: 0;
 			return;
 		}
 
--- a/packages/scenarios/src/measure/rate-fleet/rate-schedule.ts
+++ b/packages/scenarios/src/measure/rate-fleet/rate-schedule.ts
@@ -7,7 +7,7 @@
 import {RateFleet} from './rate-fleet.js';
 import type {RatePolicy} from './virtual-entry.js';
 import {
-	remainingTokens,
+	isInsideRate,
 	worstExcess,
 	type Excess,
 	type LimitInForce,
@@ -165,8 +165,14 @@
 		const {now} = this._fleet.time;
 		if (!isReserved) {
 			this._refused++;
-			const remaining = remainingTokens(this._spends, this._limit, now);
-			this._refusedInsideRate += remaining >= asked.tokens ? 1 : 0;
+			this._refusedInsideRate += isInsideRate(
+				this._spends,
+				this._limit,
+				asked.tokens,
+				now,
+			)
+				? 1
+				: 0;
 			return;
 		}
 
--- a/packages/scenarios/src/measure/rate-fleet/window-check.test.ts
+++ b/packages/scenarios/src/measure/rate-fleet/window-check.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {remainingTokens, worstExcess} from './window-check.js';
+import {isInsideRate, worstExcess} from './window-check.js';
 
 const limit = {from: 0, tokensPerSecond: 100, burstTokens: 50};
 
@@ -40,10 +40,12 @@
 	});
 });
 
-describe('remainingTokens', () => {
-	it('is what one global bucket has left', () => {
+describe('isInsideRate', () => {
+	it('holds for what one global bucket has left and no more', () => {
 		const spends = [{at: 0, tokens: 50}];
-		assert.equal(remainingTokens(spends, limit, 100), 10);
-		assert.equal(remainingTokens(spends, limit, 10_000), 50);
+		assert.ok(isInsideRate(spends, limit, 10, 100));
+		assert.ok(!isInsideRate(spends, limit, 11, 100));
+		assert.ok(isInsideRate(spends, limit, 50, 10_000));
+		assert.ok(!isInsideRate(spends, limit, 51, 10_000));
 	});
 });
--- a/packages/scenarios/src/measure/rate-fleet/window-check.ts
+++ b/packages/scenarios/src/measure/rate-fleet/window-check.ts
@@ -53,14 +53,18 @@
 	return worst;
 }
 
-/** Tokens that may be spent at present without going over in any window, by the limit in force now. */
-export function remainingTokens(
+/** Whether one global token bucket under the limit in force would let the tokens be spent now. */
+export function isInsideRate(
 	spends: readonly Spend[],
 	limit: LimitInForce,
+	tokens: number,
 	now: number,
-): number {
-	let spent = 0;
-	let remaining = limit.burstTokens;
+): boolean {
+	let spent = tokens;
+	if (spent > limit.burstTokens) {
+		return false;
+	}
+
 	for (let i = spends.length - 1; i >= 0; i--) {
 		const spend = spends[i];
 		if (spend === undefined || spend.at < limit.from) {
@@ -69,10 +73,12 @@
 
 		spent += spend.tokens;
 		const accrued = (limit.tokensPerSecond * (now - spend.at)) / 1000;
-		remaining = Math.min(remaining, limit.burstTokens + accrued - spent);
+		if (spent > limit.burstTokens + accrued) {
+			return false;
+		}
 	}
 
-	return remaining;
+	return true;
 }
 
 function highestBurst(
