Take over a dead holder's shards at once and even out sooner when low

Change: who has proof of a holder's death takes its shard at once; transferred tokens are valid for 500 ms; low holders ask the others each second, below 40 in 100 each 200 ms; one request waits up to 700 ms for tokens about to accrue.

--- a/packages/core/src/rate/constants.ts
+++ b/packages/core/src/rate/constants.ts
@@ -2,7 +2,7 @@
 export const shardsPerCustomer = 3;
 
 /** How long transferred tokens may be spent after they were asked for. */
-export const transferValidityMs = 1000;
+export const transferValidityMs = 500;
 
 /** Allowance for the difference between two hosts' clock rates. */
 export const clockRateAllowance = 1.01;
@@ -78,13 +78,19 @@
 export const rowsWantedMs = 500;
 
 /** A holder whose buckets of a customer are below this share asks the others to even out. */
-export const refillBelowShare = 0.8;
+export const refillBelowShare = 0.9;
 
 /** Time between two such questions for one customer. */
-export const refillIntervalMs = 250;
+export const refillIntervalMs = 1000;
 
 /** Longest time for which a request waits for tokens that accrue, before it is refused. */
-export const accrualWaitMs = 300;
+export const accrualWaitMs = 700;
 
 /** Time between looks at all shards for vacant ones. */
 export const shardReviewMs = 250;
+
+/** Below this share the time between two questions is shorter. */
+export const urgentRefillShare = 0.4;
+
+/** Time between two questions for one customer while its buckets here are that low. */
+export const urgentRefillIntervalMs = 200;
--- a/packages/core/src/rate/rate-core.ts
+++ b/packages/core/src/rate/rate-core.ts
@@ -587,11 +587,11 @@
 
 			const shards = this._shards.shardsOf(customer);
 			const peers = this._directory.peersToAsk(customer, shards, 1, now);
-			const peer = this._refills.choosePeer(customer, peers, now);
+			const fillShare = Math.max(0, level / burst);
+			const peer = this._refills.choosePeer(customer, peers, fillShare, now);
 			if (peer !== undefined) {
 				const transferId = this._nextTransferId();
 				const tokens = Math.floor(burst - level);
-				const fillShare = Math.max(0, level / burst);
 				this._refills.add(transferId, {customer, peer, askedAt: now});
 				commands.push({
 					type: 'requestTransfer',
--- a/packages/core/src/rate/refills.ts
+++ b/packages/core/src/rate/refills.ts
@@ -1,4 +1,9 @@
-import {refillIntervalMs, transferValidityMs} from './constants.js';
+import {
+	refillIntervalMs,
+	transferValidityMs,
+	urgentRefillIntervalMs,
+	urgentRefillShare,
+} from './constants.js';
 
 /** A question for tokens that even out the holders' buckets. */
 export type RefillAsk = {
@@ -56,11 +61,14 @@
 	choosePeer(
 		customer: string,
 		peers: readonly string[],
+		fillShare: number,
 		now: number,
 	): string | undefined {
 		const turn = this._turns.get(customer) ?? 0;
 		this._turns.set(customer, turn + 1);
-		this._nextAt.set(customer, now + refillIntervalMs);
+		const isUrgent = fillShare < urgentRefillShare;
+		const intervalMs = isUrgent ? urgentRefillIntervalMs : refillIntervalMs;
+		this._nextAt.set(customer, now + intervalMs);
 		return peers[turn % peers.length];
 	}
 
--- a/packages/core/src/rate/shard-leases.ts
+++ b/packages/core/src/rate/shard-leases.ts
@@ -302,7 +302,9 @@
 			const since = this._vacantSince.get(id) ?? now;
 			this._vacantSince.set(id, since);
 			const isShort = this._claimedCount(commands) < this._fairShare();
-			const isLeft = now - since >= vacancyMs;
+			// Who proved the death takes over at once: a lost share is worse than an uneven split.
+			const isLeft =
+				now - since >= vacancyMs || this._seen.get(id)?.isProvenDead === true;
 			if ((isShort || isLeft) && !this._isWriting(id)) {
 				commands.push(this._claim(id, now));
 			}
--- a/packages/daemon/src/rate/rate-task.ts
+++ b/packages/daemon/src/rate/rate-task.ts
@@ -38,7 +38,7 @@
 const longestReleaseMs = 2000;
 
 /** Longest wait of a request for tokens from other holders, in milliseconds. */
-const patienceMs = 400;
+const patienceMs = 900;
 
 /** What the rate task is created from. */
 export type RateTaskOptions = {
