Route each customer by its own wait

Cause: entries weighed a server by the wait behind all its work, also for a customer whose work an agent takes first. Change: the routing query names the customer; the wait is that customer's own where the agent reported it. Additive: without the new fields of the status the one wait counts as before.

--- a/packages/core/src/entry/route-step.ts
+++ b/packages/core/src/entry/route-step.ts
@@ -37,7 +37,8 @@
 	const avoid = isKeptApart ? new Set([...tried, ...suspectServers]) : tried;
 	const {subject, backend} = admission.resolved;
 	const timeLeftMs = state.request.deadlineAt - now;
-	const query = {subject, backend, avoid, timeLeftMs};
+	const customer = admission.customer.name;
+	const query = {subject, backend, customer, avoid, timeLeftMs};
 	const choice = context.router.choose(query, now);
 	if (choice.kind === 'server') {
 		return choice;
--- a/packages/core/src/routing/default-routing-policy.ts
+++ b/packages/core/src/routing/default-routing-policy.ts
@@ -61,7 +61,7 @@
 		const cost =
 			placesBeyond * weights.beyondWidthMs +
 			adapterCost(query, fleet, host, weights) +
-			loadCost(fleet.load(host.id, now), weights);
+			loadCost(fleet.load(host.id, now, query.customer), weights);
 		if (cost < leastCost) {
 			best = host;
 			leastCost = cost;
--- a/packages/core/src/routing/router.test.ts
+++ b/packages/core/src/routing/router.test.ts
@@ -174,6 +174,23 @@
 			assert.equal(chosen(router, 'a', now + 10_000), first);
 		});
 
+		it('goes by the own wait of the customer', () => {
+			const router = routerOf(hostsOf(12));
+			const first = chosen(router, 'a')!;
+			const status = statusOf(first, {
+				expectedWaitMs: 9000,
+				lightWaitMs: 0,
+				customerWaitsMs: {busy: 9000},
+			});
+			router.noteStatus({status, subject: 'a'}, now);
+			const query = queryOf('a');
+			const chosenFor = (customer: string) =>
+				router.choose({...query, customer}, now);
+			assert.notDeepEqual(chosenFor('busy'), chosenFor('light'));
+			const light = chosenFor('light');
+			assert.equal(light.kind === 'server' && light.host.id, first);
+		});
+
 		it('tells when every server would be too late', () => {
 			const router = routerOf(hostsOf(2));
 			for (const server of ['s0', 's1']) {
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -109,7 +109,7 @@
 			return {kind: 'noServer'};
 		}
 
-		const {expectedWaitMs} = this.load(host.id, now);
+		const {expectedWaitMs} = this.load(host.id, now, query.customer);
 		if (expectedWaitMs > query.timeLeftMs) {
 			return {
 				kind: 'tooLate',
@@ -142,8 +142,8 @@
 		return this._usable(servers, query, now);
 	}
 
-	load(server: string, now: number): ServerLoad {
-		return this._table.load(server, now);
+	load(server: string, now: number, customer?: string): ServerLoad {
+		return this._table.load(server, now, customer);
 	}
 
 	adapterState(subject: string, server: string) {
--- a/packages/core/src/routing/server-table.ts
+++ b/packages/core/src/routing/server-table.ts
@@ -29,6 +29,10 @@
 	readonly ownInFlight: number;
 	readonly window: number;
 	readonly expectedWaitMs: number;
+	/** Wait of a customer that has nothing waiting there. */
+	readonly lightWaitMs: number;
+	/** Waits of customers that have work waiting there. */
+	readonly customerWaitsMs: Readonly<Record<string, number>>;
 };
 
 const idle: ServerLoad = {
@@ -115,6 +119,8 @@
 			ownInFlight: record.inFlight,
 			window: Math.max(1, status.window),
 			expectedWaitMs: status.expectedWaitMs,
+			lightWaitMs: status.lightWaitMs ?? status.expectedWaitMs,
+			customerWaitsMs: status.customerWaitsMs ?? {},
 		};
 	}
 
@@ -175,7 +181,8 @@
 		);
 	}
 
-	load(server: string, now: number): ServerLoad {
+	/** What is known of a server's load. The wait is the customer's own where it is named. */
+	load(server: string, now: number, customer?: string): ServerLoad {
 		const record = this._records.get(server);
 		if (record === undefined) {
 			return idle;
@@ -192,7 +199,7 @@
 			inFlight,
 			outstanding: inFlight + report.othersWork * freshness,
 			window: report.window,
-			expectedWaitMs: report.expectedWaitMs * freshness,
+			expectedWaitMs: waitOf(report, customer) * freshness,
 			isSuspected,
 		};
 	}
@@ -269,3 +276,14 @@
 		}
 	}
 }
+
+function waitOf(report: LoadReport, customer: string | undefined): number {
+	if (customer === undefined) {
+		return report.expectedWaitMs;
+	}
+
+	const own = Object.hasOwn(report.customerWaitsMs, customer)
+		? report.customerWaitsMs[customer]
+		: undefined;
+	return own ?? report.lightWaitMs;
+}
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -6,6 +6,8 @@
 	/** Served name of the adapter version, or the name of the service. */
 	readonly subject: string;
 	readonly backend: BackendKind;
+	/** Customer for whom the request runs. Agents share their time fairly, so that waits differ by customer. */
+	readonly customer?: string;
 	/** Servers that must not be chosen: tried before, or running another suspect. */
 	readonly avoid: ReadonlySet<string>;
 	readonly timeLeftMs: number;
@@ -30,7 +32,8 @@
 	preferred(query: RoutingQuery, now: number): readonly AgentHost[];
 	/** All usable servers. Takes time in proportion to the fleet. */
 	all(query: RoutingQuery, now: number): readonly AgentHost[];
-	load(server: string, now: number): ServerLoad;
+	/** The customer's own wait where it is named. */
+	load(server: string, now: number, customer?: string): ServerLoad;
 	adapterState(subject: string, server: string): AdapterState;
 	/** Own dispatches for the subject without an end. */
 	demand(subject: string): number;
--- a/packages/protocol/src/reply-schema.ts
+++ b/packages/protocol/src/reply-schema.ts
@@ -44,6 +44,8 @@
 	queued: count,
 	window: count,
 	expectedWaitMs: count,
+	lightWaitMs: count.exactOptional(),
+	customerWaitsMs: z.record(z.string().max(200), count).exactOptional(),
 	adapterState: z.enum(['resident', 'loading', 'absent']),
 });
 
