Weigh a load as dearer, a resident server beyond the width as cheaper, and a queue by its length

Cause: with a zone out, requests went to servers that had to load the adapter although another one beyond the width held it, at a time when the weight store was the bottleneck. Change: an absent adapter weighs 2,000 ms (1,000 before); a place beyond the width weighs 900 ms without the adapter (600) and 300 ms with it; one own dispatch widens by one (two). A dearer load let 40 requests queue at one server with a window of eight before any report came back, which the test of widening showed; so each window beyond the first now weighs 500 ms besides.

--- a/packages/core/src/routing/default-routing-policy.ts
+++ b/packages/core/src/routing/default-routing-policy.ts
@@ -13,10 +13,14 @@
 	readonly absentMs: number;
 	/** An adapter that is being loaded. */
 	readonly loadingMs: number;
-	/** Each place in the order beyond the width. */
+	/** Each place in the order beyond the width, where the adapter is not resident. */
 	readonly beyondWidthMs: number;
+	/** Each place in the order beyond the width, where the adapter is resident. */
+	readonly residentBeyondWidthMs: number;
 	/** A full window of outstanding work. */
 	readonly fullWindowMs: number;
+	/** Each further window of outstanding work, which has to wait for the first. */
+	readonly queuedWindowMs: number;
 	/** A server that failed several times in a row. */
 	readonly suspectedMs: number;
 	/** Own dispatches for one adapter that widen its servers by one. */
@@ -24,12 +28,14 @@
 };
 
 const defaultWeights: RoutingWeights = {
-	absentMs: 1000,
+	absentMs: 2000,
 	loadingMs: 300,
-	beyondWidthMs: 600,
+	beyondWidthMs: 900,
+	residentBeyondWidthMs: 300,
 	fullWindowMs: 200,
+	queuedWindowMs: 500,
 	suspectedMs: 600_000,
-	demandForEachServer: 2,
+	demandForEachServer: 1,
 };
 
 /**
@@ -59,7 +65,7 @@
 	for (const [rank, host] of fleet.preferred(query, now).entries()) {
 		const placesBeyond = Math.max(0, rank - width + 1);
 		const cost =
-			placesBeyond * weights.beyondWidthMs +
+			placeCost(query, fleet, host, weights) * placesBeyond +
 			adapterCost(query, fleet, host, weights) +
 			loadCost(fleet.load(host.id, now), weights);
 		if (cost < leastCost) {
@@ -86,6 +92,18 @@
 	);
 }
 
+/** A server that holds the adapter already is a lesser step aside than one that would have to load it. */
+function placeCost(
+	query: RoutingQuery,
+	fleet: RoutingFleet,
+	host: AgentHost,
+	weights: RoutingWeights,
+): number {
+	return fleet.adapterState(query.subject, host.id) === 'resident'
+		? weights.residentBeyondWidthMs
+		: weights.beyondWidthMs;
+}
+
 function adapterCost(
 	query: RoutingQuery,
 	fleet: RoutingFleet,
@@ -105,9 +123,11 @@
 }
 
 function loadCost(load: ServerLoad, weights: RoutingWeights): number {
+	const windows = load.outstanding / load.window;
 	return (
 		load.expectedWaitMs +
-		(load.outstanding / load.window) * weights.fullWindowMs +
+		windows * weights.fullWindowMs +
+		Math.max(0, windows - 1) * weights.queuedWindowMs +
 		(load.isSuspected ? weights.suspectedMs : 0)
 	);
 }
