--- a/packages/scenarios/src/steps/fault-steps.ts
+++ b/packages/scenarios/src/steps/fault-steps.ts
@@ -148,6 +148,19 @@
 	},
 );
 
+Given(
+	'the engine of {string} cuts its next {int} answers after {int} tokens',
+	async function (
+		this: FleetWorld,
+		id: string,
+		cutAnswers: number,
+		cutAfterTokens: number,
+	) {
+		const backend = this.fleet.backend(id);
+		await this.addFaults(backend, {cutAnswers, cutAfterTokens});
+	},
+);
+
 Given(
 	'each engine fails its next {int} adapter loads',
 	async function (this: FleetWorld, failLoads: number) {
--- a/packages/scenarios/src/steps/outcome-steps.ts
+++ b/packages/scenarios/src/steps/outcome-steps.ts
@@ -108,6 +108,15 @@
 	},
 );
 
+Then(
+	'the last call of {string} is refused with {string} and did not run',
+	async function (this: FleetWorld, customer: string, code: string) {
+		const call = this.calls.findLast(made => made.customer === customer);
+		assert.ok(call, `${customer} made no call`);
+		await assertRefusedUnrun(this, call, code);
+	},
+);
+
 Then(
 	'each call is refused with {string} and did not run',
 	async function (this: FleetWorld, code: string) {
--- a/packages/standins/src/common/backend-recorder.ts
+++ b/packages/standins/src/common/backend-recorder.ts
@@ -39,9 +39,14 @@
 	}
 
 	/** Notes whether a caller's key came with a request. */
-	inspect(headers: Readonly<Record<string, unknown>>, body: string): void {
-		const isKeySeen =
-			keyPattern.test(body) || keyPattern.test(JSON.stringify(headers));
+	inspect(
+		url: string,
+		headers: Readonly<Record<string, unknown>>,
+		body: string,
+	): void {
+		const isKeySeen = [url, JSON.stringify(headers), body].some(text =>
+			keyPattern.test(text),
+		);
 		if (isKeySeen) {
 			this.count('keysSeen');
 		}
--- a/packages/standins/src/engine/answer-writer.ts
+++ b/packages/standins/src/engine/answer-writer.ts
@@ -42,6 +42,11 @@
 	}
 
 	onToken(token: number, identity: AnswerIdentity): void {
+		if (this._cutAfterTokens === 0) {
+			this._res.destroy();
+			return;
+		}
+
 		if (this._request.isStreamed) {
 			if (!this._res.headersSent) {
 				this._res.writeHead(200, {'content-type': 'text/event-stream'});
--- a/packages/standins/src/engine/completion-routes.ts
+++ b/packages/standins/src/engine/completion-routes.ts
@@ -52,7 +52,7 @@
 	): FastifyReply {
 		const {engine, process, faults, recorder, baseModel} = this._options;
 		const text = bodyTextOf(req);
-		recorder.inspect(req.headers, text);
+		recorder.inspect(req.url, req.headers, text);
 		const request = parseCompletion(kind, text);
 		if (request === undefined) {
 			return sendError(res, 400, 'malformed request');
--- a/packages/standins/src/service/plain-service.ts
+++ b/packages/standins/src/service/plain-service.ts
@@ -44,7 +44,7 @@
 		const requestId = requestIdOf(req);
 		const {bootId} = process;
 		this._running++;
-		recorder.inspect(req.headers, text);
+		recorder.inspect(req.url, req.headers, text);
 		recorder.began(
 			{requestId, servedName: req.url, bootId},
 			text,
