Read each test of the unit report by itself

Cause: with a failed test in the report, the reader ran from a passed test to the next closing tag: it named a test that had passed as failed and counted 42 of some 290 unit tests. Change: a test without a body ends at its own tag.

--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -50,10 +50,10 @@
 	const text = readFileSync(reportFile, 'utf8');
 	const results = [];
 	const pattern =
-		/<testcase name="(?<name>[^"]*)"(?<rest>[^>]*)>(?<body>[\s\S]*?)<\/testcase>|<testcase name="(?<plainName>[^"]*)"[^>]*\/>/gv;
+		/<testcase name="(?<name>[^"]*)"(?:[^>]*[^\/>])?(?:\/>|>(?<body>.*?)<\/testcase>)/gsv;
 	for (const {groups} of text.matchAll(pattern)) {
 		const isFailed = groups.body?.includes('<failure') ?? false;
-		results.push({name: groups.name ?? groups.plainName, isFailed});
+		results.push({name: groups.name, isFailed});
 	}
 
 	return results;
