Exchange versions with a few peers that change slowly

Cause: each exchange went to another random peer, so that nearly each opened a connection of its own. Change: a process talks with six peers in turn, replaces one every 10 s and one that does not answer at once; the measure counts new connections and warms the calls up before it takes their processor time.

--- a/packages/core/src/spread/config-replica.ts
+++ b/packages/core/src/spread/config-replica.ts
@@ -14,6 +14,7 @@
 	startPeerCount,
 	storeSource,
 } from './constants.js';
+import {PartnerSet} from './partner-set.js';
 import {PollSchedule} from './poll-schedule.js';
 import {StartGate} from './start-gate.js';
 import type {SpreadCommand, SpreadEvent} from './types.js';
@@ -44,14 +45,12 @@
 		return new ConfigReplica(options);
 	}
 
-	private readonly _id: string;
 	private readonly _random: Random;
 	private readonly _log: ChangeLog;
 	private readonly _polls: PollSchedule;
 	private readonly _gate: StartGate;
+	private readonly _partners: PartnerSet;
 	private _present: ConfigState;
-	private _peers: readonly string[] = [];
-	private _peerCount = 0;
 	private _highestSeen = 0;
 	private _highestPeer: string | undefined;
 	private _pullStartedAt: number | undefined;
@@ -60,7 +59,7 @@
 	private _failureShare = 0;
 
 	private constructor(options: ConfigReplicaOptions) {
-		this._id = options.id;
+		this._partners = PartnerSet.create(options.id, options.random);
 		this._random = options.random;
 		this._present = options.state ?? ConfigState.empty();
 		this._log = ChangeLog.create(this._present.version);
@@ -105,7 +104,7 @@
 		const commands = this._decide(event, now);
 		const isOpened = this._gate.tryOpen(
 			this._present.version,
-			this._peerCount,
+			this._partners.otherCount,
 			now,
 		);
 		return isOpened ? [...commands, {type: 'ready'}] : commands;
@@ -136,12 +135,12 @@
 
 			case 'exchangeFailed': {
 				this._noteExchange(1);
+				this._partners.replace(event.peer);
 				return [];
 			}
 
 			case 'peersChanged': {
-				this._peers = event.peers;
-				this._peerCount = event.peers.filter(peer => peer !== this._id).length;
+				this._partners.setPeers(event.peers);
 				this._polls.setFleetSize(event.fleetSize, now);
 				return [];
 			}
@@ -270,6 +269,7 @@
 
 	private _tick(now: number): readonly SpreadCommand[] {
 		const commands: SpreadCommand[] = [];
+		this._partners.tick(now);
 		if (this._polls.take(now)) {
 			commands.push({
 				type: 'pollStore',
@@ -313,7 +313,7 @@
 		this._pullStartedAt = now;
 		// After a failure other peers are asked as well, as they probably have the changes too.
 		const wanted = Math.min(2 ** this._pullFailures, mostParallelPulls);
-		return [this._highestPeer, ...this._pickPeers(wanted - 1)].map(peer => ({
+		return [this._highestPeer, ...this._partners.any(wanted - 1)].map(peer => ({
 			type: 'pullFromPeer',
 			peer,
 			afterVersion: this._present.version,
@@ -334,7 +334,11 @@
 	}
 
 	private _exchangeWith(count: number): readonly SpreadCommand[] {
-		return this._pickPeers(count).map(peer => ({
+		// A process that can't serve yet asks all round.
+		const peers = this.isReady
+			? this._partners.next(count)
+			: this._partners.any(count);
+		return peers.map(peer => ({
 			type: 'exchangeVersion',
 			peer,
 			version: this.announcedVersion,
@@ -351,18 +355,4 @@
 	private _noteExchange(failed: 0 | 1): void {
 		this._failureShare += failureShareWeight * (failed - this._failureShare);
 	}
-
-	/** Picks distinct random peers. */
-	private _pickPeers(count: number): readonly string[] {
-		const picked = new Set<string>();
-		const tries = Math.min(count, this._peers.length) * 4;
-		for (let i = 0; i < tries && picked.size < count; i++) {
-			const peer = this._peers[Math.floor(this._random() * this._peers.length)];
-			if (peer !== undefined && peer !== this._id) {
-				picked.add(peer);
-			}
-		}
-
-		return [...picked];
-	}
 }
--- a/packages/core/src/spread/constants.ts
+++ b/packages/core/src/spread/constants.ts
@@ -19,6 +19,12 @@
 /** Exchanges a second that come on top while no peer answers. */
 export const extraExchangesPerSecond = 10;
 
+/** Peers with which a process talks at a time. */
+export const partnerCount = 6;
+
+/** Time after which one of them is replaced by another. */
+export const partnerIntervalMs = 10_000;
+
 /** Peers that are told at once of a version that a process has just reached. */
 export const advanceFanout = 3;
 
--- a/packages/scenarios/src/measure/spread/measure-wire.ts
+++ b/packages/scenarios/src/measure/spread/measure-wire.ts
@@ -13,21 +13,29 @@
 
 const callTimeoutMs = 5000;
 const pulledChangeCount = 100;
-const warmUpCount = 200;
+const warmUpCount = 2000;
 const exchangeCount = 1000;
 
-/** Packets of a TCP connection that carries one call, each with 52 bytes of IP and TCP headers. */
-const tcpBytesPerCall = 10 * 52;
+/** Bytes of the headers of IP and TCP in one packet. */
+const packetHeaderBytes = 52;
+/** Packets of one call on an open connection: question, answer and what acknowledges them. */
+const packetsPerCall = 3;
+/** Packets that open and close a connection. */
+const packetsPerConnection = 7;
 
-/** Bytes of one call and its answer on a connection of its own, headers of IP and TCP included. */
+/** Bytes and processor time of calls between processes, headers of IP and TCP included. */
 export type WireMeasure = {
 	readonly bytesPerExchange: number;
 	/** A pull that brings one change. */
 	readonly bytesPerPull: number;
 	/** Each further change of a pull. */
 	readonly bytesPerChange: number;
-	/** Processor time of an exchange at both ends together, on a connection of its own. */
+	/** What a new connection costs on top. */
+	readonly bytesPerConnection: number;
+	/** Processor time of an exchange at both ends together, on an open connection. */
 	readonly cpuMicrosecondsPerExchange: number;
+	/** Processor time of a new connection on top, at both ends together. */
+	readonly cpuMicrosecondsPerConnection: number;
 };
 
 /** Counts the bytes of the daemon's own calls on a loopback connection. */
@@ -42,16 +50,22 @@
 		changes(pulledChangeCount),
 		async (client, address) => client.changesAfter(address, 1_000_000),
 	);
+	const reused = await cpuOfExchange(() => '127.0.0.1');
+	const fresh = await cpuOfExchange(i => loopbackAddress(i));
 	return {
-		bytesPerExchange: exchange + tcpBytesPerCall,
-		bytesPerPull: pullOne + tcpBytesPerCall,
+		bytesPerExchange: exchange + packetsPerCall * packetHeaderBytes,
+		bytesPerPull: pullOne + packetsPerCall * packetHeaderBytes,
 		bytesPerChange: Math.round((pullMany - pullOne) / (pulledChangeCount - 1)),
-		cpuMicrosecondsPerExchange: await cpuOfExchange(),
+		bytesPerConnection: packetsPerConnection * packetHeaderBytes,
+		cpuMicrosecondsPerExchange: reused,
+		cpuMicrosecondsPerConnection: Math.max(0, fresh - reused),
 	};
 }
 
-/** Each exchange goes to another loopback address, as the peer is another one each time. */
-async function cpuOfExchange(): Promise<number> {
+/** Processor time of an exchange. Another address each time stands for another peer each time. */
+async function cpuOfExchange(
+	addressOf: (i: number) => string,
+): Promise<number> {
 	const transport = Transport.create(undefined);
 	const app = await createServer(transport, {kind: 'changes', changes: []});
 	const url = await listen(app, {address: '0.0.0.0', port: 0});
@@ -65,7 +79,7 @@
 
 		// The calls come one after the other, as in a process with few of them.
 		// eslint-disable-next-line no-await-in-loop
-		await client.exchangeVersion(`${loopbackAddress(i)}:${port}`, 1);
+		await client.exchangeVersion(`${addressOf(i)}:${port}`, 1);
 	}
 
 	const {user, system} = process.cpuUsage(startedAt);
--- a/packages/scenarios/src/measure/spread/spread-run.ts
+++ b/packages/scenarios/src/measure/spread/spread-run.ts
@@ -6,6 +6,8 @@
 import type {WireMeasure} from './measure-wire.js';
 
 const millisecondsPerSecond = 1000;
+const microsecondsPerTenthOfPermille = 100;
+const tenthsOfPermille = 10_000;
 const millisecondsPerDay = 24 * 60 * 60 * millisecondsPerSecond;
 const changesPerDay = 60_000;
 const meanChangeIntervalMs = millisecondsPerDay / changesPerDay;
@@ -50,6 +52,9 @@
 	readonly mostCallsPerSecond: number;
 	/** Bytes sent and received by each process. */
 	readonly bytesPerProcessSecond: number;
+	readonly newConnectionsPerProcessSecond: number;
+	/** Processor time of the calls, worked out from that of one call, as a share of one core. */
+	readonly coreShareOfCalls: number;
 	readonly storeReadsPerSecond: number;
 	/** Time from the end of the cut until the cut region had all changes. */
 	readonly cutCaughtUpMs?: number;
@@ -167,6 +172,7 @@
 			pulledChanges: 0,
 			pulledSnapshots: 0,
 			storeReads: 0,
+			newConnections: 0,
 		});
 		for (const process of processes) {
 			process.calls = 0;
@@ -218,12 +224,27 @@
 		}
 	}
 
+	/** A call takes its processor time at two ends, an equal part at each. */
+	private _coreShare(ends: number): number {
+		const {counts} = this._simulation;
+		const {cpuMicrosecondsPerExchange, cpuMicrosecondsPerConnection} =
+			this._wire;
+		const microseconds =
+			(counts.exchanges + counts.pulls) * cpuMicrosecondsPerExchange +
+			counts.newConnections * cpuMicrosecondsPerConnection;
+		return (
+			Math.round((microseconds * ends) / 2 / microsecondsPerTenthOfPermille) /
+			tenthsOfPermille
+		);
+	}
+
 	private _countedRates() {
 		const {counts, processes} = this._simulation;
 		const seconds = this._options.durationMs / millisecondsPerSecond;
 		const bytes =
 			counts.exchanges * this._wire.bytesPerExchange +
 			counts.pulls * this._wire.bytesPerPull +
+			counts.newConnections * this._wire.bytesPerConnection +
 			Math.max(0, counts.pulledChanges - counts.pulls) *
 				this._wire.bytesPerChange;
 		const calls = processes.map(process => process.calls);
@@ -233,6 +254,8 @@
 			callsPerProcessSecond: round((counts.exchanges + counts.pulls) * ends),
 			mostCallsPerSecond: round(Math.max(...calls) / seconds),
 			bytesPerProcessSecond: Math.round(bytes * ends),
+			newConnectionsPerProcessSecond: round(counts.newConnections * ends),
+			coreShareOfCalls: this._coreShare(ends),
 			storeReadsPerSecond: round(counts.storeReads / seconds),
 		};
 	}
--- a/packages/scenarios/src/spread/spread-simulation.ts
+++ b/packages/scenarios/src/spread/spread-simulation.ts
@@ -18,6 +18,8 @@
 const exchangeTimeoutMs = 500;
 const pullTimeoutMs = 2000;
 const storeTimeoutMs = 2000;
+/** Time after which an unused connection is closed. */
+const idleConnectionMs = 60_000;
 
 const noFaults: SpreadFaults = {
 	lossShare: 0,
@@ -36,6 +38,8 @@
 	isReady: boolean;
 	/** Calls that the process sent or got. */
 	calls: number;
+	/** When the process called each peer last. */
+	readonly calledAt: Map<string, number>;
 };
 
 /** Called whenever a process has moved forward. */
@@ -78,6 +82,7 @@
 		pulledChanges: 0,
 		pulledSnapshots: 0,
 		storeReads: 0,
+		newConnections: 0,
 	};
 
 	faults: SpreadFaults = noFaults;
@@ -105,6 +110,7 @@
 				replica: this._createReplica(id, _state),
 				isReady: false,
 				calls: 0,
+				calledAt: new Map(),
 			});
 		}
 
@@ -165,6 +171,7 @@
 		if (process) {
 			process.incarnation++;
 			process.isReady = false;
+			process.calledAt.clear();
 			process.replica = this._createReplica(process.id, undefined);
 			this._start(process);
 		}
@@ -403,6 +410,13 @@
 
 	private _countCall(process: SimulatedProcess, peerId: string): void {
 		process.calls++;
+		const {now} = this.clock;
+		const calledAt = process.calledAt.get(peerId);
+		if (calledAt === undefined || now - calledAt > idleConnectionMs) {
+			this.counts.newConnections++;
+		}
+
+		process.calledAt.set(peerId, now);
 		this._find(peerId).calls++;
 	}
 
--- a/packages/scenarios/src/spread/types.ts
+++ b/packages/scenarios/src/spread/types.ts
@@ -36,4 +36,6 @@
 	pulledChanges: number;
 	pulledSnapshots: number;
 	storeReads: number;
+	/** Calls to a peer that the process had not called within a minute, so that no connection was open. */
+	newConnections: number;
 };
