Let balsamtray load call a path of a plain service

Cause: services are reached under /services/ROUTE/PATH, and the tool sent the route alone and always called its body JSON. Change: the route may carry a path; a body that is no JSON goes as plain text.

--- a/packages/client/src/commands/load-command.ts
+++ b/packages/client/src/commands/load-command.ts
@@ -39,7 +39,7 @@
 			],
 			[
 				'Calls of a plain service, as JSON',
-				'$0 load --target http://192.0.2.7:8080 --service orders --rate 5 --json',
+				'$0 load --target http://192.0.2.7:8080 --service salt-orders/order --rate 5 --json',
 			],
 		],
 	});
@@ -53,7 +53,7 @@
 	});
 
 	readonly service = Option.String('--service', {
-		description: 'Route of a plain service, in place of a model',
+		description: 'Route of a plain service, with its path, in place of a model',
 	});
 
 	readonly rate = Option.String('--rate', {
--- a/packages/client/src/load/load-sender.ts
+++ b/packages/client/src/load/load-sender.ts
@@ -66,7 +66,7 @@
 	private _headers(): Record<string, string> {
 		const {key, work} = this._plan;
 		return {
-			'content-type': 'application/json',
+			'content-type': contentTypeOf(work),
 			...(key !== '' && {authorization: `Bearer ${key}`}),
 			...(work.kind === 'service' && {'idempotency-key': randomUUID()}),
 		};
@@ -91,7 +91,22 @@
 function pathOf(work: LoadWork): string {
 	return work.kind === 'chat'
 		? '/v1/chat/completions'
-		: `/services/${encodeURIComponent(work.route)}`;
+		: `/services/${work.route}`;
+}
+
+function contentTypeOf(work: LoadWork): string {
+	return work.kind === 'chat' || isJson(work.body)
+		? 'application/json'
+		: 'text/plain';
+}
+
+function isJson(text: string): boolean {
+	try {
+		JSON.parse(text);
+		return true;
+	} catch {
+		return false;
+	}
 }
 
 async function readAnswer(
--- a/packages/client/src/load/types.ts
+++ b/packages/client/src/load/types.ts
@@ -21,7 +21,12 @@
 			readonly prompt: string;
 			readonly maxTokens: number;
 	  }
-	| {readonly kind: 'service'; readonly route: string; readonly body: string};
+	| {
+			readonly kind: 'service';
+			/** Name of the route, and the path at the service if there is one. */
+			readonly route: string;
+			readonly body: string;
+	  };
 
 /** How one request ended. */
 export type LoadOutcome = {
