--- a/packages/core/src/spread/config-replica.ts
+++ b/packages/core/src/spread/config-replica.ts
@@ -9,6 +9,7 @@
 	extraExchangesPerSecond,
 	failureShareWeight,
 	mostParallelPulls,
+	mostPartnerFailureShare,
 	mostPullFailures,
 	pullPatienceMs,
 	startPeerCount,
@@ -334,8 +335,9 @@
 	}
 
 	private _exchangeWith(count: number): readonly SpreadCommand[] {
-		// A process that can't serve yet asks all round.
-		const peers = this.isReady
+		// A process that can't serve yet, or has a bad network, asks all round.
+		const isWell = this.isReady && this._failureShare < mostPartnerFailureShare;
+		const peers = isWell
 			? this._partners.next(count)
 			: this._partners.any(count);
 		return peers.map(peer => ({
--- a/packages/core/src/spread/constants.ts
+++ b/packages/core/src/spread/constants.ts
@@ -22,6 +22,9 @@
 /** Peers with which a process talks at a time. */
 export const partnerCount = 6;
 
+/** Share of failed exchanges from which on a process asks all round instead. */
+export const mostPartnerFailureShare = 0.25;
+
 /** Time after which one of them is replaced by another. */
 export const partnerIntervalMs = 10_000;
 
