--- /dev/null
+++ b/packages/daemon/src/store/table-client.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type RequestListener} from 'node:http';
+import {describe, it} from 'node:test';
+import {TableClient} from './table-client.js';
+import type {TableWrite} from './types.js';
+
+const timeoutMs = 150;
+const write: TableWrite = {
+	table: 't',
+	key: 'a/b',
+	value: 1,
+	condition: {kind: 'absent'},
+};
+
+async function withTable(
+	listener: RequestListener,
+	use: (client: TableClient) => Promise<void>,
+): Promise<void> {
+	const server = createServer(listener);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const address = server.address();
+	assert.ok(typeof address === 'object' && address !== null);
+	const url = `http://127.0.0.1:${address.port}`;
+	const client = TableClient.create({url, timeoutMs});
+	try {
+		await use(client);
+	} finally {
+		await client.close();
+		server.closeAllConnections();
+		server.close();
+	}
+}
+
+function answer(status: number, body: string): RequestListener {
+	return (_req, res) => {
+		res.statusCode = status;
+		res.end(body);
+	};
+}
+
+describe('TableClient', () => {
+	describe('when a write fails', () => {
+		const cases: ReadonlyArray<
+			readonly [string, RequestListener, 'notWritten' | 'unknown']
+		> = [
+			['the service is down', answer(503, ''), 'notWritten'],
+			['the service calls it malformed', answer(400, ''), 'notWritten'],
+			['the service fails', answer(500, ''), 'unknown'],
+			['the answer can not be read', answer(200, '{"versions":'), 'unknown'],
+			[
+				'the connection breaks',
+				req => {
+					req.socket.destroy();
+				},
+				'unknown',
+			],
+			[
+				'no answer comes in time',
+				req => {
+					req.resume();
+				},
+				'unknown',
+			],
+		];
+		for (const [name, listener, outcome] of cases) {
+			it(`tells what is known of it: ${name}`, async () => {
+				await withTable(listener, async client => {
+					await assert.rejects(client.transact([write]), {
+						name: 'StoreError',
+						step: 'store',
+						peer: 'table service',
+						outcome,
+					});
+				});
+			});
+		}
+
+		it('tells that nothing was written: nobody listens', async () => {
+			const url = 'http://127.0.0.1:9';
+			const client = TableClient.create({url, timeoutMs});
+			await assert.rejects(client.transact([write]), {outcome: 'notWritten'});
+			await client.close();
+		});
+	});
+
+	it('reads committed versions and conflicts', async () => {
+		await withTable(answer(200, '{"versions":[4]}'), async client => {
+			const result = await client.transact([write]);
+			assert.deepEqual(result, {kind: 'committed', versions: [4]});
+		});
+		const conflicts = '{"conflicts":[{"index":0,"current":null}]}';
+		await withTable(answer(409, conflicts), async client => {
+			const result = await client.transact([write]);
+			assert.deepEqual(result, {
+				kind: 'conflict',
+				conflicts: [{index: 0, current: undefined}],
+			});
+		});
+	});
+
+	it('writes keys so that they stand in a URL', async () => {
+		const urls: string[] = [];
+		const listener: RequestListener = (req, res) => {
+			urls.push(req.url ?? '');
+			res.statusCode = 404;
+			res.end('{}');
+		};
+
+		await withTable(listener, async client => {
+			assert.equal(await client.read('t', 'a/b?c'), undefined);
+		});
+		assert.deepEqual(urls, ['/v1/tables/t/rows/a%2Fb%3Fc']);
+	});
+});
