Wait for the shards' holders before an entry is ready

Cause: an entry that has just started refused requests inside the rate until leases were taken. Change: the rate task's start waits up to 2 s until each shard has a holder; claims go each 10 ms, so that three entries make at most 300 transactions a second.

--- a/packages/core/src/rate/shard-leases.ts
+++ b/packages/core/src/rate/shard-leases.ts
@@ -109,6 +109,14 @@
 		return [...this._held.keys()];
 	}
 
+	/** Whether each shard has a holder, as far as this entry knows. */
+	get isSettled(): boolean {
+		return (
+			this._shards.length > 0 &&
+			this._shards.every(({id}) => this._seen.get(id)?.row.state === 'held')
+		);
+	}
+
 	/** Whether a release waits for the store. */
 	get isReleasing(): boolean {
 		return [...this._writes.values()].some(
--- a/packages/daemon/src/claims/claim-task.ts
+++ b/packages/daemon/src/claims/claim-task.ts
@@ -13,7 +13,7 @@
 import {ClaimTable, outcomeSchema} from './claim-table.js';
 
 /** Interval in which claims are collected into one transaction. */
-const batchIntervalMs = 5;
+const batchIntervalMs = 10;
 
 /** Largest outcome that stands in the row itself, in characters of JSON. Larger ones go to the object store. */
 export const longestRowOutcome = 32 * 1024;
--- a/packages/daemon/src/rate/rate-task.test.ts
+++ b/packages/daemon/src/rate/rate-task.test.ts
@@ -130,8 +130,10 @@
 
 	describe('with two entries', () => {
 		it('lets one entry spend the whole burst and no more', async () => {
-			const a = await fleet.start('entry-a', 'i1');
-			const b = await fleet.start('entry-b', 'i1');
+			const [a, b] = await Promise.all([
+				fleet.start('entry-a', 'i1'),
+				fleet.start('entry-b', 'i1'),
+			]);
 			await fleet.settle(3);
 			assert.deepEqual(await a.reserve('r1', 'lakeshore', 2900), {
 				kind: 'reserved',
--- a/packages/daemon/src/rate/rate-task.ts
+++ b/packages/daemon/src/rate/rate-task.ts
@@ -34,7 +34,12 @@
 
 const tickMs = 50;
 const layoutRetryMs = 1000;
-const releasePollMs = 20;
+const leasePollMs = 20;
+
+/** Longest wait at the start for holders of all shards, in milliseconds. */
+const longestStartMs = 2000;
+
+/** Longest wait at the stop for the release of the shards, in milliseconds. */
 const longestReleaseMs = 2000;
 
 /** Longest wait of a request for tokens from other holders, in milliseconds. */
@@ -102,7 +107,10 @@
 		});
 	}
 
-	/** Starts to take leases. The process's peer port must listen and its configuration be ready. */
+	/**
+	 * Starts to take leases, and waits a little until all shards have holders.
+	 * The process's peer port must listen and its configuration be ready.
+	 */
 	async start(): Promise<void> {
 		const {config, membership} = this._options;
 		this._learnLimits(config.view());
@@ -119,7 +127,7 @@
 			this._tick();
 		}, tickMs);
 		void this._learnShards();
-		await Promise.resolve();
+		await this._waitWhile(() => !this._leases.isSettled, longestStartMs);
 	}
 
 	/** Ends all spending, then gives the shards to others. The peer port must not close before. */
@@ -130,13 +138,7 @@
 		}
 
 		this._settlements.flush();
-		const giveUpAt = this._clock.now() + longestReleaseMs;
-		while (this._leases.isReleasing && this._clock.now() < giveUpAt) {
-			// The release is a write that is under way.
-			// eslint-disable-next-line no-await-in-loop
-			await sleep(releasePollMs);
-		}
-
+		await this._waitWhile(() => this._leases.isReleasing, longestReleaseMs);
 		this._isStopped = true;
 		clearInterval(this._timer);
 		for (const subscription of this._subscriptions) {
@@ -193,6 +195,18 @@
 		}
 	}
 
+	private async _waitWhile(
+		isWaiting: () => boolean,
+		longestMs: number,
+	): Promise<void> {
+		const giveUpAt = this._clock.now() + longestMs;
+		while (isWaiting() && this._clock.now() < giveUpAt) {
+			// Writes to the store are under way.
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(leasePollMs);
+		}
+	}
+
 	private async _learnShards(): Promise<void> {
 		while (!this._isStopped) {
 			try {
