Hold one bucket against the definition of rate and burst

Cause: with the count of sent tokens, or the note of a return, taken out of the bucket, the schedules over the whole fleet still passed (1,000 each): they seldom bring a bucket to its burst with transfers under way. Change: a differential test of the bucket alone, 1,000 schedules; measure commands rate and rate-cost.

--- a/packages/scenarios/src/measure/main.ts
+++ b/packages/scenarios/src/measure/main.ts
@@ -5,6 +5,7 @@
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {measureCapacity} from './capacity/measure-capacity.js';
+import {measureRate, measureRateCost} from './rate.js';
 import {measureRouting} from './routing.js';
 import {experiments} from './serving/experiments.js';
 import {formatReport} from './serving/report.js';
@@ -68,6 +69,25 @@
 			break;
 		}
 
+		case 'rate': {
+			printJson(
+				measureRate({
+					seeds: Array.from(
+						{length: Number(values.seeds)},
+						(_, i) => firstSeed + i,
+					),
+				}),
+			);
+
+			break;
+		}
+
+		case 'rate-cost': {
+			printJson(measureRateCost());
+
+			break;
+		}
+
 		case 'spread': {
 			printJson(await measureSpread(firstSeed));
 
