Give shards up only to entries that surely live

Cause: after an entry was killed, the others gave it shards that it could not take, and took them back, each 20 s.

--- a/packages/core/src/rate/constants.ts
+++ b/packages/core/src/rate/constants.ts
@@ -94,3 +94,6 @@
 
 /** Time between two questions for one customer while its buckets here are that low. */
 export const urgentRefillIntervalMs = 200;
+
+/** How long after its last message an entry is taken for alive. */
+export const seenAliveMs = 10 * 1000;
--- a/packages/core/src/rate/lease-types.ts
+++ b/packages/core/src/rate/lease-types.ts
@@ -59,6 +59,8 @@
 			readonly writeId: string;
 			readonly result: ShardWriteResult;
 	  }
+	/** The entry has sent a message, so it lives. */
+	| {readonly type: 'peerSeen'; readonly peer: string}
 	/** The holder of a shard is not known. */
 	| {readonly type: 'rowsWanted'}
 	/** A message to the entry could not be delivered since its port refused the connection. */
--- a/packages/core/src/rate/shard-leases.ts
+++ b/packages/core/src/rate/shard-leases.ts
@@ -6,6 +6,7 @@
 	leaseRetryMs,
 	rebalanceMs,
 	rowsWantedMs,
+	seenAliveMs,
 	shardPollMsPerShard,
 	shardReviewMs,
 	vacancyMs,
@@ -88,6 +89,7 @@
 	private readonly _held = new Map<string, HeldLease>();
 	private readonly _writes = new Map<string, PendingWrite>();
 	private readonly _vacantSince = new Map<string, number>();
+	private readonly _seenAliveAt = new Map<string, number>();
 	private _writeCount = 0;
 	private _hasRead = false;
 	private _isReading = false;
@@ -156,11 +158,17 @@
 				return this._settleWrite(event.writeId, event.result, now);
 			}
 
+			case 'peerSeen': {
+				this._seenAliveAt.set(event.peer, now);
+				return [];
+			}
+
 			case 'rowsWanted': {
 				return now - this._readAt >= rowsWantedMs ? this._readRows(now) : [];
 			}
 
 			case 'holderRefused': {
+				this._seenAliveAt.delete(event.holder);
 				return this._checkShardsOf(event.holder);
 			}
 
@@ -312,7 +320,8 @@
 			const isShort = this._claimedCount(commands) < this._fairShare();
 			// Who proved the death takes over at once: a lost share is worse than an uneven split.
 			const isLeft =
-				now - since >= vacancyMs || this._seen.get(id)?.isProvenDead === true;
+				now - since >= this._vacancyMs(id) ||
+				this._seen.get(id)?.isProvenDead === true;
 			if ((isShort || isLeft) && !this._isWriting(id)) {
 				commands.push(this._claim(id, now));
 			}
@@ -321,6 +330,14 @@
 		return commands;
 	}
 
+	/** A shard that this entry gave up is left to the others until all of them have read its row. */
+	private _vacancyMs(shard: string): number {
+		const row = this._seen.get(shard)?.row;
+		const isGivenUp =
+			row?.state === 'released' && row.holder.id === this._self.id;
+		return isGivenUp ? vacancyMs + 2 * this._pollMs : vacancyMs;
+	}
+
 	private _claimedCount(commands: readonly LeaseCommand[]): number {
 		const claiming = [...this._writes.values()].filter(
 			write => write.purpose === 'claim' && write.isInFlight,
@@ -552,6 +569,7 @@
 		}
 
 		seen.isProvenDead = true;
+		this._seenAliveAt.delete(seen.row.holder.id);
 		return this._claimVacant(now);
 	}
 
@@ -584,7 +602,7 @@
 			shard === undefined ||
 			now < this._rebalanceAt ||
 			this._held.size <= this._fairShare() ||
-			!this._isEntryWithout()
+			!this._isEntryWithout(now)
 		) {
 			return [];
 		}
@@ -593,14 +611,18 @@
 		return [{type: 'releaseShard', shard}];
 	}
 
-	private _isEntryWithout(): boolean {
+	/** Whether an entry that surely lives has no shard. The platform's list also names entries that died. */
+	private _isEntryWithout(now: number): boolean {
 		const holders = new Set<string>();
 		for (const {row} of this._seen.values()) {
 			holders.add(row.holder.id);
 		}
 
 		return this._entries.some(
-			entry => entry.region === this._self.region && !holders.has(entry.id),
+			entry =>
+				entry.region === this._self.region &&
+				!holders.has(entry.id) &&
+				now - (this._seenAliveAt.get(entry.id) ?? -seenAliveMs) < seenAliveMs,
 		);
 	}
 }
--- a/packages/daemon/src/rate/rate-task.ts
+++ b/packages/daemon/src/rate/rate-task.ts
@@ -175,6 +175,7 @@
 	async requestTransfer(request: TransferRequest): Promise<TransferAnswer> {
 		return new Promise(resolve => {
 			this._answers.set(request.transferId, resolve);
+			this._handleLease({type: 'peerSeen', peer: request.peer});
 			this._handleRate({type: 'transferRequested', ...request});
 		});
 	}
--- a/packages/scenarios/src/measure/rate-fleet/virtual-entry.ts
+++ b/packages/scenarios/src/measure/rate-fleet/virtual-entry.ts
@@ -99,6 +99,10 @@
 
 	handleRate(event: RateEvent): void {
 		this.whenRunning(() => {
+			if (event.type === 'transferRequested') {
+				this.handleLease({type: 'peerSeen', peer: event.peer});
+			}
+
 			for (const command of this._core.handle(event, this.now)) {
 				this._world.carryOutRate(this, command);
 			}
