--- a/packages/core/src/rate/rate-core.ts
+++ b/packages/core/src/rate/rate-core.ts
@@ -2,10 +2,8 @@
 	accrualWaitMs,
 	minRetryAfterMs,
 	openReservationMs,
-	refillBelowShare,
 	shortagePauseMs,
 	shardsPerCustomer,
-	transferOutstandingMs,
 	transferTimeoutMs,
 	transferValidityMs,
 	unknownLimitRetryMs,
@@ -15,12 +13,13 @@
 	OwnPart,
 	PendingAsk,
 	TokenRequest,
-	TransferPart,
 } from './gathering.js';
-import {HeldShards, type HeldBucket} from './held-shards.js';
+import {HeldShards} from './held-shards.js';
 import {HolderDirectory} from './holder-directory.js';
 import {OpenReservations} from './open-reservations.js';
-import {Refills, type RefillAsk} from './refills.js';
+import {Refiller} from './refiller.js';
+import {returnTransfer} from './return-transfer.js';
+import {TokenLender} from './token-lender.js';
 import type {
 	RateCommand,
 	RateDecider,
@@ -74,7 +73,8 @@
 	>();
 
 	private readonly _open = OpenReservations.create();
-	private readonly _refills = Refills.create();
+	private readonly _refiller: Refiller;
+	private readonly _lender: TokenLender;
 
 	private constructor(options: RateCoreOptions) {
 		this._idPrefix = `${options.self.id}/${options.incarnation}`;
@@ -82,6 +82,12 @@
 			options.shardsPerCustomer ?? shardsPerCustomer,
 		);
 		this._directory = HolderDirectory.create(options.self);
+		this._lender = TokenLender.create(this._shards);
+		this._refiller = Refiller.create({
+			shards: this._shards,
+			directory: this._directory,
+			nextTransferId: () => this._nextTransferId(),
+		});
 	}
 
 	/** Takes an event at a time of the monotonic clock and returns what is to be done. */
@@ -96,7 +102,8 @@
 			}
 
 			case 'transferRequested': {
-				return this._serveTransfer(event, now);
+				this._refiller.noteSpent(event.customer, now);
+				return [this._lender.serve(event, now)];
 			}
 
 			case 'transferArrived': {
@@ -108,13 +115,12 @@
 			}
 
 			case 'transferReturned': {
-				return this._takeBackTransfer(event, now);
+				this._lender.takeBack(event, now);
+				return [];
 			}
 
 			case 'transferSpent': {
-				for (const {bucket} of this._shards.bucketsOf(event.customer, now)) {
-					bucket.confirm(event.transferId, now);
-				}
+				this._lender.confirm(event.transferId, event.customer, now);
 
 				return [];
 			}
@@ -311,7 +317,7 @@
 				tokens,
 			})),
 		});
-		this._refills.noteSpent(customer, now);
+		this._refiller.noteSpent(customer, now);
 		return [
 			{type: 'reserved', requestId},
 			...transfers.map(({peer, transferId}): RateCommand => ({
@@ -342,7 +348,7 @@
 			...(isWaiting
 				? []
 				: [{type: 'reserveRefused', requestId, retryAfterMs} as const]),
-			...transfers.map(part => returnOf(part, customer, part.tokens)),
+			...transfers.map(part => returnTransfer(part, customer, part.tokens)),
 			...this._refreshIfUnknown(customer),
 		];
 	}
@@ -418,7 +424,7 @@
 		for (const part of open.transfers) {
 			const tokens = Math.min(left, part.tokens);
 			if (tokens > 0) {
-				commands.push(returnOf(part, customer, tokens));
+				commands.push(returnTransfer(part, customer, tokens));
 				left -= tokens;
 			}
 		}
@@ -426,54 +432,15 @@
 		return commands;
 	}
 
-	private _serveTransfer(
-		event: EventOf<'transferRequested'>,
-		now: number,
-	): readonly RateCommand[] {
-		const {peer, transferId, customer, fillShare} = event;
-		const buckets = this._shards.bucketsOf(customer, now);
-		const wanted = Math.ceil(event.tokens);
-		const tokens =
-			fillShare === undefined
-				? wanted
-				: Math.min(wanted, surplusOver(buckets, fillShare));
-		let sent = 0;
-		for (const {bucket} of buckets) {
-			const part = Math.min(tokens - sent, bucket.available);
-			if (part > 0 && !bucket.hasSent(transferId)) {
-				bucket.send(transferId, part, now + transferOutstandingMs);
-				sent += part;
-			}
-		}
-
-		this._refills.noteSpent(customer, now);
-		const limit = this._shards.limitOf(customer);
-		const tokensPerMs = (limit?.tokensPerSecond ?? 0) / 1000;
-		const retry =
-			sent < tokens && tokensPerMs > 0
-				? {retryAfterMs: Math.ceil((tokens - sent) / tokensPerMs)}
-				: {};
-		return [
-			{
-				type: 'sendTransfer',
-				peer,
-				transferId,
-				customer,
-				tokens: sent,
-				...retry,
-			},
-		];
-	}
-
 	private _takeTransfer(
 		event: EventOf<'transferArrived'>,
 		now: number,
 	): readonly RateCommand[] {
 		const {peer, transferId, tokens} = event;
 		this._directory.noteAlive(peer);
-		const refill = this._refills.take(transferId);
-		if (refill !== undefined) {
-			return this._absorb(refill, transferId, tokens, now);
+		const refilled = this._refiller.take(transferId, tokens, now);
+		if (refilled !== undefined) {
+			return refilled;
 		}
 
 		const gathering = this._asks.get(transferId);
@@ -513,7 +480,7 @@
 			return [];
 		}
 
-		return [returnOf(abandoned, abandoned.customer, tokens)];
+		return [returnTransfer(abandoned, abandoned.customer, tokens)];
 	}
 
 	private _noteFailure(
@@ -537,18 +504,6 @@
 		return this._advance(gathering, now);
 	}
 
-	private _takeBackTransfer(
-		event: EventOf<'transferReturned'>,
-		now: number,
-	): readonly RateCommand[] {
-		let left = event.tokens;
-		for (const {bucket} of this._shards.bucketsOf(event.customer, now)) {
-			left -= bucket.takeBack(event.transferId, left);
-		}
-
-		return [];
-	}
-
 	private _tick(now: number): readonly RateCommand[] {
 		const commands: RateCommand[] = [];
 		for (const gathering of this._gatherings.values()) {
@@ -562,10 +517,10 @@
 			}
 		}
 
-		commands.push(...this._resumeWaiting(now), ...this._refillLow(now));
+		commands.push(...this._resumeWaiting(now), ...this._refiller.askLow(now));
 		this._directory.expire(now);
 		this._open.expire(now);
-		this._refills.expire(now);
+		this._refiller.expire(now);
 		for (const [transferId, ask] of this._abandoned) {
 			if (now - ask.askedAt >= openReservationMs) {
 				this._abandoned.delete(transferId);
@@ -575,62 +530,6 @@
 		return commands;
 	}
 
-	/** Asks other holders to even out where the buckets here are low. */
-	private _refillLow(now: number): readonly RateCommand[] {
-		const commands: RateCommand[] = [];
-		for (const customer of this._refills.due(now)) {
-			const {level, burst} = fillOf(this._shards.bucketsOf(customer, now));
-			if (level >= burst * refillBelowShare) {
-				this._refills.noteFull(customer);
-				continue;
-			}
-
-			const shards = this._shards.shardsOf(customer);
-			const peers = this._directory.peersToAsk(customer, shards, 1, now);
-			const fillShare = Math.max(0, level / burst);
-			const peer = this._refills.choosePeer(customer, peers, fillShare, now);
-			if (peer !== undefined) {
-				const transferId = this._nextTransferId();
-				const tokens = Math.floor(burst - level);
-				this._refills.add(transferId, {customer, peer, askedAt: now});
-				commands.push({
-					type: 'requestTransfer',
-					peer,
-					transferId,
-					customer,
-					tokens,
-					fillShare,
-				});
-			}
-		}
-
-		return commands;
-	}
-
-	/** Takes tokens into the buckets here. What finds no room or comes too late goes back. */
-	private _absorb(
-		ask: RefillAsk,
-		transferId: string,
-		tokens: number,
-		now: number,
-	): readonly RateCommand[] {
-		const {customer, peer, askedAt} = ask;
-		let left = tokens;
-		if (now - askedAt < transferValidityMs) {
-			for (const {bucket} of this._shards.bucketsOf(customer, now)) {
-				left -= bucket.absorb(left);
-			}
-		}
-
-		if (left > 0) {
-			return [returnOf({peer, transferId}, customer, left)];
-		}
-
-		return tokens > 0
-			? [{type: 'confirmTransfer', peer, transferId, customer}]
-			: [];
-	}
-
 	private _nextTransferId(): string {
 		return `${this._idPrefix}/${this._transferCount++}`;
 	}
@@ -638,7 +537,7 @@
 	/** Shortens what may be spent until a point of time, never what counts against a burst. */
 	private _jump(byMs: number): void {
 		this._shards.advanceLeases(byMs);
-		this._refills.jump(byMs);
+		this._refiller.jump(byMs);
 		for (const gathering of this._gatherings.values()) {
 			if (gathering.ask !== undefined) {
 				gathering.ask.askedAt -= byMs;
@@ -659,32 +558,3 @@
 
 	return sum;
 }
-
-function fillOf(buckets: readonly HeldBucket[]) {
-	let level = 0;
-	let burst = 0;
-	for (const {bucket} of buckets) {
-		level += bucket.level;
-		burst += bucket.limit.burst;
-	}
-
-	return {level, burst};
-}
-
-/** Tokens that even out these buckets with those of an entry that are filled to the share. */
-function surplusOver(
-	buckets: readonly HeldBucket[],
-	fillShare: number,
-): number {
-	const {level, burst} = fillOf(buckets);
-	return Math.max(0, Math.floor((level - fillShare * burst) / 2));
-}
-
-function returnOf(
-	part: Pick<TransferPart, 'peer' | 'transferId'>,
-	customer: string,
-	tokens: number,
-): RateCommand {
-	const {peer, transferId} = part;
-	return {type: 'returnTransfer', peer, transferId, customer, tokens};
-}
