Suspect only what ran on broken connections while a server is silent

Cause: a backend server that gave no health report twice counted as died, and all that ran on it as suspects, though it may only have been frozen. Change: while it is silent, only requests whose connections broke are reported; the rest once a report shows a new boot.

--- a/packages/core/src/agent/agent-core.ts
+++ b/packages/core/src/agent/agent-core.ts
@@ -253,10 +253,9 @@
 	}
 
 	private _onUnreachable(now: number): void {
-		const {window, running} = this._scheduler;
-		const report = this._crashes.onUnreachable(running.fingerprints(), now);
+		const report = this._crashes.onUnreachable(now);
 		this._isHealthAsked = false;
-		window.onSuspicion();
+		this._scheduler.window.onSuspicion();
 		this._reportCrash(report, now);
 		if (!this._crashes.isUp) {
 			this._giveUpWaiting(() => this._refusals.backendDown());
--- a/packages/core/src/agent/agent-refusal.test.ts
+++ b/packages/core/src/agent/agent-refusal.test.ts
@@ -264,6 +264,25 @@
 			assert.equal(innocent?.type, 'runOnBackend');
 		});
 
+		it('spare what runs on a server that is only silent', () => {
+			const driver = Driver.create();
+			driver.dispatch({attemptId: 'a1'});
+			const silent = [
+				...driver.handle({type: 'backendUnreachable'}),
+				...driver.handle({type: 'backendUnreachable'}),
+			];
+			assert.ok(silent.every(({type}) => type !== 'reportSuspects'));
+			const [refusal] = refusalsOf(driver.dispatch({attemptId: 'a2'}));
+			assert.equal(refusal?.code, 'backend_failed');
+			const restarted = driver.healthy('b2', ['m1@1']);
+			const report = restarted.find(({type}) => type === 'reportSuspects');
+			assert.deepEqual(report, {
+				type: 'reportSuspects',
+				fingerprints: ['f1'],
+				bootId: 'b1',
+			});
+		});
+
 		it('follow what other processes have learned', () => {
 			const driver = Driver.create();
 			driver.handle({
--- a/packages/core/src/agent/crash-watch.ts
+++ b/packages/core/src/agent/crash-watch.ts
@@ -67,15 +67,15 @@
 		return {change, report};
 	}
 
-	/** The backend server gave no health report. What ran is reported where it counts as down. */
-	onUnreachable(
-		running: readonly string[],
-		now: number,
-	): CrashReport | undefined {
+	/**
+	 * The backend server gave no health report. Where it counts as down, what ran on broken connections is reported.
+	 * Requests whose connections stand are no suspects yet: the backend server may only be silent.
+	 */
+	onUnreachable(now: number): CrashReport | undefined {
 		this._boot.onUnreachable();
 		return this._boot.isUp
 			? undefined
-			: this._reportCrash(this._boot.bootId, running, now);
+			: this._reportCrash(this._boot.bootId, [], now);
 	}
 
 	private _reportCrash(
