Refuse requests that would hand a key on to a back end

Change: a request whose path, body, forwarded headers or idempotency key holds the caller's key, or any text of a key's form, is refused as not run before it is decided. Plain and percent-encoded forms are found; a key that its caller disguises otherwise is not.

--- a/packages/daemon/src/entry/callers-routes.test.ts
+++ b/packages/daemon/src/entry/callers-routes.test.ts
@@ -148,6 +148,32 @@
 		});
 	});
 
+	describe('a key outside its header', () => {
+		const anyKey = `bt_${'0a'.repeat(8)}_${'f1'.repeat(32)}`;
+		const encoded = anyKey.replace('bt_', '%62t_');
+		for (const [name, path, body, headers] of [
+			['the query', `/services/stock/a?key=${goodKey}`, '{}', {}],
+			['the encoded query', `/services/stock/a?key=${encoded}`, '{}', {}],
+			['a body', '/services/stock/a', `x=${anyKey}`, {}],
+			['a prompt', '/v1/chat/completions', {...chat, user: anyKey}, {}],
+			['a type', '/services/stock/a', '{}', {'content-type': anyKey}],
+			[
+				'an idempotency key',
+				'/services/orders/a',
+				'{}',
+				{'idempotency-key': anyKey},
+			],
+		] as const) {
+			it(`is not handed on in ${name}`, async () => {
+				const {url, agentCalls} = await start();
+				const res = await post(url + path, body, headers);
+				assert.equal(res.status, 400);
+				assert.equal(errorOf(res.text).not_run, true);
+				assert.equal(agentCalls.length, 0);
+			});
+		}
+	});
+
 	describe('a stream', () => {
 		it('reaches the caller as it arrives and ends when the agent says that it is whole', async () => {
 			const {url} = await start({
--- a/packages/daemon/src/entry/callers-routes.ts
+++ b/packages/daemon/src/entry/callers-routes.ts
@@ -16,6 +16,7 @@
 import {requestTimeoutMs} from './constants.js';
 import type {EntryTask} from './entry-task.js';
 import {errorAnswer} from './error-body.js';
+import {holdsKey} from './key-leak.js';
 import {listModels} from './list-models.js';
 import {parseModelCall, type ModelCallKind} from './parse-model-call.js';
 import {
@@ -212,6 +213,18 @@
 			return this._refuse(req, reply, 'invalid_request', headers.message);
 		}
 
+		const {path, contentType, accept} = form;
+		const {idempotencyKey} = headers.headers;
+		const texts = [path, req.raw.url, contentType, accept, idempotencyKey];
+		if (holdsKey({body, texts}, keyTextOf(req.headers))) {
+			return this._refuse(
+				req,
+				reply,
+				'invalid_request',
+				'A key may stand in the Authorization header only.',
+			);
+		}
+
 		const requestId = randomUUID();
 		reply.hijack();
 		this._options.entry.submit({
--- a/packages/daemon/src/entry/request-headers.ts
+++ b/packages/daemon/src/entry/request-headers.ts
@@ -37,7 +37,7 @@
 }
 
 /** Stands for a header that holds no key, so that it is refused like a wrong key. */
-const malformedKey = 'malformed';
+const malformedKey = '\0malformed';
 
 /** A header as it may be handed on to a back end. Undefined where it may not. */
 export function forwardableHeader(
