--- a/packages/core/src/agent/wait-estimate.ts
+++ b/packages/core/src/agent/wait-estimate.ts
@@ -98,12 +98,19 @@
 	}
 
 	private _msUntilFree(tokensAhead: number): number {
-		const {times, running, window} = this._options;
+		const {times, running, waiting, window} = this._options;
 		const capacity = window.capacity();
 		const isFree = running.size < capacity && tokensAhead === 0;
-		return isFree
-			? 0
-			: times.msFor(tokensAhead, capacity) + times.requestMs / capacity;
+		if (isFree) {
+			return 0;
+		}
+
+		const turnMs = times.requestMs / capacity;
+		const queueMs = times.msFor(tokensAhead, capacity);
+		// Until answers were measured, requests count with the most tokens that they may have.
+		return times.isReliable
+			? queueMs + turnMs
+			: Math.min(queueMs, waiting.size * turnMs) + turnMs;
 	}
 
 	/** Expected time until an adapter version is resident that a new request needs. */
