Keep the core's imports to node:crypto

Cause: the check of the packages' dependencies refused node:buffer in the core. Change: the keys' bytes are written in hexadecimal without it; records and digests are the same. Result: the check failed before and passes after; the tests of keys and operators pass.

--- a/packages/core/src/config/keys.ts
+++ b/packages/core/src/config/keys.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import {createHash, timingSafeEqual} from 'node:crypto';
 import type {Credential} from '../entry/types.js';
 import type {ConfigView, KeyRecord} from './types.js';
@@ -73,12 +72,9 @@
 }
 
 function digestSecret(salt: string, secret: string): string {
-	return createHash('sha256')
-		.update(Buffer.from(salt, 'hex'))
-		.update(secret)
-		.digest('hex');
+	return createHash('sha256').update(salt, 'hex').update(secret).digest('hex');
 }
 
 function hex(bytes: Uint8Array): string {
-	return Buffer.from(bytes).toString('hex');
+	return Array.from(bytes, byte => byte.toString(16).padStart(2, '0')).join('');
 }
