--- a/packages/core/src/rate/rate-core.ts
+++ b/packages/core/src/rate/rate-core.ts
@@ -343,7 +343,7 @@
 		}
 
 		const retryAfterMs = this._retryAfterMs(gathering);
-		const isWaiting = this._waitForAccrual(gathering, retryAfterMs, now);
+		const isWaiting = this._waitForAccrual(gathering, now);
 		return [
 			...(isWaiting
 				? []
@@ -354,11 +354,8 @@
 	}
 
 	/** Lets one request of a customer wait where its tokens are about to accrue. */
-	private _waitForAccrual(
-		gathering: Gathering,
-		accrualMs: number,
-		now: number,
-	): boolean {
+	private _waitForAccrual(gathering: Gathering, now: number): boolean {
+		const accrualMs = this._accrualMs(gathering);
 		const {requestId, customer, tokens, deadline, hasWaited} = gathering;
 		// Holders that had too little are not asked again before their pause is over.
 		const at = now + Math.max(accrualMs, shortagePauseMs);
@@ -394,7 +391,7 @@
 	}
 
 	/** When the missing tokens will have accrued, if nobody else takes them. */
-	private _retryAfterMs(gathering: Gathering): number {
+	private _accrualMs(gathering: Gathering): number {
 		const limit = this._shards.limitOf(gathering.customer);
 		const tokensPerMs = (limit?.tokensPerSecond ?? 0) / 1000;
 		const accrualMs =
@@ -402,6 +399,15 @@
 		return Math.max(minRetryAfterMs, Math.ceil(accrualMs));
 	}
 
+	/** While a holder is not known, that one may have the tokens sooner than they accrue. */
+	private _retryAfterMs(gathering: Gathering): number {
+		const shards = this._shards.shardsOf(gathering.customer);
+		const accrualMs = this._accrualMs(gathering);
+		return this._directory.knowsAll(shards)
+			? accrualMs
+			: Math.max(unknownLimitRetryMs, accrualMs);
+	}
+
 	private _giveBack(
 		event: EventOf<'tokensReturned'>,
 		now: number,
--- a/packages/core/src/rate/shard-leases.ts
+++ b/packages/core/src/rate/shard-leases.ts
@@ -96,6 +96,8 @@
 	private _isClosing = false;
 	private _readAt = Number.NEGATIVE_INFINITY;
 	private _checkAt = 0;
+	/** Earliest time of the next claim. */
+	private _claimAt = 0;
 	private _reviewAt = 0;
 	private _rebalanceAt = 0;
 
@@ -111,6 +113,16 @@
 		return [...this._held.keys()];
 	}
 
+	/** The list of shards, empty until it is known. */
+	get shards(): readonly RateShard[] {
+		return this._shards;
+	}
+
+	/** The rows as this entry last saw them. */
+	get rows(): ReadonlyMap<string, VersionedShardRow> {
+		return this._seen;
+	}
+
 	/** Whether each shard has a holder, as far as this entry knows. */
 	get isSettled(): boolean {
 		return (
@@ -304,7 +316,7 @@
 	}
 
 	private _claimVacant(now: number): readonly LeaseCommand[] {
-		if (!this._hasRead || this._isClosing) {
+		if (!this._hasRead || this._isClosing || now < this._claimAt) {
 			return [];
 		}
 
@@ -472,6 +484,7 @@
 
 			case 'unavailable': {
 				this._writes.delete(writeId);
+				this._claimAt = now + leaseRetryMs;
 				return [];
 			}
 
--- a/packages/daemon/src/claims/testing.ts
+++ b/packages/daemon/src/claims/testing.ts
@@ -1,6 +1,7 @@
 /** Fakes for the tests of the rate and claim tasks. */
 import {type Customer, ConfigState} from '@balsamtray/core';
 import type {ConfigService, Telemetry} from '../common/types.js';
+import {StoreError} from '../store/store-error.js';
 import type {
 	RowRange,
 	TableRow,
@@ -15,6 +16,7 @@
 		return new MemoryTable();
 	}
 
+	isDown = false;
 	private _version = 0;
 	private readonly _rows = new Map<string, Map<string, TableRow>>();
 
@@ -23,6 +25,7 @@
 	}
 
 	async transact(writes: readonly TableWrite[]): Promise<TransactionResult> {
+		this._failIfDown();
 		const conflicts = [];
 		for (const [index, {table, key, condition}] of writes.entries()) {
 			const current = this._table(table).get(key);
@@ -49,10 +52,12 @@
 	}
 
 	async read(table: string, key: string): Promise<TableRow | undefined> {
+		this._failIfDown();
 		return this._table(table).get(key);
 	}
 
 	async list(table: string, range: RowRange): Promise<readonly TableRow[]> {
+		this._failIfDown();
 		return [...this._table(table).values()]
 			.filter(row => range.after === undefined || row.key > range.after)
 			.slice(0, range.limit);
@@ -63,6 +68,12 @@
 			.length;
 	}
 
+	private _failIfDown(): void {
+		if (this.isDown) {
+			throw StoreError.create('table service', 'notWritten', 'is down');
+		}
+	}
+
 	private _table(name: string): Map<string, TableRow> {
 		const known = this._rows.get(name) ?? new Map<string, TableRow>();
 		this._rows.set(name, known);
--- a/packages/daemon/src/rate/rate-task.test.ts
+++ b/packages/daemon/src/rate/rate-task.test.ts
@@ -103,6 +103,7 @@
 			settleTransfers: async (address, settlements) => {
 				this.tasks.get(address)?.settleTransfers(settlements);
 			},
+			readShardMap: async address => this.tasks.get(address)?.shardMap(),
 			checkHolder: async (address): Promise<HolderVerdict> =>
 				this.tasks.has(address) ? 'alive' : 'dead',
 		};
@@ -159,6 +160,18 @@
 		});
 	});
 
+	describe('when an entry starts while the store is down', () => {
+		it('learns from another entry whom to ask', async () => {
+			fleet.table.isDown = true;
+			const late = await fleet.start('entry-c', 'i1');
+			const held = await late.reserve('r6', 'lakeshore', 50);
+			fleet.table.isDown = false;
+			assert.deepEqual(held, {kind: 'reserved'});
+			fleet.tasks.delete('entry-c');
+			await late.stop();
+		});
+	});
+
 	describe('when an entry stops', () => {
 		it('leaves its shards and their levels to the other', async () => {
 			const a = fleet.tasks.get('entry-a');
--- a/packages/daemon/src/rate/rate-task.ts
+++ b/packages/daemon/src/rate/rate-task.ts
@@ -11,9 +11,11 @@
 	type RateEvent,
 	type RateHolder,
 	type RateShard,
+	type VersionedShardRow,
 } from '@balsamtray/core';
 import type {
 	RatePeerContext,
+	ShardMap,
 	TransferAnswer,
 	TransferRequest,
 	TransferSettlement,
@@ -196,6 +198,16 @@
 		}
 	}
 
+	/** What this entry knows of the shards, for one that can't read the store. */
+	shardMap(): ShardMap {
+		const rows = [...this._leases.rows].map(([shard, {row, version}]) => ({
+			shard,
+			row,
+			version,
+		}));
+		return {shards: this._leases.shards, rows};
+	}
+
 	private async _waitWhile(
 		isWaiting: () => boolean,
 		longestMs: number,
@@ -221,6 +233,11 @@
 				}
 			} catch {
 				this._count('rate.layout_failed');
+				// Tried again until somebody answers.
+				// eslint-disable-next-line no-await-in-loop
+				if (await this._learnFromPeers()) {
+					return;
+				}
 			}
 
 			// eslint-disable-next-line no-await-in-loop
@@ -228,6 +245,38 @@
 		}
 	}
 
+	/** What another entry last read does while the store is down. A claim by an old row fails in the store. */
+	private async _learnFromPeers(): Promise<boolean> {
+		const {self, membership, peers} = this._options;
+		for (const host of membership.hosts()) {
+			if (host.role !== 'entry' || host.id === self.id) {
+				continue;
+			}
+
+			// One peer that knows is enough.
+			// eslint-disable-next-line no-await-in-loop
+			const map = await peers.readShardMap(host.peerAddress);
+			if (map !== undefined && map.shards.length > 0) {
+				const rows = new Map(
+					map.rows.map(({shard, row, version}) => [shard, {row, version}]),
+				);
+				this._handleLease({type: 'shardsLearned', shards: map.shards});
+				this._learnRows(rows);
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	private _learnRows(rows: ReadonlyMap<string, VersionedShardRow>): void {
+		for (const {row} of rows.values()) {
+			this._addresses.set(row.holder.id, row.peerAddress);
+		}
+
+		this._handleLease({type: 'rowsRead', rows});
+	}
+
 	/** One shard for each entry of today, and at least as many as a customer's rate is split over. */
 	private _proposeShards(): readonly RateShard[] {
 		const {self, membership} = this._options;
@@ -429,12 +478,7 @@
 
 	private async _readRows(): Promise<void> {
 		try {
-			const rows = await this._shardTable.readRows();
-			for (const {row} of rows.values()) {
-				this._addresses.set(row.holder.id, row.peerAddress);
-			}
-
-			this._handleLease({type: 'rowsRead', rows});
+			this._learnRows(await this._shardTable.readRows());
 		} catch {
 			this._count('rate.read_failed');
 			this._handleLease({type: 'readFailed'});
--- a/packages/daemon/src/rate/shard-table.ts
+++ b/packages/daemon/src/rate/shard-table.ts
@@ -19,7 +19,8 @@
 	region: z.string(),
 });
 
-const rowSchema = z.object({
+/** Form of a shard's row. */
+export const shardRowSchema = z.object({
 	state: z.enum(['held', 'released']),
 	holder: holderSchema,
 	incarnation: z.string(),
@@ -29,8 +30,18 @@
 	levels: z.record(z.string(), z.number()).exactOptional(),
 });
 
-const layoutSchema = z.object({
-	shards: z.array(z.object({id: z.string(), region: z.string()})).min(1),
+const shardsSchema = z
+	.array(z.object({id: z.string(), region: z.string()}))
+	.min(1);
+
+const layoutSchema = z.object({shards: shardsSchema});
+
+/** Form of what another entry knows of the shards. */
+export const shardMapSchema = z.object({
+	shards: shardsSchema,
+	rows: z.array(
+		z.object({shard: z.string(), row: shardRowSchema, version: z.number()}),
+	),
 });
 
 /** A conditional write of one shard's row. */
@@ -83,7 +94,7 @@
 				...(after === undefined ? {} : {after}),
 			});
 			for (const {key, value, version} of page) {
-				rows.set(key, {row: rowSchema.parse(value), version});
+				rows.set(key, {row: shardRowSchema.parse(value), version});
 				after = key;
 			}
 
@@ -142,5 +153,5 @@
 	readonly value: unknown;
 	readonly version: number;
 }): VersionedShardRow {
-	return {row: rowSchema.parse(current.value), version: current.version};
+	return {row: shardRowSchema.parse(current.value), version: current.version};
 }
--- a/packages/daemon/src/rate/trpc-rate-peers.ts
+++ b/packages/daemon/src/rate/trpc-rate-peers.ts
@@ -1,6 +1,7 @@
 import type {HolderVerdict} from '@balsamtray/core';
 import {
 	type PeerRouter,
+	type ShardMap,
 	type TransferRequest,
 	type TransferSettlement,
 } from '@balsamtray/protocol';
@@ -8,6 +9,7 @@
 import type {Dispatcher} from 'undici';
 import {z} from 'zod';
 import {createLinkFetch} from '../common/link-fetch.js';
+import {shardMapSchema} from './shard-table.js';
 import type {RatePeers, TransferResult} from './types.js';
 
 const identitySchema = z.object({incarnation: z.string()});
@@ -64,6 +66,18 @@
 		}
 	}
 
+	async readShardMap(address: string): Promise<ShardMap | undefined> {
+		try {
+			const answer = await this._client(address).rate.shardMap.query(
+				undefined,
+				{signal: this._timeout()},
+			);
+			return shardMapSchema.parse(answer);
+		} catch {
+			return undefined;
+		}
+	}
+
 	async checkHolder(
 		address: string,
 		incarnation: string,
--- a/packages/daemon/src/rate/types.ts
+++ b/packages/daemon/src/rate/types.ts
@@ -1,5 +1,6 @@
 import type {HolderVerdict} from '@balsamtray/core';
 import type {
+	ShardMap,
 	TransferAnswer,
 	TransferRequest,
 	TransferSettlement,
@@ -22,6 +23,8 @@
 		address: string,
 		settlements: readonly TransferSettlement[],
 	): Promise<void>;
+	/** Undefined: no answer. */
+	readShardMap(address: string): Promise<ShardMap | undefined>;
 	/** Finds out whether the process with the incarnation still lives at the address. */
 	checkHolder(address: string, incarnation: string): Promise<HolderVerdict>;
 };
--- a/packages/protocol/src/peer/rate-router.ts
+++ b/packages/protocol/src/peer/rate-router.ts
@@ -37,6 +37,9 @@
 		)
 		.mutation(async ({ctx, input}) => rateOf(ctx.rate).requestTransfer(input)),
 
+	/** Tells who holds what, to an entry that starts while the store is down. */
+	shardMap: peerProcedure.query(({ctx}) => rateOf(ctx.rate).shardMap()),
+
 	/** Tells what became of transferred tokens. */
 	settleTransfers: peerProcedure
 		.input(z.object({settlements: z.array(settlement).max(mostSettlements)}))
--- a/packages/protocol/src/peer/types.ts
+++ b/packages/protocol/src/peer/types.ts
@@ -1,7 +1,9 @@
 import type {
 	ConfigChange,
 	ConfigSnapshot,
+	RateShard,
 	ServerStatus,
+	VersionedShardRow,
 } from '@balsamtray/core';
 
 /** Changes after a version, or a snapshot where the changes are no longer at hand. */
@@ -41,10 +43,17 @@
 			readonly tokens: number;
 	  };
 
+/** The shards of customers' rates and their rows, as an entry last saw them. */
+export type ShardMap = {
+	readonly shards: readonly RateShard[];
+	readonly rows: ReadonlyArray<VersionedShardRow & {readonly shard: string}>;
+};
+
 /** What the calls over customers' tokens need from the entry that serves them. */
 export type RatePeerContext = {
 	requestTransfer(request: TransferRequest): Promise<TransferAnswer>;
 	settleTransfers(settlements: readonly TransferSettlement[]): void;
+	shardMap(): ShardMap;
 };
 
 /** What a process says of itself to a peer. */
