Add the soak run, list the measures in one table, and let the demo wait for its keys

Change: the demo waits until the entries agree on the version; soak runs rate, spread and serving checks with one seed after the other; the measures stand in a table.

--- a/packages/scenarios/src/demo/demo-fleet.ts
+++ b/packages/scenarios/src/demo/demo-fleet.ts
@@ -45,6 +45,8 @@
 		await fleet.applyDocument(exampleDocument());
 		const lakeshoreKey = await fleet.issueKey(exampleCustomers.lakeshore);
 		const prairieKey = await fleet.issueKey(exampleCustomers.prairie);
+		// A new key is in force at the other entries after a moment.
+		await fleet.waitUntilAgreed();
 		return {fleet, lakeshoreKey, prairieKey};
 	} catch (error) {
 		await fleet.stop();
--- a/packages/scenarios/src/measure/main.ts
+++ b/packages/scenarios/src/measure/main.ts
@@ -5,6 +5,7 @@
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {measureCapacity} from './capacity/measure-capacity.js';
+import {measureFailureDetection} from './failure-detection.js';
 import {measureRate, measureRateCost} from './rate.js';
 import {measureRouting} from './routing.js';
 import {experiments} from './serving/experiments.js';
@@ -24,93 +25,60 @@
 });
 
 const firstSeed = Number(values.seed);
+const seeds = Array.from(
+	{length: Number(values.seeds)},
+	(_, i) => firstSeed + i,
+);
+const servingNames = experiments.map(({name}) => name);
 
 function print(text: string): void {
 	process.stdout.write(`${text}\n`);
 }
 
-function printJson(value: unknown): void {
-	print(JSON.stringify(value, undefined, '\t'));
-}
-
 function ordersOf(names: readonly string[]): readonly RunOrder[] {
-	const seeds = Array.from(
-		{length: Number(values.seeds)},
-		(_, i) => firstSeed + i,
-	);
+	const policies = values.policy.split(',');
 	return names.flatMap(experiment =>
-		values.policy
-			.split(',')
-			.flatMap(policy => seeds.map(seed => ({experiment, policy, seed}))),
+		policies.flatMap(policy => seeds.map(seed => ({experiment, policy, seed}))),
 	);
 }
 
 async function measureServing(names: readonly string[]): Promise<void> {
 	const results = await runAll(ordersOf(names), Number(values.threads));
-	if (values.json) {
-		printJson(results);
+	print(
+		values.json
+			? JSON.stringify(results, undefined, '\t')
+			: formatReport(results),
+	);
+}
+
+/** Measures that print JSON, by name. */
+const measures: ReadonlyMap<string, () => unknown> = new Map<
+	string,
+	() => unknown
+>([
+	['routing', () => measureRouting({seed: firstSeed})],
+	['failure-detection', () => measureFailureDetection()],
+	['rate', () => measureRate({seeds})],
+	['rate-cost', () => measureRateCost()],
+	['spread', async () => measureSpread(firstSeed)],
+	['capacity', async () => measureCapacity(firstSeed)],
+]);
+
+async function main(name: string): Promise<void> {
+	const measure = measures.get(name);
+	if (measure !== undefined) {
+		print(JSON.stringify(await measure(), undefined, '\t'));
+	} else if (name === 'serving') {
+		await measureServing(servingNames);
+	} else if (servingNames.includes(name)) {
+		await measureServing([name]);
 	} else {
-		print(formatReport(results));
+		const names = ['serving', ...servingNames, ...measures.keys()].join(', ');
+		process.stderr.write(
+			`measure: no experiment "${name}"; there are: ${names}\n`,
+		);
+		process.exitCode = 2;
 	}
 }
 
-const servingNames = experiments.map(({name}) => name);
-const [experiment = ''] = positionals;
-
-if (experiment === 'serving') {
-	await measureServing(servingNames);
-} else if (servingNames.includes(experiment)) {
-	await measureServing([experiment]);
-} else
-	switch (experiment) {
-		case 'routing': {
-			printJson(measureRouting({seed: firstSeed}));
-
-			break;
-		}
-
-		case 'rate': {
-			printJson(
-				measureRate({
-					seeds: Array.from(
-						{length: Number(values.seeds)},
-						(_, i) => firstSeed + i,
-					),
-				}),
-			);
-
-			break;
-		}
-
-		case 'rate-cost': {
-			printJson(measureRateCost());
-
-			break;
-		}
-
-		case 'spread': {
-			printJson(await measureSpread(firstSeed));
-
-			break;
-		}
-
-		case 'capacity': {
-			printJson(await measureCapacity(firstSeed));
-
-			break;
-		}
-
-		default: {
-			const names = [
-				'serving',
-				...servingNames,
-				'routing',
-				'spread',
-				'capacity',
-			];
-			process.stderr.write(
-				`measure: no experiment "${experiment}"; there are: ${names.join(', ')}\n`,
-			);
-			process.exitCode = 2;
-		}
-	}
+await main(positionals[0] ?? '');
--- /dev/null
+++ b/packages/scenarios/src/soak/main.ts
@@ -0,0 +1,94 @@
+/**
+ * Runs differential tests with one seed after the other until the time is over:
+ * `npm run soak -- --minutes N --seed S`. Exits with 1 at the first failure, which names its seed.
+ */
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {
+	allFaults,
+	RateSchedule,
+	shortTimes,
+} from '../measure/rate-fleet/rate-schedule.js';
+import {experiments} from '../measure/serving/experiments.js';
+import {servingPolicies} from '../measure/serving/policies.js';
+import {runExperiment} from '../measure/serving/run-experiment.js';
+import {
+	checkUnderFaults,
+	checkWithRarePolls,
+} from '../spread/spread-schedules.js';
+
+const minuteMs = 60_000;
+const schedulesPerSeed = 100;
+
+const {values} = parseArgs({
+	options: {
+		minutes: {type: 'string', default: '1'},
+		seed: {type: 'string', default: '1'},
+	},
+});
+
+/** Rates over hosts against one global token bucket. */
+function checkRate(seed: number): void {
+	for (let i = 0; i < schedulesPerSeed; i++) {
+		const scheduleSeed = seed * schedulesPerSeed + i;
+		const {excess} = RateSchedule.create(scheduleSeed, allFaults, {
+			kind: 'shards',
+			shardsPerCustomer: 3,
+			times: shortTimes,
+		}).run();
+		if (excess !== undefined) {
+			throw new Error(
+				`schedule ${scheduleSeed} spent too much: ${JSON.stringify(excess)}`,
+			);
+		}
+	}
+}
+
+/** Each request of an experiment ends once; the ledger throws otherwise. */
+function checkServing(seed: number): void {
+	const experiment = experiments[seed % experiments.length]!;
+	const figures = runExperiment(experiment, servingPolicies[0]!, seed);
+	if (figures.overruns > 0) {
+		throw new Error(
+			`${experiment.name}: ${figures.overruns} requests above what a cold engine bears`,
+		);
+	}
+}
+
+const checks: ReadonlyMap<string, (seed: number) => void> = new Map([
+	['rate', checkRate],
+	[
+		'spread under faults',
+		(seed: number) => {
+			checkUnderFaults(seed, schedulesPerSeed);
+		},
+	],
+	[
+		'spread with rare polls',
+		(seed: number) => {
+			checkWithRarePolls(seed, schedulesPerSeed);
+		},
+	],
+	['serving', checkServing],
+]);
+
+const endAt = Date.now() + Number(values.minutes) * minuteMs;
+let seed = Number(values.seed);
+let rounds = 0;
+while (Date.now() < endAt && process.exitCode === undefined) {
+	for (const [name, check] of checks) {
+		try {
+			check(seed);
+		} catch (error) {
+			process.stderr.write(`${name}, seed ${seed}: ${String(error)}\n`);
+			process.exitCode = 1;
+		}
+	}
+
+	seed++;
+	rounds++;
+}
+
+process.stdout.write(
+	`${rounds} rounds from seed ${values.seed}: ${process.exitCode === 1 ? 'failed' : 'held'}\n`,
+);
