Let an idle entry's claim timer sleep, and keep the measure's threads for many runs

Cause: an idle entry ticked every 10 ms for claims that it did not have; 180 short-lived worker threads ran out of code space (the measure aborted after 68 s). Change: the batch timer runs only while claims are open; a thread runs many orders.

--- a/packages/daemon/src/claims/claim-task.ts
+++ b/packages/daemon/src/claims/claim-task.ts
@@ -42,6 +42,7 @@
 	}
 
 	private _timer: NodeJS.Timeout | undefined;
+	private _isStarted = false;
 	private readonly _core: ClaimCore;
 	private readonly _claimTable: ClaimTable;
 	private readonly _claims = new Map<string, (answer: ClaimAnswer) => void>();
@@ -55,9 +56,8 @@
 
 	/** Starts to send claims. */
 	async start(): Promise<void> {
-		this._timer = setInterval(() => {
-			this._handle({type: 'tick'});
-		}, batchIntervalMs);
+		this._isStarted = true;
+		this._scheduleBatch();
 		await Promise.resolve();
 	}
 
@@ -70,7 +70,8 @@
 			await sleep(closePollMs);
 		}
 
-		clearInterval(this._timer);
+		this._isStarted = false;
+		clearTimeout(this._timer);
 	}
 
 	async claim(
@@ -164,6 +165,20 @@
 		for (const command of this._core.handle(event, this._options.clock())) {
 			this._carryOut(command);
 		}
+
+		this._scheduleBatch();
+	}
+
+	/** The timer runs only while claims are open, so that an idle entry costs nothing. */
+	private _scheduleBatch(): void {
+		if (!this._isStarted || this._core.size === 0) {
+			return;
+		}
+
+		this._timer ??= setTimeout(() => {
+			this._timer = undefined;
+			this._handle({type: 'tick'});
+		}, batchIntervalMs);
 	}
 
 	private _carryOut(command: ClaimCommand): void {
--- a/packages/scenarios/src/measure/serving/run-seeds.ts
+++ b/packages/scenarios/src/measure/serving/run-seeds.ts
@@ -11,15 +11,14 @@
 /** A run with its figures. */
 export type RunResult = RunOrder & {readonly figures: ServingFigures};
 
-async function runInWorker(order: RunOrder): Promise<RunResult> {
+async function runIn(worker: Worker, order: RunOrder): Promise<RunResult> {
 	return new Promise((resolve, reject) => {
-		const worker = new Worker(new URL('run-worker.js', import.meta.url), {
-			workerData: order,
-		});
+		worker.once('error', reject);
 		worker.once('message', (figures: ServingFigures) => {
+			worker.off('error', reject);
 			resolve({...order, figures});
 		});
-		worker.once('error', reject);
+		worker.postMessage(order);
 	});
 }
 
@@ -31,16 +30,19 @@
 	const results = new Map<RunOrder, RunResult>();
 	const waiting = [...orders];
 	const drain = async () => {
-		for (;;) {
-			const order = waiting.shift();
-			if (order === undefined) {
-				return;
-			}
-
+		// Threads are kept for many runs: each new one takes code space that is not given back at once.
+		const worker = new Worker(new URL('run-worker.js', import.meta.url));
+		for (
+			let order = waiting.shift();
+			order !== undefined;
+			order = waiting.shift()
+		) {
 			// Each thread runs one order after the other.
 			// eslint-disable-next-line no-await-in-loop
-			results.set(order, await runInWorker(order));
+			results.set(order, await runIn(worker, order));
 		}
+
+		await worker.terminate();
 	};
 
 	await Promise.all(Array.from({length: threads}, drain));
--- a/packages/scenarios/src/measure/serving/run-worker.ts
+++ b/packages/scenarios/src/measure/serving/run-worker.ts
@@ -1,13 +1,18 @@
-/** Worker thread that runs one experiment once and posts its figures. */
-import {parentPort, workerData} from 'node:worker_threads';
+/** Worker thread that runs experiments one after the other and posts their figures. */
+import {parentPort} from 'node:worker_threads';
 import {z} from 'zod';
 import {findExperiment, findPolicy} from './catalogue.js';
 import {runExperiment} from './run-experiment.js';
 
-const {experiment, policy, seed} = z
-	.object({experiment: z.string(), policy: z.string(), seed: z.number()})
-	.parse(workerData);
+const orderSchema = z.object({
+	experiment: z.string(),
+	policy: z.string(),
+	seed: z.number(),
+});
 
-parentPort?.postMessage(
-	runExperiment(findExperiment(experiment), findPolicy(policy), seed),
-);
+parentPort?.on('message', (message: unknown) => {
+	const {experiment, policy, seed} = orderSchema.parse(message);
+	parentPort?.postMessage(
+		runExperiment(findExperiment(experiment), findPolicy(policy), seed),
+	);
+});
