--- a/packages/scenarios/src/measure/main.ts
+++ b/packages/scenarios/src/measure/main.ts
@@ -11,6 +11,7 @@
 import {experiments} from './serving/experiments.js';
 import {formatReport} from './serving/report.js';
 import {runAll, type RunOrder} from './serving/run-seeds.js';
+import {formatScores} from './serving/scores.js';
 import {measureSpread} from './spread.js';
 
 const {values, positionals} = parseArgs({
@@ -49,6 +50,9 @@
 			? JSON.stringify(results, undefined, '\t')
 			: formatReport(results),
 	);
+	if (!values.json && names.includes('zone')) {
+		print(`\n${formatScores(results)}`);
+	}
 }
 
 /** Measures that print JSON, by name. */
