Tell an answer cut by a living engine from a crash

Cause: an agent said backend_failed for every broken connection, and the entry gives a repeatable call up after two failed runs (maxFailedRuns), which is meant for requests that kill engines. Engines that live and cut answers used it up. Now the agent holds the refusal until the health report that it asks for at once: answer_cut where the boot is the same, backend_failed otherwise; only the latter counts. A first try hung (the worker let the attempt go before its refusal was sent): the worker now lets go only of what was aborted. Ruled out: raising maxFailedRuns (a request that kills engines would kill more).

--- a/packages/core/src/agent/agent-core.ts
+++ b/packages/core/src/agent/agent-core.ts
@@ -50,6 +50,9 @@
 	private _isHealthAsked = false;
 	private _isDrainedTold = false;
 
+	/** Requests whose connection broke while they ran. They are refused with the next health report. */
+	private readonly _lostAnswers: Dispatch[] = [];
+
 	private constructor(
 		private readonly _settings: AgentSettings,
 		private readonly _config: () => ConfigView,
@@ -250,6 +253,7 @@
 		this._scheduler.onHealth(askedAt);
 		loader.reconcile(health.loadedAdapters, askedAt);
 		this._reportCrash(report, now);
+		this._refuseLostAnswers(change === 'same');
 	}
 
 	private _onUnreachable(now: number): void {
@@ -257,6 +261,7 @@
 		this._isHealthAsked = false;
 		this._scheduler.window.onSuspicion();
 		this._reportCrash(report, now);
+		this._refuseLostAnswers(false);
 		if (!this._crashes.isUp) {
 			this._giveUpWaiting(() => this._refusals.backendDown());
 		}
@@ -293,7 +298,21 @@
 
 		const {dispatch} = failed.request;
 		this._crashes.onFault(fault, dispatch.fingerprint);
-		this._refuse(dispatch, this._refusals.ofFault(fault));
+		if (fault === 'connection_lost' && this._crashes.isUp) {
+			this._lostAnswers.push(dispatch);
+		} else {
+			this._refuse(dispatch, this._refusals.ofFault(fault));
+		}
+	}
+
+	/** Refuses the requests whose connection broke, now that it is known whether the backend server lives. */
+	private _refuseLostAnswers(isAlive: boolean): void {
+		for (const dispatch of this._lostAnswers.splice(0)) {
+			const refusal = isAlive
+				? this._refusals.answerCut()
+				: this._refusals.ofFault('connection_lost');
+			this._refuse(dispatch, refusal);
+		}
 	}
 
 	/** Refuses waiting requests that a newer configuration speaks against. */
@@ -385,7 +404,8 @@
 		const isDrained =
 			this._admission.isShuttingDown &&
 			waiting.size === 0 &&
-			running.size === 0;
+			running.size === 0 &&
+			this._lostAnswers.length === 0;
 		if (isDrained && !this._isDrainedTold) {
 			this._isDrainedTold = true;
 			this._commands.push({type: 'drained'});
--- a/packages/core/src/agent/agent-refusal.test.ts
+++ b/packages/core/src/agent/agent-refusal.test.ts
@@ -117,6 +117,41 @@
 }
 
 describe('AgentCore refusals', () => {
+	describe('after a connection broke', () => {
+		function loseAnswer(): Driver {
+			const driver = Driver.create();
+			const [run] = driver.dispatch({});
+			assert.equal(run?.type, 'runOnBackend');
+			const fault = 'connection_lost';
+			const lost = driver.handle({
+				type: 'answerFailed',
+				attemptId: 'a1',
+				fault,
+			});
+			assert.deepEqual(
+				lost.map(({type}) => type),
+				['checkHealth'],
+			);
+			return driver;
+		}
+
+		it('says that the answer was cut where the back end lives', () => {
+			const [refusal] = refusalsOf(loseAnswer().healthy('b1', ['m1@1']));
+			assert.equal(refusal?.code, 'answer_cut');
+			assert.equal(refusal.notRun, false);
+		});
+
+		it('says that the back end failed where it started anew or is away', () => {
+			const [anew] = refusalsOf(loseAnswer().healthy('b2', ['m1@1']));
+			assert.equal(anew?.code, 'backend_failed');
+			const [away] = refusalsOf(
+				loseAnswer().handle({type: 'backendUnreachable'}),
+			);
+			assert.equal(away?.code, 'backend_failed');
+			assert.equal(away.notRun, false);
+		});
+	});
+
 	describe('by the configuration', () => {
 		it('attaches the changes where the entry lacks one that bears on the request', () => {
 			const [refusal] = refusalsOf(
--- a/packages/core/src/agent/agent-refusals.ts
+++ b/packages/core/src/agent/agent-refusals.ts
@@ -127,6 +127,16 @@
 		);
 	}
 
+	/** The backend server lives and broke off its answer. */
+	answerCut(): Refusal {
+		return this._unknown(
+			'answer_cut',
+			'answer',
+			'The backend server broke off its answer.',
+			backendRetryAfterMs,
+		);
+	}
+
 	ofFault(fault: BackendFault): Refusal {
 		switch (fault) {
 			case 'unreachable': {
--- a/packages/core/src/entry/attempt-events.ts
+++ b/packages/core/src/entry/attempt-events.ts
@@ -60,6 +60,10 @@
 
 		state.isSuspect ||= hasFailed && refusal.code === 'backend_failed';
 		this._noteFailure(state, attempt.server, hasFailed);
+		if (hasFailed && refusal.code !== 'answer_cut') {
+			state.failedRuns++;
+		}
+
 		this._flow.retryElsewhere(state, refusal, now);
 	}
 
@@ -90,6 +94,7 @@
 		}
 
 		this._noteFailure(state, server, true);
+		state.failedRuns++;
 		const code = fault.kind === 'lost' ? 'backend_failed' : 'answer_mismatch';
 		this._flow.retryElsewhere(state, refuseMaybeRun(code, details), now);
 	}
@@ -159,6 +164,7 @@
 			if (isWaiting && state.isRepeatable && !state.isAnswered) {
 				this._flow.cancelAttempt(state);
 				this._noteFailure(state, server, true);
+				state.failedRuns++;
 				const details = {step: 'dispatch', peer: server} as const;
 				const refusal = refuseMaybeRun('backend_failed', details);
 				this._flow.retryElsewhere(state, refusal, now);
@@ -213,7 +219,6 @@
 		state.triedServers.add(server);
 		if (mayHaveRun) {
 			state.mayHaveRun = true;
-			state.failedRuns++;
 		}
 	}
 }
--- a/packages/core/src/entry/constants.ts
+++ b/packages/core/src/entry/constants.ts
@@ -1,7 +1,7 @@
 /** Most dispatches of one request. */
 export const maxAttempts = 4;
 
-/** Most attempts of one request that ended while a back end may have run it. */
+/** Most attempts of one request that ended while a back end may have run it and may have died of it. */
 export const maxFailedRuns = 2;
 
 /** Most times that a request is decided again because the configuration was behind. */
--- a/packages/core/src/entry/entry-core.test.ts
+++ b/packages/core/src/entry/entry-core.test.ts
@@ -118,6 +118,12 @@
 	return post({type: 'dispatchRefused', attemptId, refusal, changes: []});
 }
 
+/** The back end broke off its answer and lives. */
+function cut(attemptId: string): readonly EntryCommand[] {
+	const refusal = refuseMaybeRun('answer_cut', {step: 'answer', peer: 'p'});
+	return post({type: 'dispatchRefused', attemptId, refusal, changes: []});
+}
+
 describe('EntryCore', () => {
 	beforeEach(() => {
 		config = ConfigState.empty();
@@ -348,6 +354,14 @@
 			assert.equal(dispatchIn(next).server, first.server);
 		});
 
+		it('go on after two answers that living back ends cut', () => {
+			const first = dispatch('q');
+			const second = dispatchIn(cut(first.dispatch.attemptId));
+			const third = dispatchIn(cut(second.dispatch.attemptId));
+			const servers = [first, second, third].map(({server}) => server);
+			assert.equal(new Set(servers).size, 3);
+		});
+
 		it('end after two runs that failed', () => {
 			const first = dispatch('q');
 			const second = dispatchIn(fail(first.dispatch.attemptId, 'lost'));
--- a/packages/daemon/src/agent/backend-worker.ts
+++ b/packages/daemon/src/agent/backend-worker.ts
@@ -57,8 +57,10 @@
 		} else {
 			backendSpan.end(outcome.fault);
 			onEvent({type: 'answerFailed', attemptId, fault: outcome.fault});
-			// A cancelled attempt gets no refusal.
-			attempts.release(attemptId, 'cancelled');
+			// A cancelled attempt gets no refusal; any other is held until its refusal is sent.
+			if (controller.signal.aborted) {
+				attempts.release(attemptId, 'cancelled');
+			}
 		}
 	}
 
