--- /dev/null
+++ b/packages/core/src/authority/authority-view.ts
@@ -0,0 +1,161 @@
+import {KeyDirectory} from './key-directory.js';
+import {RouteTable} from './route-table.js';
+import type {AuthorityConfig, AuthorityRow, ServiceSpec} from './types.js';
+
+/** What `AuthorityView.apply` changed. */
+export type AuthorityChange = {
+	readonly hasNewConfig: boolean;
+	readonly hasChanged: boolean;
+};
+
+/** A configuration with its look-up tables. */
+export type ConfigInForce = {
+	readonly config: AuthorityConfig;
+	readonly routes: RouteTable;
+	readonly keys: KeyDirectory;
+	readonly services: ReadonlyMap<string, ServiceSpec>;
+};
+
+/** An adapter version that was declared, and when this process learned of it. */
+export type DeclaredVersion = {
+	readonly version: number;
+	readonly learnedAt: number;
+};
+
+/**
+ * The authority's statements as this process knows them. They never go back: a row is replaced only by a newer
+ * one, the configuration and adapter versions only by higher numbers.
+ */
+export class AuthorityView {
+	static create(): AuthorityView {
+		return new AuthorityView();
+	}
+
+	private readonly _rows = new Map<string, AuthorityRow>();
+	private readonly _zonesOut = new Set<string>();
+	private readonly _declared = new Map<string, DeclaredVersion>();
+	private _inForce: ConfigInForce | undefined;
+	private _version = 0;
+
+	private constructor() {}
+
+	/** Highest row version among the statements, 0 before the first. */
+	get version(): number {
+		return this._version;
+	}
+
+	get inForce(): ConfigInForce | undefined {
+		return this._inForce;
+	}
+
+	isZoneOut(zone: string): boolean {
+		return this._zonesOut.has(zone);
+	}
+
+	declaredVersion(model: string, adapter: string): DeclaredVersion | undefined {
+		return this._declared.get(adapterKey(model, adapter));
+	}
+
+	/** All statements, to hand to a peer. */
+	rows(): readonly AuthorityRow[] {
+		return [...this._rows.values()];
+	}
+
+	/** Takes in changed rows, in any order. */
+	apply(rows: readonly AuthorityRow[], now: number): AuthorityChange {
+		const before = this._inForce;
+		let hasChanged = false;
+		for (const row of rows) {
+			if (row.rowVersion > (this._rows.get(row.key)?.rowVersion ?? 0)) {
+				this._replace(row, now);
+				hasChanged = true;
+			}
+		}
+
+		return {hasChanged, hasNewConfig: before !== this._inForce};
+	}
+
+	/** Takes in all rows as of one version of the store: rows that are no longer there were withdrawn. */
+	applyAll(
+		rows: readonly AuthorityRow[],
+		storeVersion: number,
+		now: number,
+	): AuthorityChange {
+		const keys = new Set(rows.map(({key}) => key));
+		const withdrawn = this.rows()
+			.filter(
+				({key, rowVersion}) => !keys.has(key) && rowVersion < storeVersion,
+			)
+			.map(({key}): AuthorityRow => ({
+				key,
+				rowVersion: storeVersion,
+				statement: {type: 'withdrawn'},
+			}));
+		return this.apply([...withdrawn, ...rows], now);
+	}
+
+	private _replace(row: AuthorityRow, now: number): void {
+		const before = this._rows.get(row.key)?.statement;
+		this._version = Math.max(this._version, row.rowVersion);
+		if (row.statement.type === 'withdrawn' && before?.type === 'config') {
+			// A configuration is replaced, never taken back.
+			return;
+		}
+
+		this._rows.set(row.key, row);
+		if (before?.type === 'zoneOut') {
+			this._zonesOut.delete(before.zone);
+		}
+
+		const {statement} = row;
+		switch (statement.type) {
+			case 'config': {
+				this._setConfig(statement.config);
+				break;
+			}
+
+			case 'zoneOut': {
+				this._zonesOut.add(statement.zone);
+				break;
+			}
+
+			case 'adapterVersion': {
+				this._declare(statement, now);
+				break;
+			}
+
+			case 'withdrawn': {
+				break;
+			}
+		}
+	}
+
+	private _setConfig(config: AuthorityConfig): void {
+		if (config.version > (this._inForce?.config.version ?? -1)) {
+			this._inForce = {
+				config,
+				routes: RouteTable.create(config),
+				keys: KeyDirectory.create(config),
+				services: new Map(
+					config.services.map(service => [service.name, service]),
+				),
+			};
+		}
+	}
+
+	private _declare(
+		declared: {model: string; adapter: string; version: number},
+		now: number,
+	): void {
+		const key = adapterKey(declared.model, declared.adapter);
+		const {version} = declared;
+		if (version > (this._declared.get(key)?.version ?? 0)) {
+			this._declared.set(key, {version, learnedAt: now});
+		}
+	}
+}
+
+/** Names an adapter of a model. */
+export function adapterKey(model: string, adapter: string): string {
+	return `${model}/${adapter}`;
+}
--- /dev/null
+++ b/packages/core/src/direct/event-stream-cutter.ts
@@ -0,0 +1,71 @@
+const lineFeed = 0x0a;
+const carriageReturn = 0x0d;
+
+/** Whole events of a stream, and the identifier of the last of them. */
+export type WholeEvents = {
+	readonly bytes: Uint8Array;
+	readonly lastEventId: string | undefined;
+};
+
+/** Cuts a `text/event-stream` into whole events, so that a stream that breaks off ends between two of them. */
+export class EventStreamCutter {
+	static create(): EventStreamCutter {
+		return new EventStreamCutter();
+	}
+
+	private _rest: Uint8Array = new Uint8Array(0);
+
+	private constructor() {}
+
+	/** Takes in bytes and returns the events that they completed. */
+	push(chunk: Uint8Array): WholeEvents {
+		const bytes =
+			this._rest.length === 0 ? chunk : Buffer.concat([this._rest, chunk]);
+		const end = endOfLastEvent(bytes);
+		this._rest = bytes.subarray(end);
+		const whole = bytes.subarray(0, end);
+		return {bytes: whole, lastEventId: lastIdIn(whole)};
+	}
+
+	/** What came after the last whole event. */
+	takeRest(): Uint8Array {
+		const rest = this._rest;
+		this._rest = new Uint8Array(0);
+		return rest;
+	}
+}
+
+/** Position after the last empty line, 0 where there is none. */
+function endOfLastEvent(bytes: Uint8Array): number {
+	for (let i = bytes.length - 1; i > 0; i--) {
+		if (bytes[i] !== lineFeed) {
+			continue;
+		}
+
+		const before = bytes[i - 1];
+		if (
+			before === lineFeed ||
+			(before === carriageReturn && bytes[i - 2] === lineFeed)
+		) {
+			return i + 1;
+		}
+	}
+
+	return 0;
+}
+
+function lastIdIn(events: Uint8Array): string | undefined {
+	if (events.length === 0) {
+		return undefined;
+	}
+
+	const text = Buffer.from(events).toString('latin1');
+	let id: string | undefined;
+	for (const line of text.split('\n')) {
+		if (line.startsWith('id:')) {
+			id = line.slice(3).trim();
+		}
+	}
+
+	return id;
+}
--- /dev/null
+++ b/packages/core/src/freshness/freshness-lease.ts
@@ -0,0 +1,42 @@
+import {freshnessMarginMs} from './constants.js';
+
+/**
+ * How long this process may act on what it knows of the authority. A proof is a moment at which the process
+ * surely knew the newest statements: the start of a read that was answered, its own or a peer's.
+ */
+export class FreshnessLease {
+	/** @param boundMs time after which a withdrawn key must not be used, in milliseconds */
+	static create(boundMs: number): FreshnessLease {
+		return new FreshnessLease(Math.max(0, boundMs - freshnessMarginMs));
+	}
+
+	private _provenAt = Number.NEGATIVE_INFINITY;
+	private _epoch = 0;
+
+	private constructor(private readonly _termMs: number) {}
+
+	get provenAt(): number {
+		return this._provenAt;
+	}
+
+	/** @param epoch of the clock guard at the proven moment */
+	prove(provenAt: number, epoch: number): void {
+		if (epoch === this._epoch && provenAt > this._provenAt) {
+			this._provenAt = provenAt;
+		}
+	}
+
+	/** The steady clock may have stood still: proofs of earlier epochs no longer count. */
+	invalidate(epoch: number): void {
+		this._epoch = epoch;
+		this._provenAt = Number.NEGATIVE_INFINITY;
+	}
+
+	ageMs(now: number): number {
+		return now - this._provenAt;
+	}
+
+	isFresh(now: number): boolean {
+		return now - this._provenAt < this._termMs;
+	}
+}
--- /dev/null
+++ b/packages/core/src/placement/fleet-view.ts
@@ -0,0 +1,341 @@
+import {adapterKey, type DeclaredVersion} from '../authority/authority-view.js';
+import type {ServiceSpec} from '../authority/types.js';
+import {hashString, rendezvousScore} from '../common/rendezvous.js';
+import {
+	maxPendingAdapters,
+	memoryShare,
+	outageAftermathMs,
+	plainRequestsPerSlot,
+	rememberedSessions,
+	replicationLoad,
+	sessionLoadTolerance,
+	slotShare,
+	vanishedGraceMs,
+	versionGraceMs,
+} from './constants.js';
+import {ServerState} from './server-state.js';
+import type {
+	AdapterWant,
+	EngineReport,
+	ServerChange,
+	ServerChoice,
+	ServerNeed,
+} from './types.js';
+
+/** What the fleet view asks of the process round it. */
+export type FleetViewOptions = {
+	/** Zone of this entry. */
+	readonly zone: string;
+	readonly isZoneOut: (zone: string) => boolean;
+	readonly declaredVersion: (
+		model: string,
+		adapter: string,
+	) => DeclaredVersion | undefined;
+	readonly serviceOf: (name: string) => ServiceSpec | undefined;
+	/** Requests in one second that a cold server of the service may get from all entries together. */
+	readonly coldBound: (service: ServiceSpec) => number;
+	/** Entries that may send to the same servers, this one included. */
+	readonly entryCount: () => number;
+	/** An adapter should come to a server, which did not know of it yet. */
+	readonly onNewWant: (server: string) => void;
+};
+
+/** The backend servers, and which of them runs a request. */
+export class FleetView {
+	static create(options: FleetViewOptions): FleetView {
+		return new FleetView(options);
+	}
+
+	private readonly _servers = new Map<string, ServerState>();
+	private readonly _rowVersions = new Map<string, number>();
+	private readonly _sessions = new Map<string, string>();
+	private _outageEndedAt = Number.NEGATIVE_INFINITY;
+
+	private constructor(private readonly _options: FleetViewOptions) {}
+
+	servers(): Iterable<ServerState> {
+		return this._servers.values();
+	}
+
+	find(id: string): ServerState | undefined {
+		return this._servers.get(id);
+	}
+
+	/** Takes in changes of the platform's list. */
+	apply(changes: readonly ServerChange[], now: number): void {
+		for (const {id, rowVersion, record} of changes) {
+			if (rowVersion <= (this._rowVersions.get(id) ?? 0)) {
+				continue;
+			}
+
+			this._rowVersions.set(id, rowVersion);
+			const server = this._servers.get(id);
+			if (record === undefined) {
+				this._vanish(server, now);
+			} else if (server === undefined) {
+				this._servers.set(id, ServerState.create(record, now));
+			} else {
+				server.setRecord(record, now);
+			}
+		}
+	}
+
+	/** Takes in the whole list as of one version of the store. */
+	applyAll(
+		changes: readonly ServerChange[],
+		storeVersion: number,
+		now: number,
+	): void {
+		const listed = new Set(changes.map(({id}) => id));
+		const removed = [...this._servers.keys()]
+			.filter(id => !listed.has(id))
+			.map(id => ({id, rowVersion: storeVersion, record: undefined}));
+		this.apply([...removed, ...changes], now);
+	}
+
+	/** The store answers again after an outage, in which it may have dropped servers that live. */
+	noteOutageEnd(now: number): void {
+		this._outageEndedAt = now;
+	}
+
+	noteReport(id: string, report: EngineReport, now: number): void {
+		const server = this._servers.get(id);
+		if (server !== undefined) {
+			const spec = this._options.serviceOf(server.record.service);
+			server.setReport(report, spec?.coldMs ?? 0, now);
+		}
+	}
+
+	/** Chooses a server, or says what the request has to wait for. */
+	choose(need: ServerNeed, now: number): ServerChoice {
+		const usable = this._usable(need, now);
+		if (usable.length === 0) {
+			return {kind: 'noServer'};
+		}
+
+		if (need.model === undefined) {
+			return this._choosePlain(usable, now);
+		}
+
+		const {model, adapter} = need;
+		if (adapter === undefined) {
+			const holders = usable.filter(server => server.hasModel(model, now));
+			return this._chooseAmong(holders, need, undefined, now);
+		}
+
+		return this._chooseForAdapter(usable, {...need, model, adapter}, now);
+	}
+
+	/** Remembers which server has the session's prompt. */
+	noteSession(session: string, server: string): void {
+		this._sessions.delete(session);
+		this._sessions.set(session, server);
+		for (const oldest of this._sessions.keys()) {
+			if (this._sessions.size <= rememberedSessions) {
+				return;
+			}
+
+			this._sessions.delete(oldest);
+		}
+	}
+
+	/** Whether the server may still get requests. */
+	isUsable(id: string, now: number): boolean {
+		const server = this._servers.get(id);
+		return server !== undefined && this._isUsable(server, now);
+	}
+
+	private _vanish(server: ServerState | undefined, now: number): void {
+		if (server === undefined) {
+			return;
+		}
+
+		server.vanishedAt ??= now;
+		if (!this._isVanishedUsable(server, now) && server.outstanding === 0) {
+			this._servers.delete(server.record.id);
+		}
+	}
+
+	private _isVanishedUsable({vanishedAt}: ServerState, now: number): boolean {
+		return (
+			vanishedAt === undefined ||
+			(now - this._outageEndedAt < outageAftermathMs &&
+				now - vanishedAt < vanishedGraceMs)
+		);
+	}
+
+	private _isUsable(server: ServerState, now: number): boolean {
+		const {isDraining, zone} = server.record;
+		return (
+			!isDraining &&
+			!this._options.isZoneOut(zone) &&
+			this._isVanishedUsable(server, now)
+		);
+	}
+
+	private _usable(need: ServerNeed, now: number): readonly ServerState[] {
+		const usable = [...this._servers.values()].filter(
+			server =>
+				server.record.service === need.service &&
+				!need.tried.has(server.record.id) &&
+				this._isUsable(server, now),
+		);
+		const trusted = usable.filter(server => !server.isSuspected(now));
+		return trusted.length > 0 ? trusted : usable;
+	}
+
+	private _choosePlain(
+		usable: readonly ServerState[],
+		now: number,
+	): ServerChoice {
+		const open = usable.filter(
+			server =>
+				server.outstanding < server.record.slots * plainRequestsPerSlot &&
+				this._mayGetMore(server, now),
+		);
+		const [best] = open.toSorted(
+			(a, b) =>
+				a.outstanding - b.outstanding ||
+				this._distance(a) - this._distance(b) ||
+				a.sentWithinSecond(now) - b.sentWithinSecond(now),
+		);
+		return best === undefined
+			? {kind: 'full'}
+			: {kind: 'send', server: best.record.id, version: undefined};
+	}
+
+	private _chooseForAdapter(
+		usable: readonly ServerState[],
+		need: ServerNeed & {readonly model: string; readonly adapter: string},
+		now: number,
+	): ServerChoice {
+		const {model, adapter} = need;
+		const declared = this._options.declaredVersion(model, adapter);
+		const isBinding =
+			declared !== undefined && now - declared.learnedAt >= versionGraceMs;
+		const least = isBinding ? declared.version : 0;
+		const holders = usable.filter(server => {
+			const version = server.adapterVersion(model, adapter, now);
+			return (
+				version !== undefined &&
+				version >= least &&
+				!server.isPending(model, adapter, now)
+			);
+		});
+		const want = {model, adapter, version: declared?.version ?? 0};
+		const isCurrent = holders.some(
+			server => server.adapterVersion(model, adapter, now)! >= want.version,
+		);
+		const lightest = Math.min(...holders.map(server => server.load(now)));
+		if (!isCurrent || lightest >= replicationLoad) {
+			this._wantOnAnother(usable, want, lightest, now);
+		}
+
+		if (holders.length === 0) {
+			return {kind: 'awaitAdapter'};
+		}
+
+		const version = isBinding ? declared.version : undefined;
+		return this._chooseAmong(holders, need, version, now);
+	}
+
+	/** Asks for the adapter on the first server in the adapter's order that bears it. */
+	private _wantOnAnother(
+		usable: readonly ServerState[],
+		want: AdapterWant,
+		lightest: number,
+		now: number,
+	): void {
+		const {model, adapter, version} = want;
+		const keyHash = hashString(adapterKey(model, adapter));
+		const candidates = usable
+			.filter(server => {
+				const held = server.adapterVersion(model, adapter, now);
+				return (
+					server.hasFreshReport(now) &&
+					server.hasModel(model, now) &&
+					(held === undefined || held < version) &&
+					(!Number.isFinite(lightest) || server.load(now) < lightest / 2)
+				);
+			})
+			.toSorted(
+				(a, b) =>
+					rendezvousScore(keyHash, hashString(b.record.id)) -
+					rendezvousScore(keyHash, hashString(a.record.id)),
+			);
+		const isOnItsWay = candidates.find(server =>
+			server.isPending(model, adapter, now),
+		);
+		const target =
+			isOnItsWay ??
+			candidates.find(server => this._bearsLoad(server, now)) ??
+			candidates[0];
+		if (target?.want(want, now)) {
+			this._options.onNewWant(target.record.id);
+		}
+	}
+
+	private _bearsLoad(server: ServerState, now: number): boolean {
+		const pending = server.report?.pending.length ?? 0;
+		return (
+			pending < maxPendingAdapters && server.load(now) < server.record.slots / 2
+		);
+	}
+
+	private _chooseAmong(
+		holders: readonly ServerState[],
+		need: ServerNeed,
+		version: number | undefined,
+		now: number,
+	): ServerChoice {
+		const open = holders.filter(
+			server =>
+				server.load(now) < server.record.slots * slotShare &&
+				server.hasMemoryFor(need.tokens, memoryShare, now) &&
+				this._mayGetMore(server, now),
+		);
+		if (open.length === 0) {
+			return {kind: holders.length === 0 ? 'noServer' : 'full'};
+		}
+
+		const loads = new Map(
+			open.map(server => [server, server.load(now)] as const),
+		);
+		const [best] = open.toSorted(
+			(a, b) =>
+				loads.get(a)! - loads.get(b)! || this._distance(a) - this._distance(b),
+		);
+		const known = open.find(
+			server =>
+				need.session !== undefined &&
+				server.record.id === this._sessions.get(need.session),
+		);
+		const isKnownLight =
+			known !== undefined &&
+			loads.get(known)! <= loads.get(best!)! + sessionLoadTolerance;
+		const chosen = isKnownLight ? known : best!;
+		return {kind: 'send', server: chosen.record.id, version};
+	}
+
+	/** Bounds what a cold server gets in a second to this entry's part. */
+	private _mayGetMore(server: ServerState, now: number): boolean {
+		const spec = this._options.serviceOf(server.record.service);
+		if (
+			spec === undefined ||
+			spec.coldRequestsPerSecond <= 0 ||
+			!server.isCold(now)
+		) {
+			return true;
+		}
+
+		const part = Math.max(
+			1,
+			Math.floor(this._options.coldBound(spec) / this._options.entryCount()),
+		);
+		return server.sentWithinSecond(now) < part;
+	}
+
+	private _distance({record}: ServerState): number {
+		return record.zone === this._options.zone ? 0 : 1;
+	}
+}
--- /dev/null
+++ b/packages/core/src/quota/constants.ts
@@ -0,0 +1,8 @@
+/** Age at which a level that a peer told no longer says what is left, in milliseconds: some rounds of gossip. */
+export const heardLevelLifetimeMs = 3000;
+
+/** Part of a customer's rate that all hosts together may use without its owner. Half of the overage allowed. */
+export const unownedRateShare = 0.05;
+
+/** Part of the slack in units that all hosts together may use without a customer's owner. */
+export const unownedSlackShare = 0.5;
--- /dev/null
+++ b/packages/daemon/src/direct/call-context.ts
@@ -0,0 +1,28 @@
+import type {AuthorityView, FleetView, RetryAllowance} from '@balsamtray/core';
+import type {EntryPeers} from './entry-peers.js';
+import type {EventLog} from './event-log.js';
+import type {CallCodec} from './types.js';
+import type {Upstream} from './upstream.js';
+import type {WaitingLine} from './waiting-line.js';
+
+/** What the requests of an entry share. */
+export type CallContext = {
+	readonly clock: () => number;
+	readonly authority: AuthorityView;
+	readonly fleet: FleetView;
+	readonly peers: EntryPeers;
+	readonly upstream: Upstream;
+	readonly waiting: WaitingLine;
+	readonly codec: CallCodec;
+	readonly log: EventLog;
+	/** Whether what is known of the authority is recent enough to act on. */
+	readonly isFresh: () => boolean;
+	/** Age of the newest proof of that, undefined without one. */
+	readonly proofAgeMs: () => number | undefined;
+	readonly retries: (service: string) => RetryAllowance;
+	/** Most connections of this entry to one server of the service. */
+	readonly maxConnections: (service: string) => number;
+	/** A number from 0 up to, not including, 1. */
+	readonly draw: () => number;
+	readonly isStopping: () => boolean;
+};
--- /dev/null
+++ b/packages/daemon/src/direct/constants.ts
@@ -0,0 +1,65 @@
+/** Time between two beats to the other entries, in milliseconds. */
+export const beatIntervalMs = 200;
+
+/** Silence after which an entry counts as away, in milliseconds: three beats and the way. */
+export const peerSilenceMs = 700;
+
+/** Time for an answer about a customer's rate, in milliseconds: many times the way between zones. */
+export const quotaTimeoutMs = 60;
+
+/** Questions to a customer's owner until its rate is taken from the part kept for this. */
+export const quotaTries = 2;
+
+/** Time between two demands to an agent, in milliseconds. */
+export const demandIntervalMs = 250;
+
+/** Longest wait for a change of the authority's statements, in milliseconds. Each answer renews the proof of freshness. */
+export const authorityWaitMs = 1200;
+
+/** Least time between two reads of the list of servers, in milliseconds. A leaving server is due within 2 s. */
+export const serversIntervalMs = 800;
+
+/** Longest wait for a change of the list of members, in milliseconds. */
+export const membersWaitMs = 10_000;
+
+/** Time for an answer of the store beyond the wait that was asked for, in milliseconds. */
+export const storeTimeoutMs = 1000;
+
+/** First and longest pause after a call to the store that failed, in milliseconds. */
+export const storeBackoffMs = {first: 150, longest: 800} as const;
+
+/** Time to open a connection to a server, in milliseconds. */
+export const connectTimeoutMs = 1000;
+
+/** Time for which a connection to a server is kept without requests, in milliseconds, where the server names none. */
+export const keepAliveMs = 4000;
+
+/** Least time between two rounds over the waiting requests, in milliseconds. */
+export const wakeIntervalMs = 10;
+
+/** Part of its time that a request may wait for a place or an adapter before it is refused. */
+export const longestWaitShare = 0.3;
+
+/** Time after which a refused caller may come back where nothing better is known, in milliseconds. */
+export const retryAfterMs = 500;
+
+/** Time between the signal to stop and the close of idle connections, in milliseconds: two probes of the balancer. */
+export const leaveDelayMs = 2500;
+
+/** Part of the grace time that is left when the process ends by itself, in milliseconds. */
+export const graceMarginMs = 500;
+
+/** Time between two reports of an engine to which nothing is on its way, in milliseconds. */
+export const reportIntervalMs = 200;
+
+/** Time between two reports of an engine that loads adapters, in milliseconds. */
+export const busyReportIntervalMs = 40;
+
+/** Time between two reports of an engine that no entry uses, in milliseconds. */
+export const idleReportIntervalMs = 2000;
+
+/** Time after its last demand at which an entry no longer gets reports, in milliseconds. */
+export const demandLifetimeMs = 1500;
+
+/** Time for an answer of the engine beside an agent, in milliseconds. */
+export const engineTimeoutMs = 1000;
--- /dev/null
+++ b/packages/daemon/src/direct/datagram-socket.ts
@@ -0,0 +1,50 @@
+import {createSocket, type Socket} from 'node:dgram';
+import {parseGossipMessage, type GossipMessage} from '@balsamtray/protocol';
+import type {Endpoint} from './types.js';
+
+type Listener = (message: GossipMessage, from: Endpoint) => void;
+
+/** Sends and receives datagrams between our processes. A datagram that can't be sent is lost, as on the way. */
+export class DatagramSocket {
+	/** @param onError gets the errors of the socket and of single datagrams */
+	static async open(
+		at: Endpoint,
+		onMessage: Listener,
+		onError: (err: Error) => void,
+	): Promise<DatagramSocket> {
+		const socket = createSocket('udp4');
+		socket.on('message', (bytes, {address, port}) => {
+			const message = parseGossipMessage(bytes);
+			if (message !== undefined) {
+				onMessage(message, {host: address, port});
+			}
+		});
+		await new Promise<void>((resolve, reject) => {
+			socket.once('error', reject);
+			socket.bind(at.port, at.host, () => {
+				socket.off('error', reject);
+				resolve();
+			});
+		});
+		return new DatagramSocket(socket, onError);
+	}
+
+	private constructor(
+		private readonly _socket: Socket,
+		private readonly _onError: (err: Error) => void,
+	) {
+		_socket.on('error', _onError);
+	}
+
+	send(message: GossipMessage, {host, port}: Endpoint): void {
+		this._socket.send(JSON.stringify(message), port, host, err => {
+			if (err !== null) {
+				this._onError(err);
+			}
+		});
+	}
+
+	dispose(): void {
+		this._socket.close();
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -0,0 +1,293 @@
+import type {
+	AuthorityRow,
+	CustomerRule,
+	QuotaGrant,
+	QuotaLedger,
+} from '@balsamtray/core';
+import {topByRendezvous} from '@balsamtray/core';
+import type {EntryBeat, GossipMessage} from '@balsamtray/protocol';
+import {
+	beatIntervalMs,
+	peerSilenceMs,
+	quotaTimeoutMs,
+	quotaTries,
+} from './constants.js';
+import type {Endpoint, MemberRow} from './types.js';
+
+export type EntryPeersOptions = {
+	readonly hostId: string;
+	readonly clock: () => number;
+	readonly epoch: () => number;
+	readonly ledger: QuotaLedger;
+	readonly send: (message: GossipMessage, to: Endpoint) => void;
+	readonly authorityVersion: () => number;
+	readonly provenAt: () => number;
+	/** A peer proved that the statements of the version are the newest as of the time. */
+	readonly onProof: (provenAt: number, epoch: number) => void;
+	readonly fetchStatements: (
+		from: Endpoint,
+	) => Promise<readonly AuthorityRow[]>;
+	readonly onStatements: (rows: readonly AuthorityRow[], from: string) => void;
+	readonly onLost: (peer: string, err: unknown) => void;
+	readonly onRegained: (peer: string, lostForMs: number) => void;
+	readonly onError: (step: string, err: unknown) => void;
+};
+
+type Peer = {
+	readonly endpoint: Endpoint;
+	heardAt: number;
+	isLost: boolean;
+	/** The peer's last beat: its `sentAt`, and when it came. */
+	lastBeat?: {readonly sentAt: number; readonly receivedAt: number};
+};
+
+type OpenAsk = {readonly settle: (grant: QuotaGrant) => void};
+
+/** The other entries: who is there, what they prove, and the customers' rates that they own. */
+export class EntryPeers {
+	static create(options: EntryPeersOptions): EntryPeers {
+		return new EntryPeers(options);
+	}
+
+	private readonly _peers = new Map<string, Peer>();
+	private readonly _asks = new Map<number, OpenAsk>();
+	private _nextAskId = 1;
+	private _beatEpoch = -1;
+	/** Time of the first beat of the present epoch: echoes of earlier beats prove nothing. */
+	private _epochBeganAt = 0;
+	private _isFetching = false;
+	private _timer: NodeJS.Timeout | undefined;
+
+	private constructor(private readonly _options: EntryPeersOptions) {}
+
+	/** Entries that are listed, this one included. */
+	get entryCount(): number {
+		return this._peers.size + 1;
+	}
+
+	start(): void {
+		this._timer = setInterval(() => {
+			this._beat();
+		}, beatIntervalMs);
+	}
+
+	dispose(): void {
+		clearInterval(this._timer);
+	}
+
+	/** Takes in rows of the members' table. */
+	setMembers(rows: readonly MemberRow[], isWhole: boolean): void {
+		if (isWhole) {
+			const listed = new Set(rows.map(({id}) => id));
+			for (const id of this._peers.keys()) {
+				if (!listed.has(id)) {
+					this._peers.delete(id);
+				}
+			}
+		}
+
+		for (const {id, endpoint} of rows) {
+			if (id === this._options.hostId) {
+				continue;
+			}
+
+			if (endpoint === undefined) {
+				this._peers.delete(id);
+			} else if (
+				this._peers.get(id)?.endpoint.host !== endpoint.host ||
+				this._peers.get(id)?.endpoint.port !== endpoint.port
+			) {
+				this._peers.set(id, {
+					endpoint,
+					heardAt: Number.NEGATIVE_INFINITY,
+					isLost: true,
+				});
+			}
+		}
+	}
+
+	/** Spends units of a customer's rate, through its owner. */
+	async reserve(customer: CustomerRule, units: number): Promise<QuotaGrant> {
+		const {ledger, clock, hostId} = this._options;
+		if (customer.unitsPerSecond <= 0) {
+			return {kind: 'granted'};
+		}
+
+		for (let i = 0; i < quotaTries; i++) {
+			const owner = this._ownerOf(customer.name);
+			if (owner === hostId) {
+				return ledger.take(customer, units, clock());
+			}
+
+			// Each try waits for the one before.
+			// eslint-disable-next-line no-await-in-loop
+			const grant = await this._ask(owner, customer.name, units);
+			if (grant !== undefined) {
+				return grant;
+			}
+		}
+
+		return ledger.takeUnowned(customer, units, this.entryCount, clock());
+	}
+
+	/** Gives back units of a request that did not run. */
+	giveBack(customer: string, units: number): void {
+		const {ledger, clock, hostId, send} = this._options;
+		const owner = this._ownerOf(customer);
+		if (owner === hostId) {
+			ledger.giveBack(customer, units, clock());
+			return;
+		}
+
+		const peer = this._peers.get(owner);
+		if (peer !== undefined) {
+			send({type: 'quotaReturn', customer, units}, peer.endpoint);
+		}
+	}
+
+	onBeat(beat: EntryBeat): void {
+		const now = this._options.clock();
+		const peer = this._peers.get(beat.from);
+		if (peer === undefined) {
+			return;
+		}
+
+		if (peer.isLost) {
+			peer.isLost = false;
+			if (Number.isFinite(peer.heardAt)) {
+				this._options.onRegained(beat.from, now - peer.heardAt);
+			}
+		}
+
+		peer.heardAt = now;
+		peer.lastBeat = {sentAt: beat.sentAt, receivedAt: now};
+		this._options.ledger.hear(beat.levels, now);
+		this._takeProof(beat, peer);
+	}
+
+	onQuotaAnswer(askId: number, grant: QuotaGrant): void {
+		this._asks.get(askId)?.settle(grant);
+	}
+
+	/** Whether the customer's rate is kept here. */
+	isOwner(customer: string): boolean {
+		return this._ownerOf(customer) === this._options.hostId;
+	}
+
+	private _beat(): void {
+		const {clock, epoch, ledger, send, hostId, authorityVersion, provenAt} =
+			this._options;
+		const now = clock();
+		if (epoch() !== this._beatEpoch) {
+			this._beatEpoch = epoch();
+			this._epochBeganAt = now;
+		}
+
+		const proofAgeMs = now - provenAt();
+		const levels = ledger.levels(now);
+		for (const [id, peer] of this._peers) {
+			if (!peer.isLost && now - peer.heardAt > peerSilenceMs) {
+				peer.isLost = true;
+				this._options.onLost(
+					id,
+					`silent for ${Math.round(now - peer.heardAt)} ms`,
+				);
+			}
+
+			const {lastBeat} = peer;
+			send(
+				{
+					type: 'entry',
+					from: hostId,
+					sentAt: now,
+					authorityVersion: authorityVersion(),
+					levels,
+					...(Number.isFinite(proofAgeMs) && {proofAgeMs}),
+					...(lastBeat !== undefined && {
+						echo: {
+							sentAt: lastBeat.sentAt,
+							heldForMs: now - lastBeat.receivedAt,
+						},
+					}),
+				},
+				peer.endpoint,
+			);
+		}
+	}
+
+	/**
+	 * A peer's proof counts from the moment at which this entry sent the beat that the peer echoes: the peer
+	 * wrote its answer later than that, however long the answer was on its way.
+	 */
+	private _takeProof(beat: EntryBeat, peer: Peer): void {
+		const {echo, proofAgeMs, authorityVersion} = beat;
+		if (authorityVersion > this._options.authorityVersion()) {
+			void this._fetch(beat.from, peer);
+			return;
+		}
+
+		if (
+			echo !== undefined &&
+			proofAgeMs !== undefined &&
+			echo.sentAt >= this._epochBeganAt
+		) {
+			const provenAt = echo.sentAt + echo.heldForMs - proofAgeMs;
+			this._options.onProof(provenAt, this._beatEpoch);
+		}
+	}
+
+	/** Reads the statements that a peer knows and this entry does not. */
+	private async _fetch(from: string, {endpoint}: Peer): Promise<void> {
+		if (this._isFetching) {
+			return;
+		}
+
+		this._isFetching = true;
+		try {
+			const rows = await this._options.fetchStatements(endpoint);
+			this._options.onStatements(rows, from);
+		} catch (error) {
+			this._options.onError(`statements of ${from}`, error);
+		} finally {
+			this._isFetching = false;
+		}
+	}
+
+	private _ownerOf(customer: string): string {
+		const {hostId} = this._options;
+		const present = [...this._peers]
+			.filter(([, peer]) => !peer.isLost)
+			.map(([id]) => id);
+		return topByRendezvous(customer, [hostId, ...present], 1)[0] ?? hostId;
+	}
+
+	private async _ask(
+		owner: string,
+		customer: string,
+		units: number,
+	): Promise<QuotaGrant | undefined> {
+		const peer = this._peers.get(owner);
+		if (peer === undefined) {
+			return undefined;
+		}
+
+		const askId = this._nextAskId++;
+		return new Promise(resolve => {
+			const timer = setTimeout(() => {
+				this._asks.delete(askId);
+				resolve(undefined);
+			}, quotaTimeoutMs);
+			this._asks.set(askId, {
+				settle: grant => {
+					clearTimeout(timer);
+					this._asks.delete(askId);
+					resolve(grant);
+				},
+			});
+			this._options.send(
+				{type: 'quotaAsk', from: this._options.hostId, askId, customer, units},
+				peer.endpoint,
+			);
+		});
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/direct/http-client.ts
@@ -0,0 +1,88 @@
+import {Agent, request, type IncomingHttpHeaders} from 'node:http';
+import type {Endpoint} from './types.js';
+
+export type HttpCall = {
+	readonly endpoint: Endpoint;
+	readonly method: string;
+	readonly path: string;
+	readonly headers?: Readonly<Record<string, string>>;
+	readonly body?: string;
+	/** Time for the whole answer, in milliseconds. */
+	readonly timeoutMs: number;
+};
+
+export type HttpAnswer = {
+	readonly status: number;
+	readonly headers: IncomingHttpHeaders;
+	readonly body: string;
+};
+
+/** Small calls to the store, to peers and to the engine beside an agent, over kept connections. */
+export class HttpClient {
+	/** @param maxConnections to one address */
+	static create(maxConnections: number): HttpClient {
+		return new HttpClient(
+			new Agent({
+				keepAlive: true,
+				maxSockets: maxConnections,
+				scheduling: 'lifo',
+			}),
+		);
+	}
+
+	private constructor(private readonly _agent: Agent) {}
+
+	/** Rejects where no whole answer came in time. The connection is not used again then. */
+	async call(call: HttpCall): Promise<HttpAnswer> {
+		const {endpoint, method, path, headers, body, timeoutMs} = call;
+		return new Promise((resolve, reject) => {
+			const req = request({
+				...endpoint,
+				method,
+				path,
+				agent: this._agent,
+				headers: {
+					...headers,
+					...(body !== undefined && {
+						'content-type': 'application/json',
+						'content-length': Buffer.byteLength(body).toString(),
+					}),
+				},
+			});
+			const timer = setTimeout(() => {
+				req.destroy(new Error(`no answer within ${timeoutMs} ms`));
+			}, timeoutMs);
+			const fail = (err: Error) => {
+				clearTimeout(timer);
+				reject(
+					new Error(
+						`${method} ${endpoint.host}:${endpoint.port}${path}: ${err.message}`,
+						{cause: err},
+					),
+				);
+			};
+
+			req.once('error', fail);
+			req.once('response', res => {
+				const chunks: Uint8Array[] = [];
+				res.on('data', (chunk: Uint8Array) => {
+					chunks.push(chunk);
+				});
+				res.once('error', fail);
+				res.once('end', () => {
+					clearTimeout(timer);
+					resolve({
+						status: res.statusCode ?? 0,
+						headers: res.headers,
+						body: Buffer.concat(chunks).toString(),
+					});
+				});
+			});
+			req.end(body);
+		});
+	}
+
+	dispose(): void {
+		this._agent.destroy();
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -0,0 +1,613 @@
+import type {
+	IncomingHttpHeaders,
+	IncomingMessage,
+	ServerResponse,
+} from 'node:http';
+import {
+	adapterKey,
+	EventStreamCutter,
+	pickShare,
+	type CustomerRule,
+	type RouteRule,
+	type ServerChoice,
+} from '@balsamtray/core';
+import {longestWaitShare, retryAfterMs} from './constants.js';
+import type {CallContext} from './call-context.js';
+import type {CallFacts} from './types.js';
+import type {UpstreamCall, UpstreamSink} from './upstream.js';
+import type {Waiter} from './waiting-line.js';
+
+/** Why a request gets no whole answer. */
+export type CallRefusal = {
+	readonly status: number;
+	readonly reason: string;
+	/** Whether the request surely did not run. */
+	readonly notRun: boolean;
+	readonly retryAfterMs?: number;
+};
+
+/** One send of the request to a server. */
+type Send = {
+	readonly server: string;
+	call: UpstreamCall | undefined;
+	/** Whether a connection took it, so that it may run. */
+	isSent: boolean;
+	hasAnswered: boolean;
+};
+
+/** Headers that concern one connection only. */
+const connectionHeaders = new Set([
+	'connection',
+	'keep-alive',
+	'proxy-connection',
+	'transfer-encoding',
+	'upgrade',
+	'te',
+	'trailer',
+]);
+
+/** Takes one request of a caller to a server and its answer back. */
+export class ProxiedCall {
+	/** @param arrivedAt time at which the head of the request was read */
+	static create(
+		context: CallContext,
+		req: IncomingMessage,
+		res: ServerResponse,
+		facts: CallFacts,
+		arrivedAt: number,
+	): ProxiedCall {
+		return new ProxiedCall(context, req, res, facts, arrivedAt);
+	}
+
+	private _route: RouteRule | undefined;
+	private _service: string | undefined;
+	private _customer: CustomerRule | undefined;
+	private _body: Uint8Array = new Uint8Array(0);
+	private _reservedUnits = 0;
+	private _send: Send | undefined;
+	private _cutter: EventStreamCutter | undefined;
+	private _lastEventId: string | undefined;
+	private _waiter: Waiter | undefined;
+	private _waitedFor: string | undefined;
+	private _waitUntil = 0;
+	private _timer: NodeJS.Timeout | undefined;
+	private _deadlineAt = 0;
+	private _isEnded = false;
+	/** Whether some server may have run the request. */
+	private _mayHaveRun = false;
+	private _hasCounted = false;
+	private _firstByteAt: number | undefined;
+	private _sentAt: number | undefined;
+	private readonly _tried = new Set<string>();
+	private readonly _sends: string[] = [];
+	/** Keeps the request with one of its route's services, however often it is decided. */
+	private readonly _draw: number;
+
+	private constructor(
+		private readonly _context: CallContext,
+		private readonly _req: IncomingMessage,
+		private readonly _res: ServerResponse,
+		private readonly _facts: CallFacts,
+		private readonly _arrivedAt: number,
+	) {
+		this._draw = _context.draw();
+		this._lastEventId = _facts.lastEventId;
+		_res.on('close', () => {
+			this._onClosed();
+		});
+	}
+
+	/** Finds route and customer before the body is read. Returns whether the request goes on. */
+	admit(): boolean {
+		const refusal = this._authorize();
+		if (refusal !== undefined) {
+			this.refuse(refusal);
+			return false;
+		}
+
+		const {timeoutMs} = this._route!;
+		this._deadlineAt =
+			this._arrivedAt +
+			Math.min(timeoutMs, this._facts.deadlineMs ?? timeoutMs);
+		const leftMs = this._deadlineAt - this._context.clock();
+		this._waitUntil =
+			this._arrivedAt + (this._deadlineAt - this._arrivedAt) * longestWaitShare;
+		this._timer = setTimeout(
+			() => {
+				this._onDeadline();
+			},
+			Math.max(0, leftMs),
+		);
+		return true;
+	}
+
+	/** Goes on with the whole body. */
+	async run(body: Uint8Array): Promise<void> {
+		this._body = body;
+		const customer = this._customer;
+		if (customer !== undefined) {
+			const units = this._unitsOf(customer);
+			const grant = await this._context.peers.reserve(customer, units);
+			if (this._isEnded) {
+				if (grant.kind === 'granted') {
+					this._context.peers.giveBack(customer.name, units);
+				}
+
+				return;
+			}
+
+			if (grant.kind === 'refused') {
+				this.refuse({
+					status: 429,
+					reason: 'overRate',
+					notRun: true,
+					retryAfterMs: grant.retryAfterMs,
+				});
+				return;
+			}
+
+			this._reservedUnits = units;
+		}
+
+		this._place();
+	}
+
+	/** Ends the request without a whole answer. */
+	refuse(refusal: CallRefusal): void {
+		if (this._isEnded) {
+			return;
+		}
+
+		const {status, reason, notRun} = refusal;
+		if (this._res.headersSent) {
+			this._end(refusal);
+			this._res.destroy();
+			return;
+		}
+
+		this._end(refusal);
+		this._res.statusCode = status;
+		this._res.setHeader('content-type', 'application/json');
+		if (refusal.retryAfterMs !== undefined) {
+			this._res.setHeader(
+				'retry-after',
+				(Math.ceil(refusal.retryAfterMs) / 1000).toString(),
+			);
+		}
+
+		if (!this._req.complete || this._context.isStopping()) {
+			this._res.setHeader('connection', 'close');
+		}
+
+		this._res.end(JSON.stringify({error: {code: reason, not_run: notRun}}));
+	}
+
+	/** Decides under the present configuration, which may be newer than the one under which the request came. */
+	private _authorize(): CallRefusal | undefined {
+		const {authority, isFresh} = this._context;
+		const {inForce} = authority;
+		if (inForce === undefined) {
+			return unavailable('configurationUnavailable');
+		}
+
+		if (!isFresh()) {
+			return unavailable('configurationStale');
+		}
+
+		const path = this._path;
+		const route = inForce.routes.find(this._facts.host, path);
+		if (route === undefined) {
+			return {status: 404, reason: 'unknownRoute', notRun: !this._mayHaveRun};
+		}
+
+		const {key} = this._facts;
+		const customer = key === undefined ? undefined : inForce.keys.find(key);
+		const needsKey = inForce.config.customers !== undefined && !route.isOpen;
+		if (needsKey && customer === undefined) {
+			return {status: 401, reason: 'unknownKey', notRun: !this._mayHaveRun};
+		}
+
+		this._route = route;
+		this._customer = customer;
+		this._service = pickShare(route.shares, this._draw);
+		return undefined;
+	}
+
+	/** Sends the request to a server, or lets it wait for one. */
+	private _place(): void {
+		if (this._isEnded) {
+			return;
+		}
+
+		const refusal = this._authorize();
+		if (refusal !== undefined) {
+			this._giveUp(refusal);
+			return;
+		}
+
+		const now = this._context.clock();
+		const choice = this._choose(now);
+		if (choice.kind === 'send') {
+			this._sendTo(choice.server, choice.version, now);
+			return;
+		}
+
+		if (this._tried.size > 0 && choice.kind === 'noServer') {
+			this._giveUp(unavailable('noServerLeft'));
+			return;
+		}
+
+		this._wait(choice, now);
+	}
+
+	private _choose(now: number): ServerChoice {
+		const {model, adapter, session, tokens} = this._facts;
+		return this._context.fleet.choose(
+			{
+				service: this._service ?? '',
+				model,
+				adapter,
+				session,
+				tokens: tokens ?? 0,
+				tried: this._tried,
+			},
+			now,
+		);
+	}
+
+	private _wait(choice: ServerChoice, now: number): void {
+		this._waitedFor = choice.kind;
+		if (now >= this._waitUntil) {
+			this._giveUp(unavailable(choice.kind));
+			return;
+		}
+
+		const waiter: Waiter = {
+			priority: this._priority,
+			arrivedAt: this._arrivedAt,
+			retry: () => {
+				this._waiter = undefined;
+				this._place();
+			},
+		};
+		this._waiter = waiter;
+		this._context.waiting.add(waiter);
+		clearTimeout(this._timer);
+		this._timer = setTimeout(() => {
+			this._onDeadline();
+		}, this._waitUntil - now);
+	}
+
+	private _sendTo(
+		server: string,
+		version: number | undefined,
+		now: number,
+	): void {
+		const {fleet, retries, upstream, codec, peers, maxConnections} =
+			this._context;
+		const state = fleet.find(server)!;
+		const service = state.record.service;
+		if (!this._hasCounted) {
+			this._hasCounted = true;
+			retries(service).noteRequest(now);
+		} else if (!retries(service).tryTake(peers.entryCount, now)) {
+			this._giveUp(unavailable('retryBudget'));
+			return;
+		}
+
+		clearTimeout(this._timer);
+		this._timer = setTimeout(() => {
+			this._onDeadline();
+		}, this._deadlineAt - now);
+		this._sentAt = now;
+		this._tried.add(server);
+		const key = this._adapterKey;
+		state.noteSent(key, now);
+		if (this._facts.session !== undefined) {
+			fleet.noteSession(this._facts.session, server);
+		}
+
+		const headers = codec.encodeForward(this._req.rawHeaders, {
+			server,
+			deadlineMs: Math.max(1, Math.floor(this._deadlineAt - now)),
+			customer: this._customer?.name,
+			adapterVersion: version,
+			urgency: this._priority,
+			lastEventId: this._lastEventId,
+		});
+		const send: Send = {
+			server,
+			call: undefined,
+			isSent: false,
+			hasAnswered: false,
+		};
+		this._send = send;
+		send.call = upstream.send(
+			{
+				server,
+				address: state.record.address,
+				maxConnections: maxConnections(service),
+				method: this._req.method ?? 'GET',
+				path: this._req.url ?? '/',
+				headers,
+				body: this._body,
+			},
+			this._sinkOf(send),
+		);
+	}
+
+	/** Events of a send that the request has turned away from are dropped. */
+	private _sinkOf(send: Send): UpstreamSink {
+		const isCurrent = () => this._send === send;
+		return {
+			onSent() {
+				send.isSent = true;
+			},
+			onHeaders: (status, headers) => {
+				if (isCurrent()) {
+					this._onHeaders(send, status, headers);
+				}
+			},
+			onData: chunk => !isCurrent() || this._onData(chunk),
+			onEnd: () => {
+				if (isCurrent()) {
+					this._onEnd(send);
+				}
+			},
+			onError: err => {
+				if (isCurrent()) {
+					this._onBroken(send, err);
+				}
+			},
+		};
+	}
+
+	private _onHeaders(
+		send: Send,
+		status: number,
+		headers: IncomingHttpHeaders,
+	): void {
+		const {codec} = this._context;
+		const facts = codec.decodeAnswer(status, headers, this._facts.callId);
+		if (!facts.isGenuine) {
+			send.call?.abort();
+			this._onBroken(send, new Error('the answer is not one to this request'));
+			return;
+		}
+
+		if (facts.isNotRun) {
+			this._endSend(`refused ${status}`);
+			this._context.fleet.find(send.server)?.suspect(this._context.clock());
+			this._retry({...unavailable('serverRefused'), status: 503}, true);
+			return;
+		}
+
+		send.hasAnswered = true;
+		this._mayHaveRun = true;
+		if (this._res.headersSent) {
+			if (status !== 200) {
+				send.call?.abort();
+				this._endSend(`no resumption, ${status}`);
+				this.refuse(broken('streamBroken'));
+			}
+
+			return;
+		}
+
+		if (this._route!.isResumable && status === 200) {
+			this._cutter = EventStreamCutter.create();
+		}
+
+		this._res.writeHead(status, this._answerHeaders(headers));
+		this._res.flushHeaders();
+	}
+
+	private _answerHeaders(
+		headers: IncomingHttpHeaders,
+	): Record<string, string | string[]> {
+		const passed: Record<string, string | string[]> = {};
+		for (const [name, value] of Object.entries(headers)) {
+			if (value !== undefined && !connectionHeaders.has(name)) {
+				passed[name] = value;
+			}
+		}
+
+		if (this._context.isStopping()) {
+			passed.connection = 'close';
+		}
+
+		return passed;
+	}
+
+	private _onData(chunk: Uint8Array): boolean {
+		this._firstByteAt ??= this._context.clock();
+		if (this._cutter === undefined) {
+			return this._write(chunk);
+		}
+
+		const {bytes, lastEventId} = this._cutter.push(chunk);
+		this._lastEventId = lastEventId ?? this._lastEventId;
+		return bytes.length === 0 || this._write(bytes);
+	}
+
+	private _write(bytes: Uint8Array): boolean {
+		if (this._res.write(bytes)) {
+			return true;
+		}
+
+		this._res.once('drain', () => {
+			this._send?.call?.resume();
+		});
+		return false;
+	}
+
+	private _onEnd(send: Send): void {
+		if (!send.hasAnswered) {
+			this._onBroken(send, new Error('the answer ended before its head'));
+			return;
+		}
+
+		this._endSend('answered');
+		const rest = this._cutter?.takeRest();
+		if (rest !== undefined && rest.length > 0) {
+			this._res.write(rest);
+		}
+
+		this._end(undefined);
+		this._res.end();
+	}
+
+	/** The connection broke, or the answer can't be used. */
+	private _onBroken(send: Send, err: Error): void {
+		this._endSend(`${send.isSent ? 'broke' : 'not sent'}: ${err.message}`);
+		this._context.fleet.find(send.server)?.suspect(this._context.clock());
+		this._mayHaveRun ||= send.isSent;
+		this._cutter?.takeRest();
+		this._retry(
+			send.isSent ? broken('serverBroke') : unavailable('serverUnreachable'),
+			!send.isSent || this._isRepeatable,
+		);
+	}
+
+	/** Tries another server where that is allowed. */
+	private _retry(refusal: CallRefusal, isAllowed: boolean): void {
+		const canResume = !this._res.headersSent || this._cutter !== undefined;
+		if (
+			isAllowed &&
+			canResume &&
+			this._tried.size < this._route!.maxAttempts &&
+			this._context.clock() < this._deadlineAt
+		) {
+			this._place();
+		} else {
+			this._giveUp(refusal);
+		}
+	}
+
+	/** Refuses, and says "not run" only where that is sure. */
+	private _giveUp(refusal: CallRefusal): void {
+		this.refuse(
+			this._mayHaveRun ? {...broken(refusal.reason), notRun: false} : refusal,
+		);
+	}
+
+	private _onDeadline(): void {
+		if (this._isEnded) {
+			return;
+		}
+
+		const {_send: send} = this;
+		if (send === undefined) {
+			this._giveUp(unavailable(this._waitedFor ?? 'deadline'));
+			return;
+		}
+
+		send.call?.abort();
+		this._mayHaveRun ||= send.isSent;
+		this._endSend('deadline');
+		this._giveUp({status: 504, reason: 'deadline', notRun: false});
+	}
+
+	/** The caller's connection closed. */
+	private _onClosed(): void {
+		if (this._isEnded) {
+			return;
+		}
+
+		this._send?.call?.abort();
+		this._mayHaveRun ||= this._send?.isSent ?? false;
+		this._endSend('caller left');
+		this._end({status: 0, reason: 'callerLeft', notRun: !this._mayHaveRun});
+	}
+
+	private _endSend(outcome: string): void {
+		const {_send: send} = this;
+		if (send === undefined) {
+			return;
+		}
+
+		this._send = undefined;
+		this._sends.push(`${send.server}: ${outcome}`);
+		this._context.fleet.find(send.server)?.noteEnded(this._adapterKey);
+		this._context.waiting.wake();
+	}
+
+	private _end(refusal: CallRefusal | undefined): void {
+		this._isEnded = true;
+		clearTimeout(this._timer);
+		if (this._waiter !== undefined) {
+			this._context.waiting.remove(this._waiter);
+		}
+
+		if (this._reservedUnits > 0 && !this._mayHaveRun) {
+			this._context.peers.giveBack(this._customer!.name, this._reservedUnits);
+		}
+
+		this._log(refusal);
+	}
+
+	private _log(refusal: CallRefusal | undefined): void {
+		const {clock, log, proofAgeMs, authority} = this._context;
+		const now = clock();
+		const since = (at: number) => Math.round(at - this._arrivedAt);
+		const version = authority.inForce?.config.version;
+		const proofAge = proofAgeMs();
+		const adapter = this._adapterKey;
+		log.write({
+			event: 'request',
+			id: this._facts.callId ?? '',
+			status: refusal?.status ?? this._res.statusCode,
+			sends: this._sends,
+			totalMs: since(now),
+			...(this._route && {route: this._route.name}),
+			...(this._customer && {customer: this._customer.name}),
+			...(adapter !== undefined && {adapter}),
+			...(refusal && {reason: refusal.reason, notRun: refusal.notRun}),
+			...(refusal?.retryAfterMs !== undefined && {
+				retryAfterMs: Math.round(refusal.retryAfterMs),
+			}),
+			...(this._sentAt !== undefined && {waitedMs: since(this._sentAt)}),
+			...(this._waitedFor !== undefined && {waitedFor: this._waitedFor}),
+			...(this._firstByteAt !== undefined && {
+				firstByteMs: since(this._firstByteAt),
+			}),
+			...(version !== undefined && {configVersion: version}),
+			...(proofAge !== undefined && {proofAgeMs: Math.round(proofAge)}),
+		});
+	}
+
+	private _unitsOf(customer: CustomerRule): number {
+		return customer.isMeteredInTokens
+			? (this._facts.tokens ?? customer.plainTokens)
+			: 1;
+	}
+
+	private get _path(): string {
+		const url = this._req.url ?? '/';
+		const query = url.indexOf('?');
+		return query === -1 ? url : url.slice(0, query);
+	}
+
+	private get _priority(): number {
+		return this._customer?.priority ?? this._route?.priority ?? 0;
+	}
+
+	private get _isRepeatable(): boolean {
+		return this._route!.kind === 'idempotent' || this._route!.isResumable;
+	}
+
+	private get _adapterKey(): string | undefined {
+		const {model, adapter} = this._facts;
+		return model !== undefined && adapter !== undefined
+			? adapterKey(model, adapter)
+			: undefined;
+	}
+}
+
+function unavailable(reason: string): CallRefusal {
+	return {status: 503, reason, notRun: true, retryAfterMs};
+}
+
+function broken(reason: string): CallRefusal {
+	return {status: 502, reason, notRun: false};
+}
--- /dev/null
+++ b/packages/protocol/src/gossip/messages.ts
@@ -0,0 +1,100 @@
+import type {
+	EngineDemand,
+	EngineReport,
+	QuotaGrant,
+	QuotaLevel,
+} from '@balsamtray/core';
+
+/** What an entry tells the other entries several times a second. */
+export type EntryBeat = {
+	readonly type: 'entry';
+	/** Identifier of the sending host. */
+	readonly from: string;
+	/** Sender's steady clock, in milliseconds. */
+	readonly sentAt: number;
+	/** Last beat of the receiver that the sender got: its `sentAt`, and how long ago it came. */
+	readonly echo?: {readonly sentAt: number; readonly heldForMs: number};
+	/** Highest row version among the authority's statements that the sender knows. */
+	readonly authorityVersion: number;
+	/** Age of the sender's proof that it knows the newest statements. Absent without one. */
+	readonly proofAgeMs?: number;
+	/** Levels of the customers that the sender owns. */
+	readonly levels: readonly QuotaLevel[];
+};
+
+/** Asks a customer's owner for units of its rate. */
+export type QuotaAsk = {
+	readonly type: 'quotaAsk';
+	readonly from: string;
+	readonly askId: number;
+	readonly customer: string;
+	readonly units: number;
+};
+
+export type QuotaAnswer = {
+	readonly type: 'quotaAnswer';
+	readonly askId: number;
+	readonly grant: QuotaGrant;
+};
+
+/** Gives back units of a request that did not run. */
+export type QuotaReturn = {
+	readonly type: 'quotaReturn';
+	readonly customer: string;
+	readonly units: number;
+};
+
+/** What an entry wants of an engine, to the agent beside it. */
+export type DemandMessage = {
+	readonly type: 'demand';
+	/** Identifier of the backend server. */
+	readonly server: string;
+	readonly demand: EngineDemand;
+};
+
+/** An engine's report, from the agent beside it. */
+export type ReportMessage = {
+	readonly type: 'report';
+	readonly server: string;
+	readonly report: EngineReport;
+};
+
+/** A datagram between our processes. */
+export type GossipMessage =
+	| EntryBeat
+	| QuotaAsk
+	| QuotaAnswer
+	| QuotaReturn
+	| DemandMessage
+	| ReportMessage;
+
+const messageTypes: ReadonlySet<string> = new Set([
+	'entry',
+	'quotaAsk',
+	'quotaAnswer',
+	'quotaReturn',
+	'demand',
+	'report',
+] satisfies ReadonlyArray<GossipMessage['type']>);
+
+/** Reads a datagram of another of our processes, undefined where it is none. */
+export function parseGossipMessage(
+	bytes: Uint8Array,
+): GossipMessage | undefined {
+	try {
+		const message = JSON.parse(Buffer.from(bytes).toString()) as unknown;
+		return isGossipMessage(message) ? message : undefined;
+	} catch {
+		return undefined;
+	}
+}
+
+function isGossipMessage(message: unknown): message is GossipMessage {
+	return (
+		typeof message === 'object' &&
+		message !== null &&
+		'type' in message &&
+		typeof message.type === 'string' &&
+		messageTypes.has(message.type)
+	);
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -11,3 +11,4 @@
 export * from './operators/operator-router.js';
 export * from './reply-schema.js';
 export * from './link-fetch.js';
+export * from './gossip/messages.js';
