--- a/packages/core/src/orders/order-planner.ts
+++ b/packages/core/src/orders/order-planner.ts
@@ -1,7 +1,12 @@
 import {adapterKey} from '../authority/authority-view.js';
 import {maxPendingAdapters} from '../placement/constants.js';
 import type {AdapterWant, EngineReport} from '../placement/types.js';
-import {doubtMs, evictionQuietMs, wantLifetimeMs} from './constants.js';
+import {
+	acceptedLoadMs,
+	doubtMs,
+	evictionQuietMs,
+	wantLifetimeMs,
+} from './constants.js';
 
 /** An order to an engine, with the count of accepted orders at which it is valid. */
 export type EngineOrder = {
@@ -55,6 +60,8 @@
 	private _models: readonly string[] = [];
 	private _places = 0;
 	private _doubts: Doubt[] = [];
+	/** Times of accepted loads that the report does not show yet, by adapter. */
+	private readonly _accepted = new Map<string, number>();
 
 	private constructor() {}
 
@@ -89,6 +96,7 @@
 
 		if (outcome === 'accepted' && order.operation === 'load') {
 			this._usedAt.set(keyOf(order), now);
+			this._accepted.set(keyOf(order), now);
 		}
 	}
 
@@ -122,6 +130,7 @@
 		for (const [key, {want}] of this._wants) {
 			if (holds(report, want)) {
 				this._wants.delete(key);
+				this._accepted.delete(key);
 			}
 		}
 
@@ -129,6 +138,7 @@
 			.filter(
 				({want}) =>
 					report.models.some(({name}) => name === want.model) &&
+					!this._accepted.has(adapterKey(want.model, want.adapter)) &&
 					!isPending(report, want),
 			)
 			.toSorted((a, b) => a.firstAt - b.firstAt);
@@ -195,6 +205,12 @@
 			}
 		}
 
+		for (const [key, at] of this._accepted) {
+			if (now - at >= acceptedLoadMs) {
+				this._accepted.delete(key);
+			}
+		}
+
 		// The engine accepted another order at the same count, so that the doubtful one is void.
 		this._doubts = this._doubts.filter(
 			doubt =>
--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -36,3 +36,6 @@
 
 /** Time for which a want stands without being repeated, in milliseconds. */
 export const wantLifetimeMs = 1000;
+
+/** Silence of an engine and its agent after which requests go elsewhere, in milliseconds: three reports were lost. */
+export const silenceMs = 700;
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -2,7 +2,6 @@
 import type {ServiceSpec} from '../authority/types.js';
 import {hashString, rendezvousScore} from '../common/rendezvous.js';
 import {
-	maxPendingAdapters,
 	memoryShare,
 	outageAftermathMs,
 	plainRequestsPerSlot,
@@ -239,7 +238,10 @@
 		return this._chooseAmong(holders, need, version, now);
 	}
 
-	/** Asks for the adapter on the first server in the adapter's order that bears it. */
+	/**
+	 * Asks for the adapter on the first server in the adapter's order that bears it. All entries share that order,
+	 * so that they ask the same server.
+	 */
 	private _wantOnAnother(
 		usable: readonly ServerState[],
 		want: AdapterWant,
@@ -247,38 +249,36 @@
 		now: number,
 	): void {
 		const {model, adapter, version} = want;
-		const keyHash = hashString(adapterKey(model, adapter));
-		const candidates = usable
-			.filter(server => {
-				const held = server.adapterVersion(model, adapter, now);
-				return (
-					server.hasFreshReport(now) &&
-					server.hasModel(model, now) &&
-					(held === undefined || held < version) &&
-					(!Number.isFinite(lightest) || server.load(now) < lightest / 2)
-				);
-			})
-			.toSorted(
-				(a, b) =>
-					rendezvousScore(keyHash, hashString(b.record.id)) -
-					rendezvousScore(keyHash, hashString(a.record.id)),
+		const candidates = usable.filter(server => {
+			const held = server.adapterVersion(model, adapter, now);
+			return (
+				server.hasFreshReport(now) &&
+				server.hasModel(model, now) &&
+				(held === undefined || held < version) &&
+				(!Number.isFinite(lightest) || server.load(now) < lightest / 2)
 			);
-		const isOnItsWay = candidates.find(server =>
-			server.isPending(model, adapter, now),
-		);
+		});
 		const target =
-			isOnItsWay ??
-			candidates.find(server => this._bearsLoad(server, now)) ??
-			candidates[0];
+			candidates.find(server => server.isPending(model, adapter, now)) ??
+			this._firstInOrder(candidates, want, now);
 		if (target?.want(want, now)) {
 			this._options.onNewWant(target.record.id);
 		}
 	}
 
-	private _bearsLoad(server: ServerState, now: number): boolean {
-		const pending = server.report?.pending.length ?? 0;
+	private _firstInOrder(
+		candidates: readonly ServerState[],
+		{model, adapter}: AdapterWant,
+		now: number,
+	): ServerState | undefined {
+		const keyHash = hashString(adapterKey(model, adapter));
+		const scoreOf = ({record}: ServerState) =>
+			rendezvousScore(keyHash, hashString(record.id));
+		const ordered = candidates.toSorted((a, b) => scoreOf(b) - scoreOf(a));
 		return (
-			pending < maxPendingAdapters && server.load(now) < server.record.slots / 2
+			ordered.find(
+				server => server.load(now) < server.record.slots * slotShare,
+			) ?? ordered[0]
 		);
 	}
 
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -1,4 +1,4 @@
-import {reportLifetimeMs, suspicionMs, wantLifetimeMs} from './constants.js';
+import {reportLifetimeMs, silenceMs, suspicionMs, wantLifetimeMs} from './constants.js';
 import type {AdapterWant, EngineReport, ServerRecord} from './types.js';
 import {adapterKey} from '../authority/authority-view.js';
 
@@ -17,6 +17,7 @@
 	private _report: EngineReport | undefined;
 	private _reportedAt = Number.NEGATIVE_INFINITY;
 	private _sentAt: number[] = [];
+	private _heardAt = Number.NEGATIVE_INFINITY;
 	private _suspectedAt = Number.NEGATIVE_INFINITY;
 	private readonly _wants = new Map<string, {want: AdapterWant; at: number}>();
 	private readonly _inUse = new Map<string, number>();
@@ -113,8 +114,18 @@
 		return this._sentAt.filter(at => now - at <= 1000).length;
 	}
 
+	/** Whether requests should rather go elsewhere: a connection broke, or an engine that reported fell silent. */
 	isSuspected(now: number): boolean {
-		return now - this._suspectedAt < suspicionMs;
+		const silentForMs = now - Math.max(this._reportedAt, this._heardAt);
+		return (
+			now - this._suspectedAt < suspicionMs ||
+			(this._report !== undefined && silentForMs >= silenceMs)
+		);
+	}
+
+	/** Bytes of the server came. */
+	noteHeard(now: number): void {
+		this._heardAt = now;
 	}
 
 	suspect(now: number): void {
--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -32,6 +32,8 @@
 
 	private readonly _server: Server;
 	private readonly _sockets = new Map<Socket, number>();
+	/** Connections that this side has closed: a request that crossed the close can't be answered and must not run. */
+	private readonly _closing = new WeakSet<Socket>();
 	private _limits = startLimits;
 	private _running = 0;
 
@@ -82,6 +84,7 @@
 	closeIdle(): void {
 		for (const [socket, running] of this._sockets) {
 			if (running === 0) {
+				this._closing.add(socket);
 				socket.end();
 			}
 		}
@@ -93,6 +96,11 @@
 	): Promise<void> {
 		const {clock, codec} = this._context;
 		const {socket} = req;
+		if (this._closing.has(socket)) {
+			socket.destroy();
+			return;
+		}
+
 		this._running++;
 		this._sockets.set(socket, (this._sockets.get(socket) ?? 0) + 1);
 		res.once('close', () => {
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -344,6 +344,8 @@
 				send.isSent = true;
 			},
 			onHeaders: (status, headers) => {
+				const {fleet, clock} = this._context;
+				fleet.find(send.server)?.noteHeard(clock());
 				if (isCurrent()) {
 					this._onHeaders(send, status, headers);
 				}
--- a/packages/daemon/src/direct/upstream.ts
+++ b/packages/daemon/src/direct/upstream.ts
@@ -1,5 +1,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Dispatcher} from 'undici';
+import buildConnector from 'undici/lib/core/connect.js';
 import Pool from 'undici/lib/dispatcher/pool.js';
 import {connectTimeoutMs, keepAliveMs} from './constants.js';
 
@@ -45,11 +47,34 @@
 		{readonly pool: Dispatcher; readonly address: string}
 	>();
 
-	private constructor() {}
+	/** Connects and notes errors of connections before the client sees them. */
+	private readonly _connect: buildConnector.connector;
+	/** Whether a connection's error is being handled in this turn. */
+	private _isBreaking = false;
+
+	private constructor() {
+		const connect = buildConnector({timeout: connectTimeoutMs});
+		this._connect = (options, callback) => {
+			connect(options, (...result) => {
+				const [, socket] = result;
+				socket?.prependListener('error', () => {
+					this._noteBreak();
+				});
+				socket?.prependListener('end', () => {
+					// Bytes and a reset that arrive together are told as bytes and an end. The kernel knows no peer then.
+					if ((socket as Socket).remotePort === undefined) {
+						this._noteBreak();
+					}
+				});
+				callback(...result);
+			});
+		};
+	}
 
 	send(req: UpstreamRequest, sink: UpstreamSink): UpstreamCall {
 		let controller: Dispatcher.DispatchController | undefined;
 		let isAborted = false;
+		const isBreaking = () => this._isBreaking;
 		this._poolOf(req).dispatch(
 			{
 				method: req.method as Dispatcher.HttpMethod,
@@ -79,7 +104,14 @@
 					}
 				},
 				onResponseEnd() {
-					if (!isAborted) {
+					if (isAborted) {
+						return;
+					}
+
+					// The client takes a reset for the end of an answer without a length.
+					if (isBreaking()) {
+						sink.onError(new Error('the connection was reset'));
+					} else {
 						sink.onEnd();
 					}
 				},
@@ -113,6 +145,14 @@
 		}
 	}
 
+	/** The client ends its requests in the same turn as the error. */
+	private _noteBreak(): void {
+		this._isBreaking = true;
+		queueMicrotask(() => {
+			this._isBreaking = false;
+		});
+	}
+
 	private _poolOf({
 		server,
 		address,
@@ -127,7 +167,7 @@
 		const pool = new Pool(`http://${address}`, {
 			connections: maxConnections,
 			pipelining: 1,
-			connect: {timeout: connectTimeoutMs},
+			connect: this._connect,
 			keepAliveTimeout: keepAliveMs,
 			keepAliveMaxTimeout: 60_000,
 			keepAliveTimeoutThreshold: 500,
