--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -11,7 +11,22 @@
 export const plainRequestsPerSlot = 2;
 
 /** Load at which an adapter gets a second server, in outstanding requests. */
-export const replicationLoad = 12;
+export const replicationLoad = 24;
+
+/** Load at which an adapter that is in use more than once gets a second server while few loads are under way. */
+export const spareReplicationLoad = 4;
+
+/** Loads over all servers up to which the weight store has capacity to spare. It bears eight at full speed. */
+export const sparePendingLoads = 3;
+
+/**
+ * Time for which a request that was just sent counts as being read, in milliseconds. A prompt of average length is
+ * read in 75 ms; prompts that are read together slow all streams of the engine.
+ */
+export const promptReadMs = 250;
+
+/** Weight of a prompt that is being read against a running request. */
+export const promptWeight = 4;
 
 /** Difference in load below which a session stays with its server, in requests. */
 export const sessionLoadTolerance = 6;
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -5,8 +5,11 @@
 	memoryShare,
 	outageAftermathMs,
 	plainRequestsPerSlot,
+	promptWeight,
 	rememberedSessions,
 	replicationLoad,
+	spareReplicationLoad,
+	sparePendingLoads,
 	sessionLoadTolerance,
 	slotShare,
 	vanishedGraceMs,
@@ -226,7 +229,7 @@
 			server => server.adapterVersion(model, adapter, now)! >= want.version,
 		);
 		const lightest = Math.min(...holders.map(server => server.load(now)));
-		if (!isCurrent || lightest >= replicationLoad) {
+		if (!isCurrent || this._deservesCopy(holders, want, lightest, now)) {
 			this._wantOnAnother(usable, want, lightest, now);
 		}
 
@@ -238,6 +241,38 @@
 		return this._chooseAmong(holders, need, version, now);
 	}
 
+	/** Whether an adapter should stand on one more server than it does. */
+	private _deservesCopy(
+		holders: readonly ServerState[],
+		{model, adapter}: AdapterWant,
+		lightest: number,
+		now: number,
+	): boolean {
+		if (lightest >= replicationLoad) {
+			return true;
+		}
+
+		const key = adapterKey(model, adapter);
+		const inUse = holders.reduce((sum, server) => sum + server.inUse(key), 0);
+		return (
+			lightest >= spareReplicationLoad &&
+			inUse > holders.length &&
+			this._pendingLoads(now) <= sparePendingLoads
+		);
+	}
+
+	/** Adapters that are on their way over all servers, as far as is known. */
+	private _pendingLoads(now: number): number {
+		let count = 0;
+		for (const server of this._servers.values()) {
+			if (server.hasFreshReport(now)) {
+				count += server.report!.pending.length;
+			}
+		}
+
+		return count;
+	}
+
 	/**
 	 * Asks for the adapter on the first server in the adapter's order that bears it. All entries share that order,
 	 * so that they ask the same server.
@@ -258,9 +293,13 @@
 				(!Number.isFinite(lightest) || server.load(now) < lightest / 2)
 			);
 		});
+		// A new version in the place of an old one waits for its runs, and the engine takes no other order meanwhile.
+		const free = candidates.filter(
+			server => server.adapterVersion(model, adapter, now) === undefined,
+		);
 		const target =
 			candidates.find(server => server.isPending(model, adapter, now)) ??
-			this._firstInOrder(candidates, want, now);
+			this._firstInOrder(free.length > 0 ? free : candidates, want, now);
 		if (target?.want(want, now)) {
 			this._options.onNewWant(target.record.id);
 		}
@@ -299,7 +338,13 @@
 		}
 
 		const loads = new Map(
-			open.map(server => [server, server.load(now)] as const),
+			open.map(
+				server =>
+					[
+						server,
+						server.load(now) + promptWeight * server.promptsBeingRead(now),
+					] as const,
+			),
 		);
 		const [best] = open.toSorted(
 			(a, b) =>
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -1,4 +1,4 @@
-import {reportLifetimeMs, silenceMs, suspicionMs, wantLifetimeMs} from './constants.js';
+import {promptReadMs, reportLifetimeMs, silenceMs, suspicionMs, wantLifetimeMs} from './constants.js';
 import type {AdapterWant, EngineReport, ServerRecord} from './types.js';
 import {adapterKey} from '../authority/authority-view.js';
 
@@ -114,6 +114,16 @@
 		return this._sentAt.filter(at => now - at <= 1000).length;
 	}
 
+	/** Requests of this entry whose prompts the server may still read. */
+	promptsBeingRead(now: number): number {
+		return this._sentAt.filter(at => now - at <= promptReadMs).length;
+	}
+
+	/** Requests of this entry that use the adapter here. */
+	inUse(key: string): number {
+		return this._inUse.get(key) ?? 0;
+	}
+
 	/** Whether requests should rather go elsewhere: a connection broke, or an engine that reported fell silent. */
 	isSuspected(now: number): boolean {
 		const silentForMs = now - Math.max(this._reportedAt, this._heardAt);
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -32,7 +32,7 @@
 export const connectTimeoutMs = 1000;
 
 /** Time for which a connection to a server is kept without requests, in milliseconds, where the server names none. */
-export const keepAliveMs = 4000;
+export const keepAliveMs = 10_000;
 
 /** Least time between two rounds over the waiting requests, in milliseconds. */
 export const wakeIntervalMs = 10;
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -93,6 +93,8 @@
 	/** What the request waited for. */
 	readonly waitedFor?: string;
 	readonly firstByteMs?: number;
+	/** Longest time between two parts of the answer. */
+	readonly longestPauseMs?: number;
 	readonly totalMs: number;
 	readonly configVersion?: number;
 	/** Age of the proof that the configuration is the newest. */
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -77,6 +77,8 @@
 	private _mayHaveRun = false;
 	private _hasCounted = false;
 	private _firstByteAt: number | undefined;
+	private _lastByteAt: number | undefined;
+	private _longestPauseMs = 0;
 	private _sentAt: number | undefined;
 	private readonly _tried = new Set<string>();
 	private readonly _sends: string[] = [];
@@ -422,7 +424,7 @@
 	}
 
 	private _onData(chunk: Uint8Array): boolean {
-		this._firstByteAt ??= this._context.clock();
+		this._notePause();
 		if (this._cutter === undefined) {
 			return this._write(chunk);
 		}
@@ -432,6 +434,16 @@
 		return bytes.length === 0 || this._write(bytes);
 	}
 
+	private _notePause(): void {
+		const now = this._context.clock();
+		this._firstByteAt ??= now;
+		this._longestPauseMs = Math.max(
+			this._longestPauseMs,
+			now - (this._lastByteAt ?? now),
+		);
+		this._lastByteAt = now;
+	}
+
 	private _write(bytes: Uint8Array): boolean {
 		if (this._res.write(bytes)) {
 			return true;
@@ -572,6 +584,7 @@
 			...(this._waitedFor !== undefined && {waitedFor: this._waitedFor}),
 			...(this._firstByteAt !== undefined && {
 				firstByteMs: since(this._firstByteAt),
+				longestPauseMs: Math.round(this._longestPauseMs),
 			}),
 			...(version !== undefined && {configVersion: version}),
 			...(proofAge !== undefined && {proofAgeMs: Math.round(proofAge)}),
