Test the decisions of the direct path, and load a new version during its grace time

The test of versions failed first: while an older version could still be used, the new one was wanted only on servers with less than half of an idle holder's load.

--- /dev/null
+++ b/packages/core/src/authority/authority-view.test.ts
@@ -0,0 +1,108 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {AuthorityView} from './authority-view.js';
+import {configOf, configRow, customer, route} from './authority.testing.js';
+import {pickShare, RouteTable} from './route-table.js';
+import type {AuthorityRow} from './types.js';
+
+const zoneOut = (rowVersion: number): AuthorityRow => ({
+	key: 'zone',
+	rowVersion,
+	statement: {type: 'zoneOut', zone: 'z1'},
+});
+
+describe('AuthorityView', () => {
+	describe('never goes back', () => {
+		it('keeps the newest configuration when an older one comes late', () => {
+			const view = AuthorityView.create();
+			view.apply([configRow(5, 3)], 0);
+			const change = view.apply([configRow(4, 2)], 1);
+			assert.equal(change.hasNewConfig, false);
+			assert.equal(view.inForce?.config.version, 3);
+		});
+
+		it('keeps the configuration when a whole read lacks it', () => {
+			const view = AuthorityView.create();
+			view.apply([configRow(5, 3)], 0);
+			view.applyAll([], 9, 1);
+			assert.equal(view.inForce?.config.version, 3);
+			assert.equal(view.rows().length, 1);
+		});
+
+		it('keeps a statement that is newer than a whole read', () => {
+			const view = AuthorityView.create();
+			view.apply([zoneOut(8)], 0);
+			view.applyAll([], 7, 1);
+			assert.equal(view.isZoneOut('z1'), true);
+		});
+
+		it('keeps the highest version of an adapter and when it was learned', () => {
+			const view = AuthorityView.create();
+			const declare = (rowVersion: number, version: number): AuthorityRow => ({
+				key: 'v',
+				rowVersion,
+				statement: {type: 'adapterVersion', model: 'm', adapter: 'a', version},
+			});
+			view.apply([declare(1, 4)], 10);
+			view.apply([declare(2, 3)], 20);
+			assert.deepEqual(view.declaredVersion('m', 'a'), {
+				version: 4,
+				learnedAt: 10,
+			});
+		});
+	});
+
+	describe('takes statements back', () => {
+		it('by a row that was removed', () => {
+			const view = AuthorityView.create();
+			view.apply([zoneOut(2)], 0);
+			view.apply(
+				[{key: 'zone', rowVersion: 3, statement: {type: 'withdrawn'}}],
+				1,
+			);
+			assert.equal(view.isZoneOut('z1'), false);
+			view.apply([zoneOut(2)], 2);
+			assert.equal(view.isZoneOut('z1'), false);
+		});
+
+		it('by a whole read that no longer has them', () => {
+			const view = AuthorityView.create();
+			view.apply([zoneOut(2)], 0);
+			view.applyAll([], 3, 1);
+			assert.equal(view.isZoneOut('z1'), false);
+		});
+	});
+
+	it('finds the customer of a key that the newest configuration holds', () => {
+		const view = AuthorityView.create();
+		view.apply([configRow(1, 1)], 0);
+		assert.equal(view.inForce?.keys.customerOf('k')?.name, 'c');
+		const config = configOf(2, {customers: [{...customer, keys: []}]});
+		view.apply(
+			[{key: 'config', rowVersion: 2, statement: {type: 'config', config}}],
+			1,
+		);
+		assert.equal(view.inForce?.keys.customerOf('k'), undefined);
+	});
+});
+
+describe('RouteTable', () => {
+	it('finds the longest prefix of the host', () => {
+		const inner = {...route, name: 'inner', pathPrefix: '/a/b/'};
+		const table = RouteTable.create(configOf(1, {routes: [route, inner]}));
+		assert.equal(table.routeOf('a.example', '/a/b/c')?.name, 'inner');
+		assert.equal(table.routeOf('a.example', '/a/c')?.name, 'r');
+		assert.equal(table.routeOf('a.example', '/b/'), undefined);
+		assert.equal(table.routeOf('b.example', '/a/'), undefined);
+	});
+
+	it('picks services by weight', () => {
+		const shares = [
+			{service: 'x', weight: 9},
+			{service: 'y', weight: 1},
+		];
+		assert.equal(pickShare(shares, 0.89), 'x');
+		assert.equal(pickShare(shares, 0.91), 'y');
+		assert.equal(pickShare([], 0.5), undefined);
+	});
+});
--- a/packages/core/src/authority/key-directory.ts
+++ b/packages/core/src/authority/key-directory.ts
@@ -18,7 +18,7 @@
 		private readonly _byDigest: ReadonlyMap<string, CustomerRule>,
 	) {}
 
-	find(key: string): CustomerRule | undefined {
+	customerOf(key: string): CustomerRule | undefined {
 		return this._byDigest.get(digestOf(key));
 	}
 }
--- a/packages/core/src/authority/route-table.ts
+++ b/packages/core/src/authority/route-table.ts
@@ -22,7 +22,7 @@
 	) {}
 
 	/** @param path without its query */
-	find(host: string, path: string): RouteRule | undefined {
+	routeOf(host: string, path: string): RouteRule | undefined {
 		return this._byHost
 			.get(host)
 			?.find(({pathPrefix}) => path.startsWith(pathPrefix));
--- /dev/null
+++ b/packages/core/src/direct/direct.test.ts
@@ -0,0 +1,71 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {describe, it} from 'node:test';
+import {EventStreamCutter} from './event-stream-cutter.js';
+import {RetryAllowance} from './retry-allowance.js';
+
+const bound = {windowMs: 10_000, ratio: 0.2, extra: 56};
+
+describe('RetryAllowance', () => {
+	it('keeps all entries together within the bound without requests', () => {
+		let retries = 0;
+		for (let entry = 0; entry < 8; entry++) {
+			const allowance = RetryAllowance.create(bound);
+			for (let i = 0; i < 100; i++) {
+				retries += allowance.tryTake(8, 0) ? 1 : 0;
+			}
+		}
+
+		assert.ok(retries > 0 && retries <= 56, `${retries}`);
+	});
+
+	it('keeps within the bound in each window while requests come', () => {
+		const allowance = RetryAllowance.create(bound);
+		const taken: number[] = [];
+		let requests = 0;
+		for (let now = 0; now < 30_000; now += 50) {
+			allowance.noteRequest(now);
+			requests++;
+			if (allowance.tryTake(8, now)) {
+				taken.push(now);
+			}
+		}
+
+		assert.ok(taken.length > 0.1 * requests);
+		for (const start of taken) {
+			const inWindow = taken.filter(
+				at => at >= start && at < start + bound.windowMs,
+			).length;
+			assert.ok(inWindow <= 0.2 * 200 + 56 / 8, `${inWindow}`);
+		}
+	});
+});
+
+describe('EventStreamCutter', () => {
+	const bytes = (text: string) => Buffer.from(text);
+
+	it('hands on whole events only, and knows the last of them', () => {
+		const cutter = EventStreamCutter.create();
+		const first = cutter.push(bytes('id: 1\ndata: a\n\nid: 2\nda'));
+		assert.equal(
+			first.bytes.toString(),
+			bytes('id: 1\ndata: a\n\n').toString(),
+		);
+		assert.equal(first.lastEventId, '1');
+		const second = cutter.push(bytes('ta: b\n'));
+		assert.equal(second.bytes.length, 0);
+		assert.equal(second.lastEventId, undefined);
+		const third = cutter.push(bytes('\n'));
+		assert.equal(Buffer.from(third.bytes).toString(), 'id: 2\ndata: b\n\n');
+		assert.equal(third.lastEventId, '2');
+		assert.equal(cutter.takeRest().length, 0);
+	});
+
+	it('keeps half an event back, so that a resumed stream joins between two', () => {
+		const cutter = EventStreamCutter.create();
+		cutter.push(bytes('id: 1\r\ndata: a\r\n\r\nid: 2\r\n'));
+		assert.equal(Buffer.from(cutter.takeRest()).toString(), 'id: 2\r\n');
+		const resumed = cutter.push(bytes('id: 2\r\ndata: b\r\n\r\n'));
+		assert.equal(resumed.lastEventId, '2');
+	});
+});
--- a/packages/core/src/direct/event-stream-cutter.ts
+++ b/packages/core/src/direct/event-stream-cutter.ts
@@ -1,3 +1,5 @@
+import {Buffer} from 'node:buffer';
+
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 
--- /dev/null
+++ b/packages/core/src/freshness/freshness.test.ts
@@ -0,0 +1,50 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {ClockGuard} from './clock-guard.js';
+import {freshnessMarginMs} from './constants.js';
+import {FreshnessLease} from './freshness-lease.js';
+
+describe('FreshnessLease', () => {
+	it('ends before the bound', () => {
+		const lease = FreshnessLease.create(5000);
+		assert.equal(lease.isFresh(0), false);
+		lease.prove(100, 0);
+		assert.equal(lease.isFresh(100 + 5000 - freshnessMarginMs - 1), true);
+		assert.equal(lease.isFresh(100 + 5000 - freshnessMarginMs), false);
+	});
+
+	it('does not go back to an older proof', () => {
+		const lease = FreshnessLease.create(5000);
+		lease.prove(200, 0);
+		lease.prove(100, 0);
+		assert.equal(lease.provenAt, 200);
+	});
+
+	it('drops proofs from before a suspension, also those that come late', () => {
+		const lease = FreshnessLease.create(5000);
+		lease.prove(100, 0);
+		lease.invalidate(1);
+		assert.equal(lease.isFresh(101), false);
+		lease.prove(102, 0);
+		assert.equal(lease.isFresh(103), false);
+		lease.prove(104, 1);
+		assert.equal(lease.isFresh(105), true);
+	});
+});
+
+describe('ClockGuard', () => {
+	it('takes a forward jump of the time of day for a suspension', () => {
+		const guard = ClockGuard.create(0, 1000);
+		assert.equal(guard.look(500, 1500), false);
+		assert.equal(guard.look(510, 4510), true);
+		assert.equal(guard.epoch, 1);
+		assert.equal(guard.look(600, 4600), false);
+	});
+
+	it('takes neither drift nor a backward step for one', () => {
+		const guard = ClockGuard.create(0, 1000);
+		assert.equal(guard.look(1000, 2001), false);
+		assert.equal(guard.look(2000, 1000), false);
+		assert.equal(guard.epoch, 0);
+	});
+});
--- /dev/null
+++ b/packages/core/src/orders/order-planner.test.ts
@@ -0,0 +1,150 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {AdapterWant, EngineReport} from '../placement/types.js';
+import {acceptedLoadMs, doubtMs, evictionQuietMs} from './constants.js';
+import {OrderPlanner} from './order-planner.js';
+
+const want = (adapter: string, version = 0): AdapterWant => ({
+	model: 'm',
+	adapter,
+	version,
+});
+
+function reportOf(
+	adapters: Readonly<Record<string, number>>,
+	changes: Partial<EngineReport> = {},
+): EngineReport {
+	return {
+		born: 1,
+		sequence: 3,
+		isBusy: false,
+		running: 0,
+		waiting: 0,
+		memoryUsed: 0,
+		memoryTotal: 100,
+		models: [{name: 'm', adapters}],
+		pending: [],
+		...changes,
+	};
+}
+
+function plannerWith(
+	wants: readonly AdapterWant[],
+	used: readonly string[] = [],
+	now = 0,
+): OrderPlanner {
+	const planner = OrderPlanner.create();
+	planner.noteDemand({wants, used, models: ['m'], adapterPlaces: 2}, now);
+	return planner;
+}
+
+describe('OrderPlanner', () => {
+	describe('an engine that restarted empty', () => {
+		it('gets the model first, once', () => {
+			const planner = plannerWith([want('a')]);
+			const empty = reportOf({}, {models: []});
+			const order = planner.plan(empty, 0);
+			assert.equal(order?.operation, 'load');
+			assert.equal(order.adapter, undefined);
+			assert.equal(planner.plan({...empty, isBusy: true}, 1), undefined);
+		});
+	});
+
+	describe('places', () => {
+		it('count with what is on its way', () => {
+			const pending = [{model: 'm', adapter: 'b', version: 1}];
+			const planner = plannerWith([want('c')], ['m/a']);
+			const report = reportOf({a: 1}, {pending});
+			assert.equal(planner.plan(report, 1), undefined);
+			assert.equal(planner.plan(report, evictionQuietMs)?.operation, 'unload');
+		});
+
+		it('count with a load whose order got no answer, until another order was accepted', () => {
+			const planner = plannerWith([want('c')]);
+			const report = reportOf({a: 1});
+			const order = planner.plan(report, 0)!;
+			assert.equal(order.operation, 'load');
+			planner.noteOutcome(order, 'unknown', 1, 0);
+			assert.equal(planner.plan(report, 0)?.operation, 'unload');
+			assert.equal(
+				planner.plan({...report, sequence: 4}, 0)?.operation,
+				'load',
+			);
+		});
+
+		it('count with it also after a restart, as it may be carried out late', () => {
+			const planner = plannerWith([want('c')]);
+			planner.noteOutcome(planner.plan(reportOf({a: 1}), 0)!, 'unknown', 1, 0);
+			const restarted = reportOf({a: 1}, {born: 2, sequence: 9});
+			assert.equal(planner.plan(restarted, 0)?.operation, 'unload');
+			planner.noteDemand(
+				{wants: [want('c')], used: [], models: ['m'], adapterPlaces: 2},
+				doubtMs,
+			);
+			assert.equal(planner.plan(restarted, doubtMs)?.operation, 'load');
+		});
+	});
+
+	describe('eviction', () => {
+		it('takes the least recently used, never one in use or wanted', () => {
+			const planner = plannerWith([want('c')], ['m/a', 'm/b']);
+			const report = reportOf({a: 1, b: 1});
+			assert.equal(planner.plan(report, evictionQuietMs - 1), undefined);
+			planner.noteDemand(
+				{wants: [want('c')], used: ['m/a'], models: ['m'], adapterPlaces: 2},
+				evictionQuietMs,
+			);
+			const order = planner.plan(report, evictionQuietMs);
+			assert.equal(order?.operation, 'unload');
+			assert.equal(order.adapter, 'b');
+		});
+	});
+
+	describe('loads', () => {
+		it('are bounded to four under way', () => {
+			const pending = ['w', 'x', 'y', 'z'].map(adapter => ({
+				model: 'm',
+				adapter,
+				version: 1,
+			}));
+			const planner = OrderPlanner.create();
+			planner.noteDemand(
+				{wants: [want('a')], used: [], models: ['m'], adapterPlaces: 17},
+				0,
+			);
+			assert.equal(planner.plan(reportOf({}, {pending}), 0), undefined);
+		});
+
+		it('are not repeated while a new version waits for the runs on the old one', () => {
+			const planner = plannerWith([want('a', 2)]);
+			const report = reportOf({a: 1});
+			const order = planner.plan(report, 0)!;
+			assert.equal(order.version, 2);
+			planner.noteOutcome(order, 'accepted', 1, 0);
+			for (let now = 40; now < 1400; now += 40) {
+				planner.noteDemand(
+					{wants: [want('a', 2)], used: [], models: ['m'], adapterPlaces: 2},
+					now,
+				);
+				assert.equal(planner.plan({...report, sequence: 4}, now), undefined);
+			}
+
+			planner.noteDemand(
+				{wants: [want('a', 2)], used: [], models: ['m'], adapterPlaces: 2},
+				acceptedLoadMs,
+			);
+			assert.equal(planner.plan(report, acceptedLoadMs)?.operation, 'load');
+		});
+
+		it('ask for the newest version where the adapter is not there', () => {
+			const order = plannerWith([want('a', 2)]).plan(reportOf({}), 0);
+			assert.equal(order?.version, undefined);
+			assert.equal(order?.expectedSequence, 3);
+		});
+
+		it('end with the want', () => {
+			const planner = plannerWith([want('a')]);
+			assert.equal(planner.plan(reportOf({}), 2000), undefined);
+		});
+	});
+});
--- /dev/null
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -0,0 +1,270 @@
+import assert from 'node:assert/strict';
+import {beforeEach, describe, it} from 'node:test';
+import type {DeclaredVersion} from '../authority/authority-view.js';
+import type {ServiceSpec} from '../authority/types.js';
+import {
+	outageAftermathMs,
+	replicationLoad,
+	silenceMs,
+	vanishedGraceMs,
+	versionGraceMs,
+} from './constants.js';
+import {FleetView} from './fleet-view.js';
+import type {
+	EngineReport,
+	ServerChoice,
+	ServerNeed,
+	ServerRecord,
+} from './types.js';
+
+const spec: ServiceSpec = {
+	name: 's',
+	maxConnections: 100,
+	coldRequestsPerSecond: 12,
+	coldMs: 3000,
+	engine: {
+		slots: 64,
+		memoryTokens: 1000,
+		adapterPlaces: 17,
+		models: [{name: 'm', megabytes: 1}],
+	},
+};
+
+const record = (id: string, changes: Partial<ServerRecord> = {}) => ({
+	id,
+	service: 's',
+	address: '127.0.0.1:1',
+	zone: 'z1',
+	slots: 64,
+	isDraining: false,
+	coldLeftMs: 0,
+	models: [{name: 'm', adapters: {}}],
+	...changes,
+});
+
+const report = (
+	adapters: Readonly<Record<string, number>>,
+	changes: Partial<EngineReport> = {},
+): EngineReport => ({
+	born: 1,
+	sequence: 0,
+	isBusy: false,
+	running: 0,
+	waiting: 0,
+	memoryUsed: 0,
+	memoryTotal: 1000,
+	models: [{name: 'm', adapters}],
+	pending: [],
+	...changes,
+});
+
+const need: ServerNeed = {
+	service: 's',
+	model: 'm',
+	adapter: 'a',
+	session: undefined,
+	tokens: 1,
+	tried: new Set(),
+};
+
+let fleet: FleetView;
+let wanted: string[];
+let zonesOut: Set<string>;
+let declared: DeclaredVersion | undefined;
+
+function list(...records: readonly ServerRecord[]): void {
+	fleet.apply(
+		records.map(item => ({id: item.id, rowVersion: 1, record: item})),
+		0,
+	);
+}
+
+function serverOf(choice: ServerChoice): string {
+	return choice.kind === 'send' ? choice.server : choice.kind;
+}
+
+function chosen(changes: Partial<ServerNeed> = {}, now = 0): string {
+	return serverOf(fleet.choose({...need, ...changes}, now));
+}
+
+describe('FleetView', () => {
+	beforeEach(() => {
+		wanted = [];
+		zonesOut = new Set();
+		declared = undefined;
+		fleet = FleetView.create({
+			zone: 'z1',
+			isZoneOut: zone => zonesOut.has(zone),
+			declaredVersion: () => declared,
+			serviceOf: name => (name === 's' ? spec : undefined),
+			coldBound: ({coldRequestsPerSecond}) => coldRequestsPerSecond * 1.5 + 5,
+			entryCount: () => 5,
+			onNewWant(server) {
+				wanted.push(server);
+			},
+		});
+	});
+
+	describe('adapters', () => {
+		it('are sent to a server that holds them', () => {
+			list(record('x'), record('y'));
+			fleet.noteReport('x', report({}), 0);
+			fleet.noteReport('y', report({a: 1}), 0);
+			assert.equal(chosen(), 'y');
+		});
+
+		it('are wanted on one server only, however often they are asked for', () => {
+			list(record('x'), record('y'), record('z'));
+			for (const id of ['x', 'y', 'z']) {
+				fleet.noteReport(id, report({}), 0);
+			}
+
+			for (let i = 0; i < 5; i++) {
+				assert.equal(chosen({}, i), 'awaitAdapter');
+			}
+
+			assert.equal(wanted.length, 1);
+		});
+
+		it('stay with a server whose loads are under way, so that all entries ask the same one', () => {
+			list(record('x'), record('y'));
+			const pending = ['p', 'q', 'r', 't'].map(adapter => ({
+				model: 'm',
+				adapter,
+				version: 1,
+			}));
+			fleet.noteReport('x', report({}), 0);
+			fleet.noteReport('y', report({}), 0);
+			chosen();
+			const [first] = wanted;
+			fleet.noteReport(first!, report({}, {pending}), 10);
+			chosen({}, 1100);
+			assert.deepEqual(new Set(wanted), new Set([first]));
+		});
+
+		it('come to a second server when the first is loaded', () => {
+			list(record('x'), record('y'));
+			fleet.noteReport('x', report({a: 1}, {running: replicationLoad}), 0);
+			fleet.noteReport('y', report({}), 0);
+			assert.equal(chosen(), 'x');
+			assert.deepEqual(wanted, ['y']);
+		});
+	});
+
+	describe('versions', () => {
+		beforeEach(() => {
+			list(record('x'), record('y'));
+			fleet.noteReport('x', report({a: 1}), 0);
+			fleet.noteReport('y', report({}), 0);
+			declared = {version: 2, learnedAt: 0};
+		});
+
+		it('run on the old one for a short time, while the new one is loaded beside it', () => {
+			assert.equal(chosen(), 'x');
+			assert.deepEqual(wanted, ['y']);
+		});
+
+		it('run on the new one only, afterwards', () => {
+			fleet.noteReport('x', report({a: 1}), versionGraceMs);
+			fleet.noteReport('y', report({}), versionGraceMs);
+			assert.equal(chosen({}, versionGraceMs), 'awaitAdapter');
+			fleet.noteReport('y', report({a: 2}), versionGraceMs);
+			assert.deepEqual(fleet.choose(need, versionGraceMs), {
+				kind: 'send',
+				server: 'y',
+				version: 2,
+			});
+		});
+	});
+
+	describe('servers that leave', () => {
+		const plain = {model: undefined, adapter: undefined};
+
+		it('get nothing once they drain, their zone is out, or they are gone', () => {
+			list(record('x'), record('y', {zone: 'z2'}));
+			zonesOut.add('z2');
+			assert.equal(chosen(plain), 'x');
+			fleet.apply(
+				[{id: 'x', rowVersion: 2, record: record('x', {isDraining: true})}],
+				1,
+			);
+			assert.equal(chosen(plain, 1), 'noServer');
+			zonesOut.clear();
+			fleet.apply([{id: 'y', rowVersion: 2, record: undefined}], 1);
+			assert.equal(chosen(plain, 1), 'noServer');
+		});
+
+		it('are used a little longer if the store dropped them around an outage', () => {
+			list(record('x'));
+			fleet.noteOutageEnd(0);
+			fleet.apply([{id: 'x', rowVersion: 2, record: undefined}], 100);
+			assert.equal(chosen(plain, 200), 'x');
+			assert.equal(chosen(plain, 100 + vanishedGraceMs), 'noServer');
+			assert.ok(vanishedGraceMs < outageAftermathMs);
+		});
+
+		it('do not come back by an older row', () => {
+			list(record('x'));
+			fleet.apply([{id: 'x', rowVersion: 3, record: undefined}], 1);
+			fleet.apply([{id: 'x', rowVersion: 2, record: record('x')}], 2);
+			assert.equal(chosen(plain, 2), 'noServer');
+		});
+	});
+
+	describe('cold servers', () => {
+		it('get from all entries together no more than they bear in a second', () => {
+			list(record('x', {coldLeftMs: 5000}));
+			fleet.noteReport('x', report({a: 1}), 0);
+			let sent = 0;
+			while (chosen({}, sent) === 'x') {
+				fleet.server('x')!.noteSent('m/a', sent);
+				sent++;
+			}
+
+			assert.ok(sent > 0 && sent * 5 <= 12 * 1.5 + 5, `${sent}`);
+			fleet.noteReport('x', report({a: 1}), 1400);
+			assert.equal(chosen({}, 1400), 'x');
+		});
+
+		it('are known by an engine that started anew', () => {
+			list(record('x'));
+			fleet.noteReport('x', report({a: 1}), 0);
+			fleet.noteReport('x', report({a: 1}, {born: 2}), 10);
+			assert.equal(fleet.server('x')!.isCold(11), true);
+		});
+	});
+
+	describe('silent engines', () => {
+		it('are avoided while others can run the request', () => {
+			list(record('x'), record('y'));
+			fleet.noteReport('x', report({a: 1}), 0);
+			fleet.noteReport('y', report({a: 1}, {running: 9}), silenceMs);
+			assert.equal(chosen({}, silenceMs), 'y');
+			fleet.server('x')!.noteHeard(silenceMs);
+			assert.equal(chosen({}, silenceMs), 'x');
+		});
+	});
+
+	describe('full engines', () => {
+		it('get nothing more by slots or by memory', () => {
+			list(record('x'));
+			fleet.noteReport('x', report({a: 1}, {running: 60}), 0);
+			assert.equal(chosen(), 'full');
+			fleet.noteReport('x', report({a: 1}, {memoryUsed: 890}), 1);
+			assert.equal(chosen({tokens: 20}, 1), 'full');
+			assert.equal(chosen({tokens: 5}, 1), 'x');
+		});
+	});
+
+	describe('sessions', () => {
+		it('stay with the server that has their prompt unless it is much busier', () => {
+			list(record('x'), record('y'));
+			fleet.noteReport('x', report({a: 1}, {running: 3}), 0);
+			fleet.noteReport('y', report({a: 1}), 0);
+			fleet.noteSession('q', 'x');
+			assert.equal(chosen({session: 'q'}), 'x');
+			fleet.noteReport('x', report({a: 1}, {running: 20}), 1);
+			assert.equal(chosen({session: 'q'}, 1), 'y');
+		});
+	});
+});
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -59,7 +59,7 @@
 		return this._servers.values();
 	}
 
-	find(id: string): ServerState | undefined {
+	server(id: string): ServerState | undefined {
 		return this._servers.get(id);
 	}
 
@@ -229,8 +229,11 @@
 			server => server.adapterVersion(model, adapter, now)! >= want.version,
 		);
 		const lightest = Math.min(...holders.map(server => server.load(now)));
-		if (!isCurrent || this._deservesCopy(holders, want, lightest, now)) {
-			this._wantOnAnother(usable, want, lightest, now);
+		if (!isCurrent) {
+			this._wantOnOne(usable, want, now);
+		} else if (this._deservesCopy(holders, want, lightest, now)) {
+			const lighter = usable.filter(server => server.load(now) < lightest / 2);
+			this._wantOnOne(lighter, want, now);
 		}
 
 		if (holders.length === 0) {
@@ -277,10 +280,9 @@
 	 * Asks for the adapter on the first server in the adapter's order that bears it. All entries share that order,
 	 * so that they ask the same server.
 	 */
-	private _wantOnAnother(
+	private _wantOnOne(
 		usable: readonly ServerState[],
 		want: AdapterWant,
-		lightest: number,
 		now: number,
 	): void {
 		const {model, adapter, version} = want;
@@ -289,8 +291,7 @@
 			return (
 				server.hasFreshReport(now) &&
 				server.hasModel(model, now) &&
-				(held === undefined || held < version) &&
-				(!Number.isFinite(lightest) || server.load(now) < lightest / 2)
+				(held === undefined || held < version)
 			);
 		});
 		// A new version in the place of an old one waits for its runs, and the engine takes no other order meanwhile.
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -1,6 +1,12 @@
-import {promptReadMs, reportLifetimeMs, silenceMs, suspicionMs, wantLifetimeMs} from './constants.js';
-import type {AdapterWant, EngineReport, ServerRecord} from './types.js';
 import {adapterKey} from '../authority/authority-view.js';
+import {
+	promptReadMs,
+	reportLifetimeMs,
+	silenceMs,
+	suspicionMs,
+	wantLifetimeMs,
+} from './constants.js';
+import type {AdapterWant, EngineReport, ServerRecord} from './types.js';
 
 /** One backend server as an entry sees it: its record, its agent's report, and what the entry itself sent. */
 export class ServerState {
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -22,6 +22,9 @@
 /** Longest wait for a change of the list of members, in milliseconds. */
 export const membersWaitMs = 10_000;
 
+/** Least time between two reads of the list of members, in milliseconds. */
+export const membersIntervalMs = 1000;
+
 /** Time for an answer of the store beyond the wait that was asked for, in milliseconds. */
 export const storeTimeoutMs = 1000;
 
@@ -60,6 +63,3 @@
 
 /** Time after its last demand at which an entry no longer gets reports, in milliseconds. */
 export const demandLifetimeMs = 1500;
-
-/** Time for an answer of the engine beside an agent, in milliseconds. */
-export const engineTimeoutMs = 1000;
--- a/packages/daemon/src/direct/engine-links.ts
+++ b/packages/daemon/src/direct/engine-links.ts
@@ -44,7 +44,7 @@
 
 	/** Tells one agent at once. */
 	demandOf(id: string): void {
-		const server = this._options.fleet.find(id);
+		const server = this._options.fleet.server(id);
 		if (server !== undefined) {
 			this._demand(server);
 		}
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -1,10 +1,10 @@
-import type {
-	AuthorityRow,
-	CustomerRule,
-	QuotaGrant,
-	QuotaLedger,
+import {
+	topByRendezvous,
+	type AuthorityRow,
+	type CustomerRule,
+	type QuotaGrant,
+	type QuotaLedger,
 } from '@balsamtray/core';
-import {topByRendezvous} from '@balsamtray/core';
 import type {EntryBeat, GossipMessage} from '@balsamtray/protocol';
 import {
 	beatIntervalMs,
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -20,6 +20,7 @@
 	authorityWaitMs,
 	graceMarginMs,
 	leaveDelayMs,
+	membersIntervalMs,
 	membersWaitMs,
 	serversIntervalMs,
 	storeBackoffMs,
@@ -28,10 +29,10 @@
 import {DatagramSocket} from './datagram-socket.js';
 import {EngineLinks} from './engine-links.js';
 import {EntryPeers} from './entry-peers.js';
-import {EventLog} from './event-log.js';
+import {type EventLog} from './event-log.js';
 import {HttpClient} from './http-client.js';
 import {Ingress} from './ingress.js';
-import {TableWatch} from './table-watch.js';
+import {TableWatch, type TableWatchOptions} from './table-watch.js';
 import {TextServer, type TextAnswer} from './text-server.js';
 import type {
 	CallCodec,
@@ -39,7 +40,6 @@
 	EntrySettings,
 	EntryStore,
 	TableRead,
-	TableSource,
 } from './types.js';
 import {Upstream} from './upstream.js';
 import {WaitingLine} from './waiting-line.js';
@@ -51,6 +51,9 @@
 	readonly log: EventLog;
 };
 
+/** Steady clock in milliseconds. */
+const clock = () => performance.now();
+
 /** Share of a server's connections that an entry may open, beside the even one: callers spread unevenly. */
 const connectionShare = 0.9;
 
@@ -66,7 +69,6 @@
 		return new EntryRuntime(options);
 	}
 
-	private readonly _clock = () => performance.now();
 	private readonly _authority = AuthorityView.create();
 	private readonly _guard = ClockGuard.create(performance.now(), Date.now());
 	private readonly _lease: FreshnessLease | undefined;
@@ -100,7 +102,7 @@
 		this._fleet = this._createFleet();
 		this._links = EngineLinks.create({
 			fleet: this._fleet,
-			clock: this._clock,
+			clock,
 			serviceOf: name => this._serviceOf(name),
 			agentPort: settings.agentPort,
 			send: (message, to) => {
@@ -109,8 +111,12 @@
 			onReport: () => {
 				this._waiting.wake();
 			},
-			onLost: this._onLost,
-			onRegained: this._onRegained,
+			onLost: (dependency, err) => {
+				this._onLost(dependency, err);
+			},
+			onRegained: (dependency, lostForMs) => {
+				this._onRegained(dependency, lostForMs);
+			},
 		});
 		this._ingress = Ingress.create(this._createContext());
 	}
@@ -144,13 +150,13 @@
 	/** Lets callers go elsewhere, finishes what runs, and resolves when the process may end. */
 	async stop(): Promise<void> {
 		const {settings, log, store} = this._options;
-		const startedAt = this._clock();
+		const startedAt = clock();
 		this._stoppingSince = startedAt;
 		log.write({event: 'stopping', running: this._ingress.running});
 		const endAt = startedAt + settings.bounds.graceMs - graceMarginMs;
 		await delay(leaveDelayMs);
 		while (
-			this._clock() < endAt &&
+			clock() < endAt &&
 			(this._ingress.running > 0 || this._ingress.connections > 0)
 		) {
 			this._ingress.closeIdle();
@@ -172,14 +178,14 @@
 		log.write({
 			event: 'stopped',
 			cut: this._ingress.running,
-			afterMs: Math.round(this._clock() - startedAt),
+			afterMs: Math.round(clock() - startedAt),
 		});
 	}
 
 	private _createContext(): CallContext {
 		const {codec, log} = this._options;
 		return {
-			clock: this._clock,
+			clock,
 			authority: this._authority,
 			fleet: this._fleet,
 			peers: this._peers,
@@ -216,7 +222,7 @@
 		const {settings} = this._options;
 		return EntryPeers.create({
 			hostId: settings.hostId,
-			clock: this._clock,
+			clock,
 			epoch: () => this._guard.epoch,
 			ledger: this._ledger,
 			send: (message, to) => {
@@ -229,10 +235,14 @@
 			},
 			fetchStatements: async endpoint => this._fetchStatements(endpoint),
 			onStatements: (rows, from) => {
-				this._onAuthority(this._authority.apply(rows, this._clock()), from);
+				this._onAuthority(this._authority.apply(rows, clock()), from);
+			},
+			onLost: (dependency, err) => {
+				this._onLost(dependency, err);
+			},
+			onRegained: (dependency, lostForMs) => {
+				this._onRegained(dependency, lostForMs);
 			},
-			onLost: this._onLost,
-			onRegained: this._onRegained,
 			onError: (step, error) => {
 				this._onError(step, error);
 			},
@@ -241,56 +251,55 @@
 
 	private _followTables(): void {
 		const {store} = this._options;
-		this._follow(
-			'authority',
-			store.authority,
-			authorityWaitMs,
-			0,
-			(...read) => {
+		this._follow({
+			name: 'authority',
+			source: store.authority,
+			waitMs: authorityWaitMs,
+			intervalMs: 0,
+			onRead: (...read) => {
 				this._onAuthorityRead(...read);
 			},
-		);
-		this._follow('servers', store.servers, 0, serversIntervalMs, read => {
-			this._onServersRead(read);
 		});
-		this._follow(
-			'members',
-			store.members,
-			membersWaitMs,
-			1000,
-			(read, isWhole) => {
-				this._peers.setMembers(read.rows, isWhole);
+		this._follow({
+			name: 'servers',
+			source: store.servers,
+			waitMs: 0,
+			intervalMs: serversIntervalMs,
+			onRead: read => {
+				this._onServersRead(read);
 			},
-		);
+		});
+		this._follow({
+			name: 'members',
+			source: store.members,
+			waitMs: membersWaitMs,
+			intervalMs: membersIntervalMs,
+			onRead: ({rows}, isWhole) => {
+				this._peers.setMembers(rows, isWhole);
+			},
+		});
 	}
 
 	private _follow<Row>(
-		name: string,
-		source: TableSource<Row>,
-		waitMs: number,
-		intervalMs: number,
-		onRead: (
-			read: TableRead<Row>,
-			isWhole: boolean,
-			startedAt: number,
-			epoch: number,
-		) => void,
+		followed: Pick<
+			TableWatchOptions<Row>,
+			'name' | 'source' | 'waitMs' | 'intervalMs' | 'onRead'
+		>,
 	): void {
 		const watch = TableWatch.create<Row>({
-			name,
-			source,
-			waitMs,
-			intervalMs,
-			clock: this._clock,
+			...followed,
+			clock,
 			epoch: () => this._guard.epoch,
-			onRead: (read, isWhole, startedAt, epoch) => {
+			onRead: (...read) => {
 				this._look();
-				onRead(read, isWhole, startedAt, epoch);
+				followed.onRead(...read);
+			},
+			onLost: (table, err) => {
+				this._onLost(table, err);
 			},
-			onLost: this._onLost,
 			onRegained: (table, lostForMs) => {
 				this._onRegained(table, lostForMs);
-				this._fleet.noteOutageEnd(this._clock());
+				this._fleet.noteOutageEnd(clock());
 			},
 		});
 		this._watches.push(watch);
@@ -303,7 +312,7 @@
 		startedAt: number,
 		epoch: number,
 	): void {
-		const now = this._clock();
+		const now = clock();
 		const change = isWhole
 			? this._authority.applyAll(read.rows, read.version, now)
 			: this._authority.apply(read.rows, now);
@@ -331,7 +340,7 @@
 	}
 
 	private _onServersRead(read: TableRead<ServerChange>): void {
-		const now = this._clock();
+		const now = clock();
 		const before = this._serverStates();
 		if (this._hasServers) {
 			this._fleet.apply(read.rows, now);
@@ -412,7 +421,7 @@
 			}
 
 			case 'quotaReturn': {
-				this._ledger.giveBack(message.customer, message.units, this._clock());
+				this._ledger.giveBack(message.customer, message.units, clock());
 				break;
 			}
 
@@ -435,24 +444,24 @@
 			({name}) => name === customer,
 		);
 		if (rule !== undefined && this._peers.isOwner(customer)) {
-			const grant = this._ledger.take(rule, units, this._clock());
+			const grant = this._ledger.take(rule, units, clock());
 			this._send({type: 'quotaAnswer', askId, grant}, from);
 		}
 	}
 
 	private _isFresh(): boolean {
 		this._look();
-		return this._lease?.isFresh(this._clock()) ?? true;
+		return this._lease?.isFresh(clock()) ?? true;
 	}
 
 	private _proofAgeMs(): number | undefined {
-		const age = this._lease?.ageMs(this._clock());
+		const age = this._lease?.ageMs(clock());
 		return age !== undefined && Number.isFinite(age) ? age : undefined;
 	}
 
 	/** Proofs and levels count for nothing after the steady clock may have stood still. */
 	private _look(): void {
-		const now = this._clock();
+		const now = clock();
 		if (this._guard.look(now, Date.now())) {
 			this._lease?.invalidate(this._guard.epoch);
 			this._ledger.forget(now);
@@ -542,31 +551,33 @@
 			throw new Error(`statements of ${endpoint.host}: status ${status}`);
 		}
 
-		return JSON.parse(body) as readonly AuthorityRow[];
+		const rows: unknown = JSON.parse(body);
+		if (!Array.isArray(rows)) {
+			throw new TypeError(`statements of ${endpoint.host}: not a list`);
+		}
+
+		return rows as readonly AuthorityRow[];
 	}
 
 	private _send(message: GossipMessage, to: Endpoint): void {
 		this._socket?.send(message, to);
 	}
 
-	private readonly _onLost = (dependency: string, err: unknown): void => {
+	private _onLost(dependency: string, err: unknown): void {
 		this._options.log.write({
 			event: 'dependencyLost',
 			dependency,
 			error: String(err),
 		});
-	};
+	}
 
-	private readonly _onRegained = (
-		dependency: string,
-		lostForMs: number,
-	): void => {
+	private _onRegained(dependency: string, lostForMs: number): void {
 		this._options.log.write({
 			event: 'dependencyRegained',
 			dependency,
 			lostForMs: Math.round(lostForMs),
 		});
-	};
+	}
 
 	private _onError(step: string, error: unknown): void {
 		this._options.log.write({event: 'error', step, error: String(error)});
@@ -580,10 +591,10 @@
 export function stopOnSignal(runtime: {
 	readonly stop: () => Promise<void>;
 }): void {
-	process.once('SIGTERM', async () => {
-		await runtime.stop();
-		// eslint-disable-next-line n/prefer-global/process, unicorn/no-process-exit
-		process.exit(0);
+	process.once('SIGTERM', () => {
+		void runtime.stop().then(() => {
+			process.exit(0);
+		});
 	});
 }
 
--- a/packages/daemon/src/direct/http-client.ts
+++ b/packages/daemon/src/direct/http-client.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {Agent, request, type IncomingHttpHeaders} from 'node:http';
 import type {Endpoint} from './types.js';
 
--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {
 	createServer,
 	type IncomingMessage,
@@ -111,20 +112,19 @@
 			}
 		});
 		const facts = codec.decodeCall(req.headers);
-		const call = ProxiedCall.create(
-			this._context,
+		const call = ProxiedCall.create(this._context, {
 			req,
 			res,
-			facts ?? unknownCall,
-			clock(),
-		);
+			facts: facts ?? unknownCall,
+			arrivedAt: clock(),
+		});
 		if (facts === undefined) {
-			call.refuse({status: 400, reason: 'malformed', notRun: true});
+			call.refuse({status: 400, reason: 'malformed', isNotRun: true});
 			return;
 		}
 
 		if (headBytesOf(req) > this._limits.maxHeaderBytes) {
-			call.refuse({status: 431, reason: 'headTooLarge', notRun: true});
+			call.refuse({status: 431, reason: 'headTooLarge', isNotRun: true});
 			return;
 		}
 
@@ -134,7 +134,7 @@
 
 		const body = await readBody(req, this._limits.maxBodyBytes);
 		if (body === 'tooLarge') {
-			call.refuse({status: 413, reason: 'bodyTooLarge', notRun: true});
+			call.refuse({status: 413, reason: 'bodyTooLarge', isNotRun: true});
 		} else if (body !== undefined) {
 			await call.run(body);
 		}
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -22,10 +22,19 @@
 	readonly status: number;
 	readonly reason: string;
 	/** Whether the request surely did not run. */
-	readonly notRun: boolean;
+	readonly isNotRun: boolean;
 	readonly retryAfterMs?: number;
 };
 
+/** A caller's request, with where its answer goes. */
+export type CallExchange = {
+	readonly req: IncomingMessage;
+	readonly res: ServerResponse;
+	readonly facts: CallFacts;
+	/** Time at which the head of the request was read. */
+	readonly arrivedAt: number;
+};
+
 /** One send of the request to a server. */
 type Send = {
 	readonly server: string;
@@ -48,17 +57,14 @@
 
 /** Takes one request of a caller to a server and its answer back. */
 export class ProxiedCall {
-	/** @param arrivedAt time at which the head of the request was read */
-	static create(
-		context: CallContext,
-		req: IncomingMessage,
-		res: ServerResponse,
-		facts: CallFacts,
-		arrivedAt: number,
-	): ProxiedCall {
-		return new ProxiedCall(context, req, res, facts, arrivedAt);
+	static create(context: CallContext, exchange: CallExchange): ProxiedCall {
+		return new ProxiedCall(context, exchange);
 	}
 
+	private readonly _req: IncomingMessage;
+	private readonly _res: ServerResponse;
+	private readonly _facts: CallFacts;
+	private readonly _arrivedAt: number;
 	private _route: RouteRule | undefined;
 	private _service: string | undefined;
 	private _customer: CustomerRule | undefined;
@@ -87,14 +93,15 @@
 
 	private constructor(
 		private readonly _context: CallContext,
-		private readonly _req: IncomingMessage,
-		private readonly _res: ServerResponse,
-		private readonly _facts: CallFacts,
-		private readonly _arrivedAt: number,
+		{req, res, facts, arrivedAt}: CallExchange,
 	) {
+		this._req = req;
+		this._res = res;
+		this._facts = facts;
+		this._arrivedAt = arrivedAt;
 		this._draw = _context.draw();
-		this._lastEventId = _facts.lastEventId;
-		_res.on('close', () => {
+		this._lastEventId = facts.lastEventId;
+		res.on('close', () => {
 			this._onClosed();
 		});
 	}
@@ -142,7 +149,7 @@
 				this.refuse({
 					status: 429,
 					reason: 'overRate',
-					notRun: true,
+					isNotRun: true,
 					retryAfterMs: grant.retryAfterMs,
 				});
 				return;
@@ -160,7 +167,7 @@
 			return;
 		}
 
-		const {status, reason, notRun} = refusal;
+		const {status, reason, isNotRun} = refusal;
 		if (this._res.headersSent) {
 			this._end(refusal);
 			this._res.destroy();
@@ -181,7 +188,7 @@
 			this._res.setHeader('connection', 'close');
 		}
 
-		this._res.end(JSON.stringify({error: {code: reason, not_run: notRun}}));
+		this._res.end(JSON.stringify({error: {code: reason, not_run: isNotRun}}));
 	}
 
 	/** Decides under the present configuration, which may be newer than the one under which the request came. */
@@ -197,16 +204,17 @@
 		}
 
 		const path = this._path;
-		const route = inForce.routes.find(this._facts.host, path);
+		const route = inForce.routes.routeOf(this._facts.host, path);
 		if (route === undefined) {
-			return {status: 404, reason: 'unknownRoute', notRun: !this._mayHaveRun};
+			return {status: 404, reason: 'unknownRoute', isNotRun: !this._mayHaveRun};
 		}
 
 		const {key} = this._facts;
-		const customer = key === undefined ? undefined : inForce.keys.find(key);
-		const needsKey = inForce.config.customers !== undefined && !route.isOpen;
-		if (needsKey && customer === undefined) {
-			return {status: 401, reason: 'unknownKey', notRun: !this._mayHaveRun};
+		const customer =
+			key === undefined ? undefined : inForce.keys.customerOf(key);
+		const isKeyNeeded = inForce.config.customers !== undefined && !route.isOpen;
+		if (isKeyNeeded && customer === undefined) {
+			return {status: 401, reason: 'unknownKey', isNotRun: !this._mayHaveRun};
 		}
 
 		this._route = route;
@@ -287,8 +295,8 @@
 	): void {
 		const {fleet, retries, upstream, codec, peers, maxConnections} =
 			this._context;
-		const state = fleet.find(server)!;
-		const service = state.record.service;
+		const state = fleet.server(server)!;
+		const {service} = state.record;
 		if (!this._hasCounted) {
 			this._hasCounted = true;
 			retries(service).noteRequest(now);
@@ -347,7 +355,7 @@
 			},
 			onHeaders: (status, headers) => {
 				const {fleet, clock} = this._context;
-				fleet.find(send.server)?.noteHeard(clock());
+				fleet.server(send.server)?.noteHeard(clock());
 				if (isCurrent()) {
 					this._onHeaders(send, status, headers);
 				}
@@ -381,7 +389,7 @@
 
 		if (facts.isNotRun) {
 			this._endSend(`refused ${status}`);
-			this._context.fleet.find(send.server)?.suspect(this._context.clock());
+			this._context.fleet.server(send.server)?.suspect(this._context.clock());
 			this._retry({...unavailable('serverRefused'), status: 503}, true);
 			return;
 		}
@@ -474,7 +482,7 @@
 	/** The connection broke, or the answer can't be used. */
 	private _onBroken(send: Send, err: Error): void {
 		this._endSend(`${send.isSent ? 'broke' : 'not sent'}: ${err.message}`);
-		this._context.fleet.find(send.server)?.suspect(this._context.clock());
+		this._context.fleet.server(send.server)?.suspect(this._context.clock());
 		this._mayHaveRun ||= send.isSent;
 		this._cutter?.takeRest();
 		this._retry(
@@ -501,7 +509,7 @@
 	/** Refuses, and says "not run" only where that is sure. */
 	private _giveUp(refusal: CallRefusal): void {
 		this.refuse(
-			this._mayHaveRun ? {...broken(refusal.reason), notRun: false} : refusal,
+			this._mayHaveRun ? {...broken(refusal.reason), isNotRun: false} : refusal,
 		);
 	}
 
@@ -519,7 +527,7 @@
 		send.call?.abort();
 		this._mayHaveRun ||= send.isSent;
 		this._endSend('deadline');
-		this._giveUp({status: 504, reason: 'deadline', notRun: false});
+		this._giveUp({status: 504, reason: 'deadline', isNotRun: false});
 	}
 
 	/** The caller's connection closed. */
@@ -531,7 +539,7 @@
 		this._send?.call?.abort();
 		this._mayHaveRun ||= this._send?.isSent ?? false;
 		this._endSend('caller left');
-		this._end({status: 0, reason: 'callerLeft', notRun: !this._mayHaveRun});
+		this._end({status: 0, reason: 'callerLeft', isNotRun: !this._mayHaveRun});
 	}
 
 	private _endSend(outcome: string): void {
@@ -542,7 +550,7 @@
 
 		this._send = undefined;
 		this._sends.push(`${send.server}: ${outcome}`);
-		this._context.fleet.find(send.server)?.noteEnded(this._adapterKey);
+		this._context.fleet.server(send.server)?.noteEnded(this._adapterKey);
 		this._context.waiting.wake();
 	}
 
@@ -576,7 +584,7 @@
 			...(this._route && {route: this._route.name}),
 			...(this._customer && {customer: this._customer.name}),
 			...(adapter !== undefined && {adapter}),
-			...(refusal && {reason: refusal.reason, notRun: refusal.notRun}),
+			...(refusal && {reason: refusal.reason, notRun: refusal.isNotRun}),
 			...(refusal?.retryAfterMs !== undefined && {
 				retryAfterMs: Math.round(refusal.retryAfterMs),
 			}),
@@ -620,9 +628,9 @@
 }
 
 function unavailable(reason: string): CallRefusal {
-	return {status: 503, reason, notRun: true, retryAfterMs};
+	return {status: 503, reason, isNotRun: true, retryAfterMs};
 }
 
 function broken(reason: string): CallRefusal {
-	return {status: 502, reason, notRun: false};
+	return {status: 502, reason, isNotRun: false};
 }
--- a/packages/daemon/src/direct/text-server.ts
+++ b/packages/daemon/src/direct/text-server.ts
@@ -12,10 +12,10 @@
 export class TextServer {
 	static async listen(
 		{host, port}: Endpoint,
-		answer: (path: string) => TextAnswer | Promise<TextAnswer>,
+		answer: (path: string) => TextAnswer,
 	): Promise<TextServer> {
-		const server = createServer(async (req, res) => {
-			const {status, contentType, body} = await answer(req.url ?? '/');
+		const server = createServer((req, res) => {
+			const {status, contentType, body} = answer(req.url ?? '/');
 			res.writeHead(status, {'content-type': contentType});
 			res.end(body);
 		});
--- a/packages/daemon/src/direct/upstream.ts
+++ b/packages/daemon/src/direct/upstream.ts
@@ -1,5 +1,4 @@
 import type {IncomingHttpHeaders} from 'node:http';
-import type {Socket} from 'node:net';
 import type {Dispatcher} from 'undici';
 import buildConnector from 'undici/lib/core/connect.js';
 import Pool from 'undici/lib/dispatcher/pool.js';
@@ -62,7 +61,7 @@
 				});
 				socket?.prependListener('end', () => {
 					// Bytes and a reset that arrive together are told as bytes and an end. The kernel knows no peer then.
-					if ((socket as Socket).remotePort === undefined) {
+					if (socket.remotePort === undefined) {
 						this._noteBreak();
 					}
 				});
@@ -77,7 +76,7 @@
 		const isBreaking = () => this._isBreaking;
 		this._poolOf(req).dispatch(
 			{
-				method: req.method as Dispatcher.HttpMethod,
+				method: req.method,
 				path: req.path,
 				headers: req.headers,
 				body: req.body.length === 0 ? null : req.body,
--- a/packages/protocol/src/gossip/messages.ts
+++ b/packages/protocol/src/gossip/messages.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {
 	EngineDemand,
 	EngineReport,
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,5 +1,5 @@
-/** Names of environment variables and of outside protocols, which are not ours to choose. */
-const outsideName = String.raw`[_\- .]`;
+/** Names of environment variables, packages and outside protocols, which are not ours to choose. */
+const outsideName = String.raw`[_\-@\/ .]`;
 
 /** @type {import('xo').FlatXoConfig} */
 const config = [
