--- a/scripts/check-dependency-direction.js
+++ b/scripts/check-dependency-direction.js
@@ -14,10 +14,16 @@
 	client: ['core', 'protocol'],
 	standins: [],
 	scenarios: ['core', 'protocol', 'daemon', 'client', 'standins'],
+	platform: ['core', 'protocol', 'daemon'],
 };
 
+/** Folder of a package. The platform's adapter stands at the root. */
+function folderOf(packageName) {
+	return packageName === 'platform' ? 'platform' : `packages/${packageName}`;
+}
+
 /** Node modules that the core may import: they compute and neither read nor write. */
-const pureNodeModules = new Set(['node:crypto']);
+const pureNodeModules = new Set(['node:buffer', 'node:crypto']);
 
 const importPattern =
 	/(?:from\s+|import\s+|import\()\s*['"](?<specifier>[^'"]+)['"]/gv;
@@ -43,7 +49,7 @@
 
 function violationsOf(packageName) {
 	const violations = [];
-	for (const file of sourceFiles(`packages/${packageName}/src`)) {
+	for (const file of sourceFiles(`${folderOf(packageName)}/src`)) {
 		const text = readFileSync(file, 'utf8');
 		const isTest = file.endsWith('.test.ts');
 		for (const match of text.matchAll(importPattern)) {
--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -1,5 +1,5 @@
 /**
- * Builds the workspace, then runs the unit tests and the cucumber scenarios.
+ * Builds the workspace and the platform's bundles, then runs the unit tests and the cucumber scenarios.
  * Ends with the line "N passed, N failed". A test listed in KNOWN-RED.txt that fails is printed and does not fail the run.
  */
 import {spawnSync} from 'node:child_process';
@@ -14,7 +14,7 @@
 import path from 'node:path';
 import process from 'node:process';
 
-const packagesDirectory = 'packages';
+const testDirectories = ['packages', 'platform'];
 const knownRedFile = 'KNOWN-RED.txt';
 
 function run(command, args) {
@@ -23,13 +23,17 @@
 }
 
 function unitTestFiles() {
-	return readdirSync(packagesDirectory, {recursive: true})
+	return testDirectories
+		.flatMap(directory =>
+			readdirSync(directory, {recursive: true}).map(file =>
+				path.join(directory, file),
+			),
+		)
 		.filter(
 			file =>
 				/[\\\/]dist[\\\/].*\.test\.js$/v.test(file) &&
 				!file.includes('node_modules'),
 		)
-		.map(file => path.join(packagesDirectory, file))
 		.toSorted();
 }
 
@@ -102,7 +106,10 @@
 }
 
 function main() {
-	if (run('npx', ['--no-install', 'tsc', '--build']) !== 0) {
+	const isBuilt =
+		run('npx', ['--no-install', 'tsc', '--build']) === 0 &&
+		run(process.execPath, ['scripts/build-bundles.js']) === 0;
+	if (!isBuilt) {
 		console.log('0 passed, 1 failed');
 		return 1;
 	}
