--- a/packages/core/src/direct/constants.ts
+++ b/packages/core/src/direct/constants.ts
@@ -6,3 +6,9 @@
 
 /** Buckets into which the window of the retry budget is cut. */
 export const retryWindowBuckets = 10;
+
+/** Time after a signal to stop in which streams are taken, in milliseconds: until the balancer has noticed twice. */
+export const shutdownStreamWindowMs = 2000;
+
+/** Time that a single call needs before the process ends, in milliseconds. Calls take tenths of a second. */
+export const shutdownCallMs = 1500;
--- a/packages/core/src/direct/direct.test.ts
+++ b/packages/core/src/direct/direct.test.ts
@@ -3,6 +3,7 @@
 import {describe, it} from 'node:test';
 import {EventStreamCutter} from './event-stream-cutter.js';
 import {RetryAllowance} from './retry-allowance.js';
+import {mayTakeWhileStopping} from './shutdown.js';
 
 const bound = {windowMs: 10_000, ratio: 0.2, extra: 56};
 
@@ -69,3 +70,19 @@
 		assert.equal(resumed.lastEventId, '2');
 	});
 });
+
+describe('mayTakeWhileStopping', () => {
+	it('takes streams only until balancers have noticed', () => {
+		const early = {sinceMs: 500, leftMs: 7000};
+		const late = {sinceMs: 2500, leftMs: 5000};
+		assert.equal(mayTakeWhileStopping('stream', early), true);
+		assert.equal(mayTakeWhileStopping('stream', late), false);
+		assert.equal(mayTakeWhileStopping('once', late), true);
+	});
+
+	it('refuses single calls that would be cut at the end', () => {
+		const end = {sinceMs: 7000, leftMs: 500};
+		assert.equal(mayTakeWhileStopping('idempotent', end), false);
+		assert.equal(mayTakeWhileStopping('once', end), false);
+	});
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -51,4 +51,5 @@
 export * from './placement/fleet-view.js';
 export * from './orders/order-planner.js';
 export * from './direct/retry-allowance.js';
+export * from './direct/shutdown.js';
 export * from './direct/event-stream-cutter.js';
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -1,4 +1,9 @@
-import type {AuthorityView, FleetView, RetryAllowance} from '@balsamtray/core';
+import type {
+	AuthorityView,
+	FleetView,
+	RetryAllowance,
+	ShutdownProgress,
+} from '@balsamtray/core';
 import type {EntryPeers} from './entry-peers.js';
 import type {EventLog} from './event-log.js';
 import type {CallCodec} from './types.js';
@@ -24,5 +29,6 @@
 	readonly maxConnections: (service: string) => number;
 	/** A number from 0 up to, not including, 1. */
 	readonly draw: () => number;
-	readonly isStopping: () => boolean;
+	/** How far the shutdown is, undefined without one. */
+	readonly shutdown: () => ShutdownProgress | undefined;
 };
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -46,6 +46,9 @@
 /** Time after which a refused caller may come back where nothing better is known, in milliseconds. */
 export const retryAfterMs = 500;
 
+/** Time after which a caller may come back that another entry can serve at once, in milliseconds. */
+export const elsewhereRetryAfterMs = 50;
+
 /** Time between the signal to stop and the close of idle connections, in milliseconds: two probes of the balancer. */
 export const leaveDelayMs = 2500;
 
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -12,6 +12,7 @@
 	type AuthorityRow,
 	type ServerChange,
 	type ServiceSpec,
+	type ShutdownProgress,
 } from '@balsamtray/core';
 import type {GossipMessage} from '@balsamtray/protocol';
 import type {Disposable} from '../common/types.js';
@@ -153,7 +154,7 @@
 		const startedAt = clock();
 		this._stoppingSince = startedAt;
 		log.write({event: 'stopping', running: this._ingress.running});
-		const endAt = startedAt + settings.bounds.graceMs - graceMarginMs;
+		const endAt = startedAt + this._shutdownMs;
 		await delay(leaveDelayMs);
 		while (
 			clock() < endAt &&
@@ -182,6 +183,20 @@
 		});
 	}
 
+	/** Time from the signal to stop until the process ends by itself. */
+	private get _shutdownMs(): number {
+		return this._options.settings.bounds.graceMs - graceMarginMs;
+	}
+
+	private _shutdown(): ShutdownProgress | undefined {
+		if (this._stoppingSince === undefined) {
+			return undefined;
+		}
+
+		const sinceMs = clock() - this._stoppingSince;
+		return {sinceMs, leftMs: this._shutdownMs - sinceMs};
+	}
+
 	private _createContext(): CallContext {
 		const {codec, log} = this._options;
 		return {
@@ -198,7 +213,7 @@
 			retries: service => this._retriesOf(service),
 			maxConnections: service => this._connectionsTo(service),
 			draw: Math.random,
-			isStopping: () => this._stoppingSince !== undefined,
+			shutdown: () => this._shutdown(),
 		};
 	}
 
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -6,12 +6,17 @@
 import {
 	adapterKey,
 	EventStreamCutter,
+	mayTakeWhileStopping,
 	pickShare,
 	type CustomerRule,
 	type RouteRule,
 	type ServerChoice,
 } from '@balsamtray/core';
-import {longestWaitShare, retryAfterMs} from './constants.js';
+import {
+	elsewhereRetryAfterMs,
+	longestWaitShare,
+	retryAfterMs,
+} from './constants.js';
 import type {CallContext} from './call-context.js';
 import type {CallFacts} from './types.js';
 import type {UpstreamCall, UpstreamSink} from './upstream.js';
@@ -114,7 +119,16 @@
 			return false;
 		}
 
-		const {timeoutMs} = this._route!;
+		const shutdown = this._context.shutdown();
+		const {kind, timeoutMs} = this._route!;
+		if (shutdown !== undefined && !mayTakeWhileStopping(kind, shutdown)) {
+			this.refuse({
+				...unavailable('stopping'),
+				retryAfterMs: elsewhereRetryAfterMs,
+			});
+			return false;
+		}
+
 		this._deadlineAt =
 			this._arrivedAt +
 			Math.min(timeoutMs, this._facts.deadlineMs ?? timeoutMs);
@@ -184,7 +198,7 @@
 			);
 		}
 
-		if (!this._req.complete || this._context.isStopping()) {
+		if (!this._req.complete || this._context.shutdown() !== undefined) {
 			this._res.setHeader('connection', 'close');
 		}
 
@@ -424,7 +438,7 @@
 			}
 		}
 
-		if (this._context.isStopping()) {
+		if (this._context.shutdown() !== undefined) {
 			passed.connection = 'close';
 		}
 
