--- a/packages/daemon/src/direct/agent-runtime.ts
+++ b/packages/daemon/src/direct/agent-runtime.ts
@@ -12,8 +12,10 @@
 	idleReportIntervalMs,
 	reportIntervalMs,
 } from './constants.js';
+import {DirectMetrics} from './direct-metrics.js';
 import {DatagramSocket} from './datagram-socket.js';
 import type {EventLog} from './event-log.js';
+import {TextServer} from './text-server.js';
 import type {AgentSettings, Endpoint, EngineControl} from './types.js';
 
 export type AgentRuntimeOptions = {
@@ -31,6 +33,7 @@
 	}
 
 	private readonly _planner = OrderPlanner.create();
+	private readonly _metrics = DirectMetrics.create(() => 0);
 	private readonly _entries = new Map<string, Subscriber>();
 	private _socket: DatagramSocket | undefined;
 	private _server: string | undefined;
@@ -57,6 +60,9 @@
 				log.write({event: 'error', step: 'datagram', error: err.message});
 			},
 		);
+		await TextServer.listen(settings.metrics, async () =>
+			this._metrics.answer(),
+		);
 		log.write({event: 'started', role: 'agent', isFirstStart: false});
 		void this._turn();
 	}
@@ -132,6 +138,7 @@
 
 		const outcome = await this._give(order);
 		this._planner.noteOutcome(order, outcome, report.born, performance.now());
+		this._metrics.noteOrder(order.operation, outcome);
 		this._options.log.write({
 			event: 'order',
 			operation: order.operation,
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -4,6 +4,7 @@
 	RetryAllowance,
 	ShutdownProgress,
 } from '@balsamtray/core';
+import type {DirectMetrics} from './direct-metrics.js';
 import type {EntryPeers} from './entry-peers.js';
 import type {EventLog} from './event-log.js';
 import type {CallCodec} from './types.js';
@@ -20,6 +21,7 @@
 	readonly waiting: WaitingLine;
 	readonly codec: CallCodec;
 	readonly log: EventLog;
+	readonly metrics: DirectMetrics;
 	/** Whether what is known of the authority is recent enough to act on. */
 	readonly isFresh: () => boolean;
 	/** Age of the newest proof of that, undefined without one. */
--- /dev/null
+++ b/packages/daemon/src/direct/direct-metrics.ts
@@ -0,0 +1,118 @@
+import {monitorEventLoopDelay} from 'node:perf_hooks';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {RequestEvent} from './log-events.js';
+import {bucketBounds, metricDefinitions} from './metric-definitions.js';
+import type {TextAnswer} from './text-server.js';
+
+const nanosecondsPerSecond = 1e9;
+
+/** What entry and agent count, as text on their metrics addresses. */
+export class DirectMetrics {
+	/** @param waiting requests that wait at present */
+	static create(waiting: () => number): DirectMetrics {
+		return new DirectMetrics(waiting);
+	}
+
+	private readonly _registry = new Registry();
+	private readonly _requests = this._counter(metricDefinitions.requests);
+	private readonly _sends = this._counter(metricDefinitions.sends);
+	private readonly _orders = this._counter(metricDefinitions.orders);
+	private readonly _wait = this._histogram(metricDefinitions.wait);
+	private readonly _quota = this._histogram(metricDefinitions.quota);
+	private readonly _firstByte = this._histogram(metricDefinitions.firstByte);
+	private readonly _pause = this._histogram(metricDefinitions.pause);
+	private readonly _storeCall = this._histogram(metricDefinitions.storeCall);
+	private readonly _proofAge = this._histogram(metricDefinitions.proofAge);
+
+	private constructor(waiting: () => number) {
+		const delays = monitorEventLoopDelay();
+		delays.enable();
+		this._gauge(metricDefinitions.waiting, waiting);
+		this._gauge(metricDefinitions.loopDelay, () => {
+			const delay = delays.percentile(99) / nanosecondsPerSecond;
+			delays.reset();
+			return delay;
+		});
+	}
+
+	noteRequest(event: RequestEvent): void {
+		const {status, reason, waitedMs, waitedFor, firstByteMs} = event;
+		this._requests.inc({
+			status: status.toString(),
+			reason: reason ?? 'answered',
+		});
+		if (waitedMs !== undefined) {
+			this._wait.observe({cause: waitedFor ?? 'nothing'}, waitedMs / 1000);
+		}
+
+		if (firstByteMs !== undefined) {
+			this._firstByte.observe(firstByteMs / 1000);
+			this._pause.observe((event.longestPauseMs ?? 0) / 1000);
+		}
+
+		if (event.proofAgeMs !== undefined) {
+			this._proofAge.observe(event.proofAgeMs / 1000);
+		}
+	}
+
+	/** @param outcome one of a few words, so that the label stays bounded */
+	noteSend(service: string, outcome: string): void {
+		this._sends.inc({service, outcome});
+	}
+
+	noteQuota(outcome: string, forMs: number): void {
+		this._quota.observe({outcome}, forMs / 1000);
+	}
+
+	noteStoreRead(table: string, outcome: string, forMs: number): void {
+		this._storeCall.observe({table, outcome}, forMs / 1000);
+	}
+
+	noteOrder(operation: string, outcome: string): void {
+		this._orders.inc({operation, outcome});
+	}
+
+	async answer(): Promise<TextAnswer> {
+		return {
+			status: 200,
+			contentType: this._registry.contentType,
+			body: await this._registry.metrics(),
+		};
+	}
+
+	private _counter({name, help, labels}: Definition): Counter {
+		return new Counter({
+			name,
+			help,
+			labelNames: labels,
+			registers: [this._registry],
+		});
+	}
+
+	private _histogram({name, help, labels}: Definition): Histogram {
+		return new Histogram({
+			name,
+			help,
+			labelNames: labels,
+			buckets: [...bucketBounds],
+			registers: [this._registry],
+		});
+	}
+
+	private _gauge({name, help}: Definition, read: () => number): void {
+		const gauge = new Gauge({
+			name,
+			help,
+			registers: [this._registry],
+			collect() {
+				gauge.set(read());
+			},
+		});
+	}
+}
+
+type Definition = {
+	readonly name: string;
+	readonly help: string;
+	readonly labels: readonly string[];
+};
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -28,6 +28,7 @@
 	storeTimeoutMs,
 } from './constants.js';
 import {DatagramSocket} from './datagram-socket.js';
+import {DirectMetrics} from './direct-metrics.js';
 import {EngineLinks} from './engine-links.js';
 import {EntryPeers} from './entry-peers.js';
 import {type EventLog} from './event-log.js';
@@ -80,6 +81,7 @@
 	private readonly _upstream = Upstream.create();
 	private readonly _waiting = WaitingLine.create();
 	private readonly _client = HttpClient.create(1);
+	private readonly _metrics = DirectMetrics.create(() => this._waiting.size);
 	private readonly _retries = new Map<string, RetryAllowance>();
 	private readonly _ingress: Ingress;
 	private readonly _watches: Disposable[] = [];
@@ -136,6 +138,9 @@
 		);
 		await TextServer.listen(settings.ready, () => this._answerReady());
 		await TextServer.listen(settings.peer, path => this._answerPeer(path));
+		await TextServer.listen(settings.metrics, async () =>
+			this._metrics.answer(),
+		);
 		await this._ingress.listen(settings.front);
 		this._followTables();
 		this._peers.start();
@@ -208,6 +213,7 @@
 			waiting: this._waiting,
 			codec,
 			log,
+			metrics: this._metrics,
 			isFresh: () => this._isFresh(),
 			proofAgeMs: () => this._proofAgeMs(),
 			retries: service => this._retriesOf(service),
@@ -309,6 +315,9 @@
 				this._look();
 				followed.onRead(...read);
 			},
+			onTimed: (outcome, forMs) => {
+				this._metrics.noteStoreRead(followed.name, outcome, forMs);
+			},
 			onLost: (table, err) => {
 				this._onLost(table, err);
 			},
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -8,6 +8,7 @@
 	  }
 	/** A signal to stop came. */
 	| {readonly event: 'stopping'; readonly running: number}
+	/** The process ends; so many requests are cut by it. */
 	| {readonly event: 'stopped'; readonly cut: number; readonly afterMs: number}
 	/** The settings were read again. */
 	| {readonly event: 'settingsReloaded'; readonly error?: string}
@@ -17,6 +18,7 @@
 			readonly dependency: string;
 			readonly error: string;
 	  }
+	/** It answers again. */
 	| {
 			readonly event: 'dependencyRegained';
 			readonly dependency: string;
@@ -63,6 +65,7 @@
 			readonly expectedSequence: number;
 			readonly outcome: string;
 	  }
+	/** The engine beside the agent started anew, at this time since the epoch. */
 	| {readonly event: 'engineRestarted'; readonly born: number}
 	/** Lines that were not written for want of room or budget. */
 	| {
--- /dev/null
+++ b/packages/daemon/src/direct/metric-definitions.ts
@@ -0,0 +1,74 @@
+/** Each metric of the direct path. Times are in seconds, as the format's custom is. */
+export const metricDefinitions = {
+	requests: {
+		kind: 'counter',
+		name: 'balsamtray_requests_total',
+		help: 'Requests that ended, by status and reason (`answered` for whole answers).',
+		labels: ['status', 'reason'],
+	},
+	sends: {
+		kind: 'counter',
+		name: 'balsamtray_sends_total',
+		help: 'Sends to servers, by service and by how they ended.',
+		labels: ['service', 'outcome'],
+	},
+	wait: {
+		kind: 'histogram',
+		name: 'balsamtray_wait_seconds',
+		help: 'Time from arrival to the last send, by what the request waited for (`nothing`, `awaitAdapter`, `full`, `noServer`).',
+		labels: ['cause'],
+	},
+	quota: {
+		kind: 'histogram',
+		name: 'balsamtray_quota_seconds',
+		help: "Time until a customer's rate was granted or refused.",
+		labels: ['outcome'],
+	},
+	firstByte: {
+		kind: 'histogram',
+		name: 'balsamtray_first_byte_seconds',
+		help: "Time from arrival to the first byte of the answer's body.",
+		labels: [],
+	},
+	pause: {
+		kind: 'histogram',
+		name: 'balsamtray_longest_pause_seconds',
+		help: 'Longest time between two parts of an answer.',
+		labels: [],
+	},
+	storeCall: {
+		kind: 'histogram',
+		name: 'balsamtray_store_read_seconds',
+		help: 'Reads of tables of the store, waits for changes included, by table and outcome.',
+		labels: ['table', 'outcome'],
+	},
+	proofAge: {
+		kind: 'histogram',
+		name: 'balsamtray_proof_age_seconds',
+		help: 'Age of the proof that the configuration is the newest, at the end of each request.',
+		labels: [],
+	},
+	waiting: {
+		kind: 'gauge',
+		name: 'balsamtray_waiting',
+		help: 'Requests that wait for a server or an adapter.',
+		labels: [],
+	},
+	loopDelay: {
+		kind: 'gauge',
+		name: 'balsamtray_event_loop_delay_seconds',
+		help: '99th percentile of the delay of the event loop since the last reading.',
+		labels: [],
+	},
+	orders: {
+		kind: 'counter',
+		name: 'balsamtray_orders_total',
+		help: 'Orders to the engine, by operation and outcome.',
+		labels: ['operation', 'outcome'],
+	},
+} as const;
+
+/** Upper bounds of the buckets of all histograms, in seconds: from a round trip to the longest time limit. */
+export const bucketBounds = [
+	0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3, 6, 15, 30,
+] as const;
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -9,6 +9,7 @@
 	mayTakeWhileStopping,
 	pickShare,
 	type CustomerRule,
+	type QuotaGrant,
 	type RouteRule,
 	type ServerChoice,
 } from '@balsamtray/core';
@@ -18,6 +19,7 @@
 	retryAfterMs,
 } from './constants.js';
 import type {CallContext} from './call-context.js';
+import type {RequestEvent} from './log-events.js';
 import type {CallFacts} from './types.js';
 import type {UpstreamCall, UpstreamSink} from './upstream.js';
 import type {Waiter} from './waiting-line.js';
@@ -150,7 +152,7 @@
 		const customer = this._customer;
 		if (customer !== undefined) {
 			const units = this._unitsOf(customer);
-			const grant = await this._context.peers.reserve(customer, units);
+			const grant = await this._reserve(customer, units);
 			if (this._isEnded) {
 				if (grant.kind === 'granted') {
 					this._context.peers.giveBack(customer.name, units);
@@ -205,6 +207,17 @@
 		this._res.end(JSON.stringify({error: {code: reason, not_run: isNotRun}}));
 	}
 
+	private async _reserve(
+		customer: CustomerRule,
+		units: number,
+	): Promise<QuotaGrant> {
+		const {peers, metrics, clock} = this._context;
+		const askedAt = clock();
+		const grant = await peers.reserve(customer, units);
+		metrics.noteQuota(grant.kind, clock() - askedAt);
+		return grant;
+	}
+
 	/** Decides under the present configuration, which may be newer than the one under which the request came. */
 	private _authorize(): CallRefusal | undefined {
 		const {authority, isFresh} = this._context;
@@ -564,7 +577,11 @@
 
 		this._send = undefined;
 		this._sends.push(`${send.server}: ${outcome}`);
-		this._context.fleet.server(send.server)?.noteEnded(this._adapterKey);
+		const {fleet, metrics} = this._context;
+		const server = fleet.server(send.server);
+		server?.noteEnded(this._adapterKey);
+		const [word = ''] = outcome.split(':', 1);
+		metrics.noteSend(server?.record.service ?? 'gone', word);
 		this._context.waiting.wake();
 	}
 
@@ -583,13 +600,13 @@
 	}
 
 	private _log(refusal: CallRefusal | undefined): void {
-		const {clock, log, proofAgeMs, authority} = this._context;
+		const {clock, log, metrics, proofAgeMs, authority} = this._context;
 		const now = clock();
 		const since = (at: number) => Math.round(at - this._arrivedAt);
 		const version = authority.inForce?.config.version;
 		const proofAge = proofAgeMs();
 		const adapter = this._adapterKey;
-		log.write({
+		const event: RequestEvent = {
 			event: 'request',
 			id: this._facts.callId ?? '',
 			status: refusal?.status ?? this._res.statusCode,
@@ -610,7 +627,9 @@
 			}),
 			...(version !== undefined && {configVersion: version}),
 			...(proofAge !== undefined && {proofAgeMs: Math.round(proofAge)}),
-		});
+		};
+		log.write(event);
+		metrics.noteRequest(event);
 	}
 
 	private _unitsOf(customer: CustomerRule): number {
--- a/packages/daemon/src/direct/table-watch.ts
+++ b/packages/daemon/src/direct/table-watch.ts
@@ -19,6 +19,8 @@
 	) => void;
 	/** Epoch of the steady clock: a read that began in an earlier one proves nothing. */
 	readonly epoch: () => number;
+	/** A read ended, after this many milliseconds. */
+	readonly onTimed: (outcome: string, forMs: number) => void;
 	readonly onLost: (table: string, err: unknown) => void;
 	readonly onRegained: (table: string, lostForMs: number) => void;
 };
@@ -70,7 +72,7 @@
 
 	/** Reads once and returns whether the store answered. */
 	private async _read(startedAt: number): Promise<boolean> {
-		const {source, waitMs, epoch, onRead} = this._options;
+		const {source, waitMs, epoch, clock, onRead, onTimed} = this._options;
 		const startEpoch = epoch();
 		const isWhole = this._version === undefined;
 		// After an outage the store is asked for an immediate answer, so that a proof of freshness comes at once.
@@ -84,6 +86,7 @@
 			}
 
 			this._noteAnswer();
+			onTimed('answered', clock() - startedAt);
 			if (read === 'historyLost') {
 				this._version = undefined;
 				return true;
@@ -98,6 +101,7 @@
 			onRead(read, isWhole, startedAt, startEpoch);
 			return true;
 		} catch (error) {
+			onTimed('failed', clock() - startedAt);
 			this._noteFailure(error);
 			return false;
 		}
--- a/packages/daemon/src/direct/text-server.ts
+++ b/packages/daemon/src/direct/text-server.ts
@@ -1,4 +1,4 @@
-import {createServer, type Server} from 'node:http';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import type {Endpoint} from './types.js';
 
 /** What a small server answers. */
@@ -12,12 +12,10 @@
 export class TextServer {
 	static async listen(
 		{host, port}: Endpoint,
-		answer: (path: string) => TextAnswer,
+		answer: (path: string) => TextAnswer | Promise<TextAnswer>,
 	): Promise<TextServer> {
 		const server = createServer((req, res) => {
-			const {status, contentType, body} = answer(req.url ?? '/');
-			res.writeHead(status, {'content-type': contentType});
-			res.end(body);
+			void write(answer(req.url ?? '/'), res);
 		});
 		await new Promise<void>((resolve, reject) => {
 			server.once('error', reject);
@@ -33,3 +31,12 @@
 		this._server.closeAllConnections();
 	}
 }
+
+async function write(
+	pending: TextAnswer | Promise<TextAnswer>,
+	res: ServerResponse,
+): Promise<void> {
+	const {status, contentType, body} = await pending;
+	res.writeHead(status, {'content-type': contentType});
+	res.end(body);
+}
