Refuse a request that was present when two servers broke, at every entry

Entries tell each other of broken connections by the digest of what was asked and by whom; the registry of suspects that the other path has counts them.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -51,5 +51,6 @@
 export * from './placement/fleet-view.js';
 export * from './orders/order-planner.js';
 export * from './direct/retry-allowance.js';
+export {SuspectRegistry} from './entry/suspect-registry.js';
 export * from './direct/shutdown.js';
 export * from './direct/event-stream-cutter.js';
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -3,6 +3,7 @@
 	FleetView,
 	RetryAllowance,
 	ShutdownProgress,
+	SuspectRegistry,
 } from '@balsamtray/core';
 import type {DirectMetrics} from './direct-metrics.js';
 import type {EntryPeers} from './entry-peers.js';
@@ -17,6 +18,8 @@
 	readonly authority: AuthorityView;
 	readonly fleet: FleetView;
 	readonly peers: EntryPeers;
+	/** Requests that were present when connections to servers broke. */
+	readonly suspects: SuspectRegistry;
 	readonly upstream: Upstream;
 	readonly waiting: WaitingLine;
 	readonly codec: CallCodec;
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -145,6 +145,13 @@
 		}
 	}
 
+	/** Sends a message to all other entries that are listed. */
+	tellAll(message: GossipMessage): void {
+		for (const {endpoint} of this._peers.values()) {
+			this._options.send(message, endpoint);
+		}
+	}
+
 	onBeat(beat: EntryBeat): void {
 		const now = this._options.clock();
 		const peer = this._peers.get(beat.from);
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -8,6 +8,7 @@
 	FreshnessLease,
 	QuotaLedger,
 	RetryAllowance,
+	SuspectRegistry,
 	type AuthorityChange,
 	type AuthorityRow,
 	type ServerChange,
@@ -80,6 +81,7 @@
 	private readonly _links: EngineLinks;
 	private readonly _upstream = Upstream.create();
 	private readonly _waiting = WaitingLine.create();
+	private readonly _suspects = SuspectRegistry.create();
 	private readonly _client = HttpClient.create(1);
 	private readonly _metrics = DirectMetrics.create(() => this._waiting.size);
 	private readonly _retries = new Map<string, RetryAllowance>();
@@ -209,6 +211,7 @@
 			authority: this._authority,
 			fleet: this._fleet,
 			peers: this._peers,
+			suspects: this._suspects,
 			upstream: this._upstream,
 			waiting: this._waiting,
 			codec,
@@ -449,6 +452,12 @@
 				break;
 			}
 
+			case 'suspect': {
+				const {fingerprint, server} = message;
+				this._suspects.noteCrash([fingerprint], server, clock());
+				break;
+			}
+
 			case 'report': {
 				this._links.onReport(message.server, message.report);
 				break;
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import type {
 	IncomingHttpHeaders,
 	IncomingMessage,
@@ -91,6 +92,7 @@
 	private _hasCounted = false;
 	private _firstByteAt: number | undefined;
 	private _lastByteAt: number | undefined;
+	private _knownFingerprint: string | undefined;
 	private _longestPauseMs = 0;
 	private _sentAt: number | undefined;
 	private readonly _tried = new Set<string>();
@@ -263,6 +265,18 @@
 		}
 
 		const now = this._context.clock();
+		const quarantinedForMs = this._context.suspects.quarantinedForMs(
+			this._fingerprint,
+			now,
+		);
+		if (quarantinedForMs > 0) {
+			this._giveUp({
+				...unavailable('quarantined'),
+				retryAfterMs: quarantinedForMs,
+			});
+			return;
+		}
+
 		const choice = this._choose(now);
 		if (choice.kind === 'send') {
 			this._sendTo(choice.server, choice.version, now);
@@ -512,12 +526,24 @@
 		this._context.fleet.server(send.server)?.suspect(this._context.clock());
 		this._mayHaveRun ||= send.isSent;
 		this._cutter?.takeRest();
+		if (send.isSent) {
+			this._noteSuspect(send.server);
+		}
+
 		this._retry(
 			send.isSent ? broken('serverBroke') : unavailable('serverUnreachable'),
 			!send.isSent || this._isRepeatable,
 		);
 	}
 
+	/** The server may have died of the request, which then must not be tried on one server after the other. */
+	private _noteSuspect(server: string): void {
+		const {suspects, peers, clock} = this._context;
+		const fingerprint = this._fingerprint;
+		suspects.noteCrash([fingerprint], server, clock());
+		peers.tellAll({type: 'suspect', fingerprint, server});
+	}
+
 	/** Tries another server where that is allowed. */
 	private _retry(refusal: CallRefusal, isAllowed: boolean): void {
 		const canResume = !this._res.headersSent || this._cutter !== undefined;
@@ -638,6 +664,15 @@
 			: 1;
 	}
 
+	/** Digest of what is asked and by whom, the same when the request comes again. */
+	private get _fingerprint(): string {
+		this._knownFingerprint ??= createHash('sha256')
+			.update(`${this._customer?.name ?? ''} ${this._req.url ?? ''} `)
+			.update(this._body)
+			.digest('base64');
+		return this._knownFingerprint;
+	}
+
 	private get _path(): string {
 		const url = this._req.url ?? '/';
 		const query = url.indexOf('?');
--- a/packages/protocol/src/gossip/messages.ts
+++ b/packages/protocol/src/gossip/messages.ts
@@ -60,12 +60,21 @@
 	readonly report: EngineReport;
 };
 
+/** A connection to a server broke while it had a request, which may have killed it. */
+export type SuspectMessage = {
+	readonly type: 'suspect';
+	/** Digest of what was asked, and by whom. */
+	readonly fingerprint: string;
+	readonly server: string;
+};
+
 /** A datagram between our processes. */
 export type GossipMessage =
 	| EntryBeat
 	| QuotaAsk
 	| QuotaAnswer
 	| QuotaReturn
+	| SuspectMessage
 	| DemandMessage
 	| ReportMessage;
 
@@ -74,6 +83,7 @@
 	'quotaAsk',
 	'quotaAnswer',
 	'quotaReturn',
+	'suspect',
 	'demand',
 	'report',
 ] satisfies ReadonlyArray<GossipMessage['type']>);
