--- a/packages/client/src/main.ts
+++ b/packages/client/src/main.ts
@@ -11,6 +11,7 @@
 import {ServerDrainCommand} from './commands/server-drain-command.js';
 import {ServerUndrainCommand} from './commands/server-undrain-command.js';
 import {StatusCommand} from './commands/status-command.js';
+import {TraceCommand} from './commands/trace-command.js';
 import {ZoneInCommand} from './commands/zone-in-command.js';
 import {ZoneOutCommand} from './commands/zone-out-command.js';
 import {exitCodes} from './exit-codes.js';
@@ -33,6 +34,7 @@
 	ServerUndrainCommand,
 	StatusCommand,
 	LoadCommand,
+	TraceCommand,
 ];
 
 /** Runs `balsamtray` with its arguments and returns the exit code. */
