--- /dev/null
+++ b/packages/daemon/src/direct/table-watch.test.ts
@@ -0,0 +1,100 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {TableWatch} from './table-watch.js';
+import type {TableRead} from './types.js';
+
+type Answer = TableRead<string> | 'historyLost' | Error;
+
+/** Follows a table whose answers are given, and tells what came of them. */
+async function follow(answers: readonly Answer[]): Promise<readonly string[]> {
+	const events: string[] = [];
+	const left = [...answers];
+	let now = 0;
+	const next = async (kind: string): Promise<Exclude<Answer, Error>> => {
+		now++;
+		events.push(kind);
+		const answer = left.shift();
+		if (left.length === 0) {
+			watch.dispose();
+		}
+
+		if (answer instanceof Error || answer === undefined) {
+			throw answer ?? new Error('no answer left');
+		}
+
+		return answer;
+	};
+
+	const watch = TableWatch.create<string>({
+		name: 't',
+		source: {
+			async readAll() {
+				const read = await next('all');
+				assert.ok(read !== 'historyLost');
+				return read;
+			},
+			readChanges: async after => next(`after ${after}`),
+		},
+		waitMs: 100,
+		intervalMs: 0,
+		clock: () => now,
+		epoch: () => 0,
+		onRead(read, isWhole) {
+			events.push(`${isWhole ? 'whole' : 'changes'} ${read.version}`);
+		},
+		onTimed: () => undefined,
+		onLost() {
+			events.push('lost');
+		},
+		onRegained() {
+			events.push('regained');
+		},
+	});
+	await watch.run();
+	return events;
+}
+
+const read = (version: number): TableRead<string> => ({rows: [], version});
+
+describe('TableWatch', () => {
+	it('reads all, then changes', async () => {
+		const events = await follow([read(3), read(5), read(5), read(6)]);
+		assert.deepEqual(events.slice(0, 6), [
+			'all',
+			'whole 3',
+			'after 3',
+			'changes 5',
+			'after 5',
+			'changes 5',
+		]);
+	});
+
+	it('reads all again when the history is lost', async () => {
+		const events = await follow([read(3), 'historyLost', read(9), read(9)]);
+		assert.deepEqual(events.slice(2, 5), ['after 3', 'all', 'whole 9']);
+	});
+
+	it('takes an answer that is behind an earlier one for none', async () => {
+		const events = await follow([read(7), read(6), read(8), read(8)]);
+		assert.deepEqual(events.slice(0, 5), [
+			'all',
+			'whole 7',
+			'after 7',
+			'after 7',
+			'changes 8',
+		]);
+	});
+
+	it('tells once that the store is lost, and when it is regained', async () => {
+		const down = new Error('down');
+		const events = await follow([read(1), down, down, read(2), read(2)]);
+		assert.deepEqual(events.slice(2, 8), [
+			'after 1',
+			'lost',
+			'after 1',
+			'after 1',
+			'regained',
+			'changes 2',
+		]);
+	});
+});
--- /dev/null
+++ b/packages/daemon/src/direct/upstream.test.ts
@@ -0,0 +1,136 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type Server, type Socket} from 'node:net';
+import {afterEach, describe, it} from 'node:test';
+import {Upstream, type UpstreamCall} from './upstream.js';
+
+let server: Server | undefined;
+
+/** Answers the first bytes of each connection. */
+async function listen(answer: (socket: Socket) => void): Promise<string> {
+	server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			answer(socket);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const address = server.address();
+	assert.ok(address !== null && typeof address === 'object');
+	const {port} = address;
+	return `127.0.0.1:${port}`;
+}
+
+type Outcome = {
+	readonly events: readonly string[];
+	readonly call: UpstreamCall;
+};
+
+/** Sends a request and resolves with the events until its end. */
+async function send(
+	address: string,
+	onFirst?: (call: UpstreamCall) => void,
+): Promise<Outcome> {
+	const events: string[] = [];
+	return new Promise(resolve => {
+		const end = (event: string) => {
+			events.push(event);
+			resolve({events, call});
+		};
+
+		const call = Upstream.create().send(
+			{
+				server: 's',
+				address,
+				maxConnections: 1,
+				method: 'GET',
+				path: '/',
+				headers: [],
+				body: new Uint8Array(0),
+			},
+			{
+				onSent() {
+					events.push('sent');
+				},
+				onHeaders(status) {
+					events.push(`${status}`);
+				},
+				onData(chunk) {
+					events.push(chunk.toString());
+					onFirst?.(call);
+					return true;
+				},
+				onEnd() {
+					end('end');
+				},
+				onError() {
+					end('error');
+				},
+			},
+		);
+	});
+}
+
+const head = 'HTTP/1.1 200 OK\r\n';
+
+describe('Upstream', () => {
+	afterEach(() => {
+		server?.close();
+	});
+
+	describe('an answer without a length', () => {
+		it('is whole when its connection ends', async () => {
+			const address = await listen(socket => {
+				socket.end(`${head}\r\nhello`);
+			});
+			const {events} = await send(address);
+			assert.deepEqual(events, ['sent', '200', 'hello', 'end']);
+		});
+
+		it('is broken when its connection is reset', async () => {
+			const address = await listen(socket => {
+				socket.write(`${head}\r\nhello`);
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 20);
+			});
+			const {events} = await send(address);
+			assert.equal(events.at(-1), 'error');
+		});
+	});
+
+	it('tells an answer that is shorter than its length from a whole one', async () => {
+		const address = await listen(socket => {
+			socket.end(`${head}Content-Length: 9\r\n\r\nhello`);
+		});
+		const {events} = await send(address);
+		assert.equal(events.at(-1), 'error');
+	});
+
+	it('says that nothing was sent where no connection was taken', async () => {
+		const address = await listen(() => undefined);
+		server!.close();
+		await once(server!, 'close');
+		const {events} = await send(address);
+		assert.deepEqual(events, ['error']);
+	});
+
+	it('closes the connection of a call that is aborted', async () => {
+		let closed: Promise<unknown> | undefined;
+		const address = await listen(socket => {
+			closed = once(socket, 'close');
+			socket.write(`${head}Content-Length: 9\r\n\r\nhello`);
+		});
+		let aborted = () => {};
+		const isAborted = new Promise<void>(resolve => {
+			aborted = resolve;
+		});
+		void send(address, call => {
+			call.abort();
+			aborted();
+		});
+		await isAborted;
+		await closed;
+	});
+});
