--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -113,6 +113,10 @@
 		res.on('close', () => {
 			this._onClosed();
 		});
+		// A write can meet a connection that broke in the same turn; its close follows.
+		res.on('error', () => {
+			this._onClosed();
+		});
 	}
 
 	/** Finds route and customer before the body is read. Returns whether the request goes on. */
--- a/packages/daemon/src/direct/upstream.test.ts
+++ b/packages/daemon/src/direct/upstream.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import {once} from 'node:events';
+import {EventEmitter, once} from 'node:events';
 import {createServer, type Server, type Socket} from 'node:net';
 import {afterEach, describe, it} from 'node:test';
 import {Upstream, type UpstreamCall} from './upstream.js';
@@ -122,13 +122,11 @@
 			closed = once(socket, 'close');
 			socket.write(`${head}Content-Length: 9\r\n\r\nhello`);
 		});
-		let aborted = () => {};
-		const isAborted = new Promise<void>(resolve => {
-			aborted = resolve;
-		});
+		const aborted = new EventEmitter();
+		const isAborted = once(aborted, 'done');
 		void send(address, call => {
 			call.abort();
-			aborted();
+			aborted.emit('done');
 		});
 		await isAborted;
 		await closed;
