--- a/packages/daemon/src/direct/upstream.test.ts
+++ b/packages/daemon/src/direct/upstream.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import {EventEmitter, once} from 'node:events';
+import {once} from 'node:events';
 import {createServer, type Server, type Socket} from 'node:net';
 import {afterEach, describe, it} from 'node:test';
 import {Upstream, type UpstreamCall} from './upstream.js';
@@ -117,18 +117,18 @@
 	});
 
 	it('closes the connection of a call that is aborted', async () => {
-		let closed: Promise<unknown> | undefined;
-		const address = await listen(socket => {
-			closed = once(socket, 'close');
-			socket.write(`${head}Content-Length: 9\r\n\r\nhello`);
-		});
-		const aborted = new EventEmitter();
-		const isAborted = once(aborted, 'done');
-		void send(address, call => {
-			call.abort();
-			aborted.emit('done');
+		await new Promise<void>(resolve => {
+			const listening = listen(socket => {
+				socket.once('close', () => {
+					resolve();
+				});
+				socket.write(`${head}Content-Length: 9\r\n\r\nhello`);
+			});
+			void listening.then(async address =>
+				send(address, call => {
+					call.abort();
+				}),
+			);
 		});
-		await isAborted;
-		await closed;
 	});
 });
