--- a/packages/daemon/src/direct/agent-runtime.ts
+++ b/packages/daemon/src/direct/agent-runtime.ts
@@ -10,6 +10,7 @@
 	busyReportIntervalMs,
 	demandLifetimeMs,
 	idleReportIntervalMs,
+	quietReportIntervalMs,
 	reportIntervalMs,
 } from './constants.js';
 import {DirectMetrics} from './direct-metrics.js';
@@ -231,6 +232,11 @@
 
 		const isLoading =
 			this._planner.hasWants || (this._report?.pending.length ?? 0) > 0;
-		return isLoading ? busyReportIntervalMs : reportIntervalMs;
+		if (isLoading) {
+			return busyReportIntervalMs;
+		}
+
+		const isQuiet = this._report?.running === 0 && this._report.waiting === 0;
+		return isQuiet ? quietReportIntervalMs : reportIntervalMs;
 	}
 }
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -13,6 +13,9 @@
 /** Time between two demands to an agent, in milliseconds. */
 export const demandIntervalMs = 250;
 
+/** Time between two demands to an agent of which nothing is wanted, in milliseconds. */
+export const quietDemandIntervalMs = 1000;
+
 /** Longest wait for a change of the authority's statements, in milliseconds. Each answer renews the proof of freshness. */
 export const authorityWaitMs = 1200;
 
@@ -58,6 +61,9 @@
 /** Time between two reports of an engine to which nothing is on its way, in milliseconds. */
 export const reportIntervalMs = 200;
 
+/** Time between two reports of an engine without requests, in milliseconds. Entries miss an engine after 700. */
+export const quietReportIntervalMs = 300;
+
 /** Time between two reports of an engine that loads adapters, in milliseconds. */
 export const busyReportIntervalMs = 40;
 
@@ -65,4 +71,4 @@
 export const idleReportIntervalMs = 2000;
 
 /** Time after its last demand at which an entry no longer gets reports, in milliseconds. */
-export const demandLifetimeMs = 1500;
+export const demandLifetimeMs = 3000;
--- a/packages/daemon/src/direct/engine-links.ts
+++ b/packages/daemon/src/direct/engine-links.ts
@@ -5,7 +5,7 @@
 	ServiceSpec,
 } from '@balsamtray/core';
 import type {DemandMessage} from '@balsamtray/protocol';
-import {demandIntervalMs} from './constants.js';
+import {demandIntervalMs, quietDemandIntervalMs} from './constants.js';
 import type {Endpoint} from './types.js';
 
 export type EngineLinksOptions = {
@@ -27,6 +27,7 @@
 	}
 
 	private readonly _reportedAt = new Map<string, number>();
+	private readonly _demandedAt = new Map<string, number>();
 	private readonly _lost = new Set<string>();
 	private _timer: NodeJS.Timeout | undefined;
 
@@ -69,7 +70,10 @@
 		for (const server of fleet.servers()) {
 			const {id} = server.record;
 			known.add(id);
-			this._demand(server);
+			if (this._isDemandDue(server, now)) {
+				this._demand(server);
+			}
+
 			if (
 				this._reportedAt.has(id) &&
 				!server.hasFreshReport(now) &&
@@ -84,13 +88,26 @@
 			if (!known.has(id)) {
 				this._reportedAt.delete(id);
 				this._lost.delete(id);
+				this._demandedAt.delete(id);
 			}
 		}
 	}
 
+	/** Without wants and uses a demand only keeps the reports coming. */
+	private _isDemandDue(server: ServerState, now: number): boolean {
+		const demandedAt =
+			this._demandedAt.get(server.record.id) ?? Number.NEGATIVE_INFINITY;
+		return (
+			server.outstanding > 0 ||
+			server.wants(now).length > 0 ||
+			now - demandedAt >= quietDemandIntervalMs
+		);
+	}
+
 	private _demand(server: ServerState): void {
 		const {serviceOf, send, agentPort, clock} = this._options;
 		const {id, service, address} = server.record;
+		this._demandedAt.set(id, clock());
 		const engine = serviceOf(service)?.engine;
 		if (engine === undefined) {
 			return;
