Give an empty engine its model as soon as an entry tells of it

And 118 sends met 421 from engines that had restarted empty under a listed record; each such server was then avoided for 1 s though sound. Ruled out: the fencing token (there at once) and the list of servers (read at 35.4 s). Both tests fail without the change.

--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -151,6 +151,21 @@
 		});
 	});
 
+	describe('a server that restarted empty', () => {
+		it('is not asked again for an adapter that it refused, and stays in use', () => {
+			list(
+				record('x', {models: [{name: 'm', adapters: {a: 1}}]}),
+				record('y', {isDraining: true}),
+			);
+			assert.equal(chosen(), 'x');
+			fleet.server('x')!.noteRefusedAdapter('m/a');
+			assert.equal(chosen(), 'awaitAdapter');
+			assert.equal(chosen({adapter: undefined}), 'x');
+			fleet.noteReport('x', report({a: 1}), 5);
+			assert.equal(chosen({}, 5), 'x');
+		});
+	});
+
 	describe('versions', () => {
 		beforeEach(() => {
 			list(record('x'), record('y'));
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -28,6 +28,8 @@
 	private readonly _wants = new Map<string, {want: AdapterWant; at: number}>();
 	private readonly _inUse = new Map<string, number>();
 	private readonly _usedSince = new Set<string>();
+	/** Adapters that the server refused since it was last heard what it holds. */
+	private readonly _refused = new Set<string>();
 
 	private constructor(record: ServerRecord, now: number) {
 		this._record = record;
@@ -44,6 +46,7 @@
 
 	setRecord(record: ServerRecord, now: number): void {
 		this._record = record;
+		this._refused.clear();
 		this.vanishedAt = undefined;
 		if (record.coldLeftMs > 0) {
 			this._coldUntil = now + record.coldLeftMs;
@@ -58,6 +61,7 @@
 
 		this._report = report;
 		this._reportedAt = now;
+		this._refused.clear();
 	}
 
 	hasFreshReport(now: number): boolean {
@@ -70,9 +74,9 @@
 		adapter: string,
 		now: number,
 	): number | undefined {
-		return this._models(now).find(({name}) => name === model)?.adapters[
-			adapter
-		];
+		return this._refused.has(adapterKey(model, adapter))
+			? undefined
+			: this._models(now).find(({name}) => name === model)?.adapters[adapter];
 	}
 
 	hasModel(model: string, now: number): boolean {
@@ -139,6 +143,11 @@
 		);
 	}
 
+	/** The server does not hold the adapter, whatever was heard of it before. */
+	noteRefusedAdapter(key: string): void {
+		this._refused.add(key);
+	}
+
 	/** Bytes of the server came. */
 	noteHeard(now: number): void {
 		this._heardAt = now;
--- /dev/null
+++ b/packages/daemon/src/direct/agent-runtime.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createSocket} from 'node:dgram';
+import {Writable} from 'node:stream';
+import {describe, it} from 'node:test';
+import type {EngineOrder, EngineReport} from '@balsamtray/core';
+import {AgentRuntime} from './agent-runtime.js';
+import {idleReportIntervalMs} from './constants.js';
+import {EventLog} from './event-log.js';
+
+const report: EngineReport = {
+	born: 1,
+	sequence: 0,
+	isBusy: false,
+	running: 0,
+	waiting: 0,
+	memoryUsed: 0,
+	memoryTotal: 1,
+	models: [],
+	pending: [],
+};
+
+describe('AgentRuntime', () => {
+	it('orders the model of an empty engine as soon as an entry tells of it', async () => {
+		const orders: Array<{readonly order: EngineOrder; readonly at: number}> =
+			[];
+		const peer = {host: '127.0.0.1', port: 28_991};
+		const runtime = AgentRuntime.create({
+			settings: {
+				hostId: 'a',
+				peer,
+				metrics: {host: '127.0.0.1', port: 28_992},
+			},
+			engine: {
+				report: async () => ({...report, isBusy: orders.length > 0}),
+				async order(order) {
+					orders.push({order, at: performance.now()});
+					return 'accepted';
+				},
+			},
+			log: EventLog.create('a', () => 0, new Writable({write: done})),
+		});
+		await runtime.start();
+		const socket = createSocket('udp4');
+		const sentAt = performance.now();
+		socket.send(
+			JSON.stringify({
+				type: 'demand',
+				server: 's',
+				demand: {wants: [], used: [], models: ['m'], adapterPlaces: 1},
+			}),
+			peer.port,
+			peer.host,
+		);
+		await once(socket, 'message');
+		while (orders.length === 0) {
+			assert.ok(performance.now() - sentAt < idleReportIntervalMs / 2);
+			// Looks again until the order is given.
+			// eslint-disable-next-line no-await-in-loop
+			await new Promise(resolve => {
+				setTimeout(resolve, 10);
+			});
+		}
+
+		assert.equal(orders[0]!.order.model, 'm');
+		assert.equal(orders[0]!.order.adapter, undefined);
+		socket.close();
+		await runtime.stop();
+	});
+});
+
+function done(_chunk: unknown, _encoding: string, callback: () => void): void {
+	callback();
+}
--- a/packages/daemon/src/direct/agent-runtime.ts
+++ b/packages/daemon/src/direct/agent-runtime.ts
@@ -37,6 +37,7 @@
 	private readonly _metrics = DirectMetrics.create(() => 0);
 	private readonly _entries = new Map<string, Subscriber>();
 	private _socket: DatagramSocket | undefined;
+	private _metricsServer: TextServer | undefined;
 	private _server: string | undefined;
 	private _report: EngineReport | undefined;
 	private _sentDigest = '';
@@ -61,7 +62,7 @@
 				log.write({event: 'error', step: 'datagram', error: err.message});
 			},
 		);
-		await TextServer.listen(settings.metrics, async () =>
+		this._metricsServer = await TextServer.listen(settings.metrics, async () =>
 			this._metrics.answer(),
 		);
 		log.write({event: 'started', role: 'agent', isFirstStart: false});
@@ -73,6 +74,7 @@
 		this._isStopped = true;
 		clearTimeout(this._timer);
 		this._socket?.dispose();
+		this._metricsServer?.dispose();
 		this._options.log.write({event: 'stopped', cut: 0, afterMs: 0});
 	}
 
@@ -91,7 +93,8 @@
 			this._tell(from);
 		}
 
-		if (message.demand.wants.length > 0) {
+		// A new entry may be the first to tell what the engine should hold.
+		if (isNew || message.demand.wants.length > 0) {
 			void this._turn();
 		}
 	}
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -63,6 +63,9 @@
 	'trailer',
 ]);
 
+/** Status of a server that is another one, or lacks what the request needs. */
+const misdirectedStatus = 421;
+
 /** Takes one request of a caller to a server and its answer back. */
 export class ProxiedCall {
 	static create(context: CallContext, exchange: CallExchange): ProxiedCall {
@@ -433,8 +436,8 @@
 		}
 
 		if (facts.isNotRun) {
+			this._noteRefusal(send.server, status);
 			this._endSend(`refused ${status}`);
-			this._context.fleet.server(send.server)?.suspect(this._context.clock());
 			this._retry({...unavailable('serverRefused'), status: 503}, true);
 			return;
 		}
@@ -459,6 +462,18 @@
 		this._res.flushHeaders();
 	}
 
+	/** A server without the adapter is sound; one that refuses for another reason is avoided for a while. */
+	private _noteRefusal(server: string, status: number): void {
+		const {fleet, clock} = this._context;
+		const state = fleet.server(server);
+		const key = this._adapterKey;
+		if (status === misdirectedStatus && key !== undefined) {
+			state?.noteRefusedAdapter(key);
+		} else {
+			state?.suspect(clock());
+		}
+	}
+
 	private _answerHeaders(
 		headers: IncomingHttpHeaders,
 	): Record<string, string | string[]> {
