--- a/packages/core/src/quota/constants.ts
+++ b/packages/core/src/quota/constants.ts
@@ -6,3 +6,9 @@
 
 /** Part of the slack in units that all hosts together may use without a customer's owner. */
 export const unownedSlackShare = 0.5;
+
+/**
+ * Time for which a rate of which nobody told has accrued when it is first asked for, in milliseconds. Short, as an
+ * owner that can't be heard may spend it too.
+ */
+export const untoldAccrualMs = 1000;
--- a/packages/core/src/quota/quota-ledger.test.ts
+++ b/packages/core/src/quota/quota-ledger.test.ts
@@ -5,7 +5,7 @@
 import {QuotaLedger} from './quota-ledger.js';
 
 function create(isFirstStart: boolean): QuotaLedger {
-	return QuotaLedger.create({isFirstStart, slackUnits: 1000});
+	return QuotaLedger.create({isFirstStart, slackUnits: 1000, now: 0});
 }
 
 function kindOf(ledger: QuotaLedger, units: number, now: number): string {
@@ -27,6 +27,12 @@
 		assert.equal(kindOf(ledger, 50, 500), 'granted');
 	});
 
+	it('has accrued since the start where nobody told of a level, for a second at most', () => {
+		assert.equal(kindOf(create(false), 50, 500), 'granted');
+		assert.equal(kindOf(create(false), 100, 60_000), 'granted');
+		assert.equal(kindOf(create(false), 101, 60_000), 'refused');
+	});
+
 	it('goes on from the level that the owner before told', () => {
 		const ledger = create(true);
 		ledger.hear([{customer: 'c', level: 10}], 0);
--- a/packages/core/src/quota/quota-ledger.ts
+++ b/packages/core/src/quota/quota-ledger.ts
@@ -2,6 +2,7 @@
 import {TokenBucket, type BucketLimit} from '../rate/token-bucket.js';
 import {
 	heardLevelLifetimeMs,
+	untoldAccrualMs,
 	unownedRateShare,
 	unownedSlackShare,
 } from './constants.js';
@@ -23,6 +24,8 @@
 export type QuotaLedgerOptions = {
 	/** Whether the whole fleet starts for the first time, so that nobody has spent anything yet. */
 	readonly isFirstStart: boolean;
+	/** Start of the process, in milliseconds on its steady clock. */
+	readonly now: number;
 	/** Units beyond rate and burst that the platform tolerates over all hosts. */
 	readonly slackUnits: number;
 };
@@ -40,9 +43,11 @@
 	private readonly _unowned = new Map<string, TokenBucket>();
 	private readonly _heard = new Map<string, HeardLevel>();
 	private _isFirstStart: boolean;
+	private _startedAt: number;
 
 	private constructor(private readonly _options: QuotaLedgerOptions) {
 		this._isFirstStart = _options.isFirstStart;
+		this._startedAt = _options.now;
 	}
 
 	/** Spends units as the customer's owner. */
@@ -108,6 +113,7 @@
 	/** This process stood still, and others may have spent meanwhile: it goes on with nothing. */
 	forget(now: number): void {
 		this._isFirstStart = false;
+		this._startedAt = now;
 		this._heard.clear();
 		for (const [customer, bucket] of this._owned) {
 			this._owned.set(customer, TokenBucket.create(bucket.limit, 0, now));
@@ -124,8 +130,15 @@
 			return TokenBucket.create(limit, heard.level, heard.at);
 		}
 
-		const isUntouched = this._isFirstStart && heard === undefined;
-		return TokenBucket.create(limit, isUntouched ? limit.burst : 0, now);
+		if (heard !== undefined) {
+			return TokenBucket.create(limit, 0, now);
+		}
+
+		// Entries that are there tell their levels within the silence: a rate of which nobody told was not spent.
+		const accruesFrom = Math.max(this._startedAt, now - untoldAccrualMs);
+		return this._isFirstStart
+			? TokenBucket.create(limit, limit.burst, now)
+			: TokenBucket.create(limit, 0, accruesFrom);
 	}
 }
 
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -102,6 +102,7 @@
 		this._ledger = QuotaLedger.create({
 			isFirstStart: settings.isFirstStart,
 			slackUnits: bounds.quotaSlackUnits,
+			now: clock(),
 		});
 		this._peers = this._createPeers();
 		this._fleet = this._createFleet();
