--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -14,26 +14,14 @@
 	type RouteRule,
 	type ServerChoice,
 } from '@balsamtray/core';
-import {
-	elsewhereRetryAfterMs,
-	longestWaitShare,
-	retryAfterMs,
-} from './constants.js';
+import {broken, unavailable, type CallRefusal} from './call-refusal.js';
+import {elsewhereRetryAfterMs, longestWaitShare} from './constants.js';
 import type {CallContext} from './call-context.js';
-import type {RequestEvent} from './log-events.js';
+import {CallRecord} from './call-record.js';
 import type {CallFacts} from './types.js';
 import type {UpstreamCall, UpstreamSink} from './upstream.js';
 import type {Waiter} from './waiting-line.js';
 
-/** Why a request gets no whole answer. */
-export type CallRefusal = {
-	readonly status: number;
-	readonly reason: string;
-	/** Whether the request surely did not run. */
-	readonly isNotRun: boolean;
-	readonly retryAfterMs?: number;
-};
-
 /** A caller's request, with where its answer goes. */
 export type CallExchange = {
 	readonly req: IncomingMessage;
@@ -85,7 +73,6 @@
 	private _cutter: EventStreamCutter | undefined;
 	private _lastEventId: string | undefined;
 	private _waiter: Waiter | undefined;
-	private _waitedFor: string | undefined;
 	private _waitUntil = 0;
 	private _timer: NodeJS.Timeout | undefined;
 	private _deadlineAt = 0;
@@ -93,13 +80,9 @@
 	/** Whether some server may have run the request. */
 	private _mayHaveRun = false;
 	private _hasCounted = false;
-	private _firstByteAt: number | undefined;
-	private _lastByteAt: number | undefined;
 	private _knownFingerprint: string | undefined;
-	private _longestPauseMs = 0;
-	private _sentAt: number | undefined;
 	private readonly _tried = new Set<string>();
-	private readonly _sends: string[] = [];
+	private readonly _record = CallRecord.create();
 	/** Keeps the request with one of its route's services, however often it is decided. */
 	private readonly _draw: number;
 
@@ -314,7 +297,7 @@
 	}
 
 	private _wait(choice: ServerChoice, now: number): void {
-		this._waitedFor = choice.kind;
+		this._record.noteWait(choice.kind);
 		if (now >= this._waitUntil) {
 			this._giveUp(unavailable(choice.kind));
 			return;
@@ -357,7 +340,7 @@
 		this._timer = setTimeout(() => {
 			this._onDeadline();
 		}, this._deadlineAt - now);
-		this._sentAt = now;
+		this._record.noteSent(now);
 		this._tried.add(server);
 		const key = this._adapterKey;
 		state.noteSent(key, now);
@@ -492,7 +475,7 @@
 	}
 
 	private _onData(chunk: Uint8Array): boolean {
-		this._notePause();
+		this._record.noteBytes(this._context.clock());
 		if (this._cutter === undefined) {
 			return this._write(chunk);
 		}
@@ -502,16 +485,6 @@
 		return bytes.length === 0 || this._write(bytes);
 	}
 
-	private _notePause(): void {
-		const now = this._context.clock();
-		this._firstByteAt ??= now;
-		this._longestPauseMs = Math.max(
-			this._longestPauseMs,
-			now - (this._lastByteAt ?? now),
-		);
-		this._lastByteAt = now;
-	}
-
 	private _write(bytes: Uint8Array): boolean {
 		if (this._res.write(bytes)) {
 			return true;
@@ -592,7 +565,7 @@
 
 		const {_send: send} = this;
 		if (send === undefined) {
-			this._giveUp(unavailable(this._waitedFor ?? 'deadline'));
+			this._giveUp(unavailable(this._record.waitedFor ?? 'deadline'));
 			return;
 		}
 
@@ -621,7 +594,7 @@
 		}
 
 		this._send = undefined;
-		this._sends.push(`${send.server}: ${outcome}`);
+		this._record.noteSend(send.server, outcome);
 		const {fleet, metrics} = this._context;
 		const server = fleet.server(send.server);
 		server?.noteEnded(this._adapterKey);
@@ -646,33 +619,18 @@
 
 	private _log(refusal: CallRefusal | undefined): void {
 		const {clock, log, metrics, proofAgeMs, authority} = this._context;
-		const now = clock();
-		const since = (at: number) => Math.round(at - this._arrivedAt);
-		const version = authority.inForce?.config.version;
-		const proofAge = proofAgeMs();
-		const adapter = this._adapterKey;
-		const event: RequestEvent = {
-			event: 'request',
-			id: this._facts.callId ?? '',
+		const event = this._record.toEvent({
+			id: this._facts.callId,
+			arrivedAt: this._arrivedAt,
+			endedAt: clock(),
 			status: refusal?.status ?? this._res.statusCode,
-			sends: this._sends,
-			totalMs: since(now),
-			...(this._route && {route: this._route.name}),
-			...(this._customer && {customer: this._customer.name}),
-			...(adapter !== undefined && {adapter}),
-			...(refusal && {reason: refusal.reason, notRun: refusal.isNotRun}),
-			...(refusal?.retryAfterMs !== undefined && {
-				retryAfterMs: Math.round(refusal.retryAfterMs),
-			}),
-			...(this._sentAt !== undefined && {waitedMs: since(this._sentAt)}),
-			...(this._waitedFor !== undefined && {waitedFor: this._waitedFor}),
-			...(this._firstByteAt !== undefined && {
-				firstByteMs: since(this._firstByteAt),
-				longestPauseMs: Math.round(this._longestPauseMs),
-			}),
-			...(version !== undefined && {configVersion: version}),
-			...(proofAge !== undefined && {proofAgeMs: Math.round(proofAge)}),
-		};
+			refusal,
+			route: this._route?.name,
+			customer: this._customer?.name,
+			adapter: this._adapterKey,
+			configVersion: authority.inForce?.config.version,
+			proofAgeMs: proofAgeMs(),
+		});
 		log.write(event);
 		metrics.noteRequest(event);
 	}
@@ -713,11 +671,3 @@
 			: undefined;
 	}
 }
-
-function unavailable(reason: string): CallRefusal {
-	return {status: 503, reason, isNotRun: true, retryAfterMs};
-}
-
-function broken(reason: string): CallRefusal {
-	return {status: 502, reason, isNotRun: false};
-}
