Let long prompts be read in turns on a server

Cause: late answers were pauses of 300 to 347 ms: three steps in a row that each read a full chunk of 2,048 prompt tokens of other requests.. Ruled out: waits before the first event (the smaller part), the number of requests on a server. Change: entries ask the agent beside the engine for a turn before they send a prompt; a leaky bucket holds the prompt tokens that the engine has still to read; engines are chosen by the delay of their prompts.

--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -10,26 +10,38 @@
 /** Outstanding requests of one entry for each slot of a plain server; the server queues the rest. */
 export const plainRequestsPerSlot = 2;
 
-/** Load at which an adapter gets a second server, in outstanding requests. */
-export const replicationLoad = 24;
+/**
+ * Prompt tokens that an engine is given in a millisecond. It reads 20.4 where it does nothing else (the users' sheet);
+ * the steps of running requests take the rest.
+ */
+export const promptTokensPerMs = 16;
 
-/** Load at which an adapter that is in use more than once gets a second server while few loads are under way. */
-export const spareReplicationLoad = 4;
+/** Prompt tokens that an engine may have before it, in tokens: less than one chunk of 2,048, which it reads in a step. */
+export const promptRoomTokens = 1800;
 
-/** Loads over all servers up to which the weight store has capacity to spare. It bears eight at full speed. */
-export const sparePendingLoads = 3;
+/** Tokens of a prompt of usual length, with which engines are compared. */
+export const usualPromptTokens = 1000;
 
-/**
- * Time for which a request that was just sent counts as being read, in milliseconds. A prompt of average length is
- * read in 75 ms; prompts that are read together slow all streams of the engine.
- */
-export const promptReadMs = 250;
+/** Delay of a usual prompt at which an adapter gets a further server, in milliseconds. */
+export const copyDelayMs = 150;
+
+/** The same for an adapter that is in use more than once, while the weight store has capacity to spare. */
+export const spareCopyDelayMs = 40;
+
+/** Loads over all engines up to which the weight store has capacity to spare, as a share of the engines. */
+export const spareLoadsShare = 0.25;
+
+/** Part of a holder's delay that a further server may have at most. */
+export const copyDelayShare = 0.5;
+
+/** What a running request counts for against delay when engines are compared, in milliseconds. */
+export const loadCostMs = 3;
 
-/** Weight of a prompt that is being read against a running request. */
-export const promptWeight = 4;
+/** What the way to another zone counts for, in milliseconds: some times the way itself, for the price of the bytes. */
+export const otherZoneCostMs = 5;
 
-/** Difference in load below which a session stays with its server, in requests. */
-export const sessionLoadTolerance = 6;
+/** What a cached prompt is worth against delay, in milliseconds: the time to read some hundred tokens. */
+export const sessionWorthMs = 40;
 
 /** Sessions whose server is remembered. */
 export const rememberedSessions = 4096;
@@ -50,7 +62,7 @@
 export const suspicionMs = 1000;
 
 /** Time for which a want stands without being repeated, in milliseconds. */
-export const wantLifetimeMs = 1000;
+export const wantLifetimeMs = 500;
 
 /** Silence of an engine and its agent after which requests go elsewhere, in milliseconds: three reports were lost. */
 export const silenceMs = 700;
--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -4,7 +4,8 @@
 import type {ServiceSpec} from '../authority/types.js';
 import {
 	outageAftermathMs,
-	replicationLoad,
+	copyDelayMs,
+	promptTokensPerMs,
 	silenceMs,
 	vanishedGraceMs,
 	versionGraceMs,
@@ -64,6 +65,7 @@
 	adapter: 'a',
 	session: undefined,
 	tokens: 1,
+	promptTokens: 1,
 	tried: new Set(),
 };
 
@@ -142,9 +144,10 @@
 			assert.deepEqual(new Set(wanted), new Set([first]));
 		});
 
-		it('come to a second server when the first is loaded', () => {
+		it('come to a second server when prompts wait at the first', () => {
 			list(record('x'), record('y'));
-			fleet.noteReport('x', report({a: 1}, {running: replicationLoad}), 0);
+			const promptDebt = (copyDelayMs + 100) * promptTokensPerMs;
+			fleet.noteReport('x', report({a: 1}, {promptDebt}), 0);
 			fleet.noteReport('y', report({}), 0);
 			assert.equal(chosen(), 'x');
 			assert.deepEqual(wanted, ['y']);
@@ -271,6 +274,18 @@
 		});
 	});
 
+	describe('prompts', () => {
+		it('go where they wait least, by reports and by what was sent since', () => {
+			list(record('x'), record('y'));
+			fleet.noteReport('x', report({a: 1}, {promptDebt: 4000}), 0);
+			fleet.noteReport('y', report({a: 1}, {running: 3}), 0);
+			assert.equal(chosen(), 'y');
+			fleet.server('y')!.notePrompt(8000, 0);
+			assert.equal(chosen(), 'x');
+			assert.equal(chosen({}, 1000), 'x');
+		});
+	});
+
 	describe('sessions', () => {
 		it('stay with the server that has their prompt unless it is much busier', () => {
 			list(record('x'), record('y'));
@@ -278,7 +293,7 @@
 			fleet.noteReport('y', report({a: 1}), 0);
 			fleet.noteSession('q', 'x');
 			assert.equal(chosen({session: 'q'}), 'x');
-			fleet.noteReport('x', report({a: 1}, {running: 20}), 1);
+			fleet.noteReport('x', report({a: 1}, {promptDebt: 4000}), 1);
 			assert.equal(chosen({session: 'q'}, 1), 'y');
 		});
 	});
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -1,23 +1,19 @@
-import {adapterKey, type DeclaredVersion} from '../authority/authority-view.js';
+import type {DeclaredVersion} from '../authority/authority-view.js';
 import type {ServiceSpec} from '../authority/types.js';
-import {hashString, rendezvousScore} from '../common/rendezvous.js';
+import {AdapterPlacement, type AdapterNeed} from './adapter-placement.js';
 import {
+	loadCostMs,
 	memoryShare,
+	otherZoneCostMs,
 	outageAftermathMs,
 	plainRequestsPerSlot,
-	promptWeight,
 	rememberedSessions,
-	replicationLoad,
-	spareReplicationLoad,
-	sparePendingLoads,
-	sessionLoadTolerance,
+	sessionWorthMs,
 	slotShare,
 	vanishedGraceMs,
-	versionGraceMs,
 } from './constants.js';
 import {ServerState} from './server-state.js';
 import type {
-	AdapterWant,
 	EngineReport,
 	ServerChange,
 	ServerChoice,
@@ -53,7 +49,16 @@
 	private readonly _sessions = new Map<string, string>();
 	private _outageEndedAt = Number.NEGATIVE_INFINITY;
 
-	private constructor(private readonly _options: FleetViewOptions) {}
+	private readonly _placement: AdapterPlacement;
+
+	private constructor(private readonly _options: FleetViewOptions) {
+		const {declaredVersion, onNewWant} = _options;
+		this._placement = AdapterPlacement.create({
+			declaredVersion,
+			onNewWant,
+			pendingLoads: now => this.pendingLoads(now),
+		});
+	}
 
 	servers(): Iterable<ServerState> {
 		return this._servers.values();
@@ -108,6 +113,18 @@
 		}
 	}
 
+	/** Adapters that are on their way over all servers, as far as is known. */
+	pendingLoads(now: number): number {
+		let count = 0;
+		for (const server of this._servers.values()) {
+			if (server.hasFreshReport(now)) {
+				count += server.report!.pending.length;
+			}
+		}
+
+		return count;
+	}
+
 	/** Chooses a server, or says what the request has to wait for. */
 	choose(need: ServerNeed, now: number): ServerChoice {
 		const usable = this._usable(need, now);
@@ -208,118 +225,13 @@
 
 	private _chooseForAdapter(
 		usable: readonly ServerState[],
-		need: ServerNeed & {readonly model: string; readonly adapter: string},
+		need: AdapterNeed,
 		now: number,
 	): ServerChoice {
-		const {model, adapter} = need;
-		const declared = this._options.declaredVersion(model, adapter);
-		const isBinding =
-			declared !== undefined && now - declared.learnedAt >= versionGraceMs;
-		const least = isBinding ? declared.version : 0;
-		const holders = usable.filter(server => {
-			const version = server.adapterVersion(model, adapter, now);
-			return (
-				version !== undefined &&
-				version >= least &&
-				!server.isPending(model, adapter, now)
-			);
-		});
-		const want = {model, adapter, version: declared?.version ?? 0};
-		const isCurrent = holders.some(
-			server => server.adapterVersion(model, adapter, now)! >= want.version,
-		);
-		const lightest = Math.min(...holders.map(server => server.load(now)));
-		if (!isCurrent) {
-			this._wantOnOne(usable, want, now);
-		} else if (this._deservesCopy(holders, want, lightest, now)) {
-			const lighter = usable.filter(server => server.load(now) < lightest / 2);
-			this._wantOnOne(lighter, want, now);
-		}
-
-		if (holders.length === 0) {
-			return {kind: 'awaitAdapter'};
-		}
-
-		const version = isBinding ? declared.version : undefined;
-		return this._chooseAmong(holders, need, version, now);
-	}
-
-	/** Whether an adapter should stand on one more server than it does. */
-	private _deservesCopy(
-		holders: readonly ServerState[],
-		{model, adapter}: AdapterWant,
-		lightest: number,
-		now: number,
-	): boolean {
-		if (lightest >= replicationLoad) {
-			return true;
-		}
-
-		const key = adapterKey(model, adapter);
-		const inUse = holders.reduce((sum, server) => sum + server.inUse(key), 0);
-		return (
-			lightest >= spareReplicationLoad &&
-			inUse > holders.length &&
-			this._pendingLoads(now) <= sparePendingLoads
-		);
-	}
-
-	/** Adapters that are on their way over all servers, as far as is known. */
-	private _pendingLoads(now: number): number {
-		let count = 0;
-		for (const server of this._servers.values()) {
-			if (server.hasFreshReport(now)) {
-				count += server.report!.pending.length;
-			}
-		}
-
-		return count;
-	}
-
-	/**
-	 * Asks for the adapter on the first server in the adapter's order that bears it. All entries share that order,
-	 * so that they ask the same server.
-	 */
-	private _wantOnOne(
-		usable: readonly ServerState[],
-		want: AdapterWant,
-		now: number,
-	): void {
-		const {model, adapter, version} = want;
-		const candidates = usable.filter(server => {
-			const held = server.adapterVersion(model, adapter, now);
-			return (
-				server.hasFreshReport(now) &&
-				server.hasModel(model, now) &&
-				(held === undefined || held < version)
-			);
-		});
-		// A new version in the place of an old one waits for its runs, and the engine takes no other order meanwhile.
-		const free = candidates.filter(
-			server => server.adapterVersion(model, adapter, now) === undefined,
-		);
-		const target =
-			candidates.find(server => server.isPending(model, adapter, now)) ??
-			this._firstInOrder(free.length > 0 ? free : candidates, want, now);
-		if (target?.want(want, now)) {
-			this._options.onNewWant(target.record.id);
-		}
-	}
-
-	private _firstInOrder(
-		candidates: readonly ServerState[],
-		{model, adapter}: AdapterWant,
-		now: number,
-	): ServerState | undefined {
-		const keyHash = hashString(adapterKey(model, adapter));
-		const scoreOf = ({record}: ServerState) =>
-			rendezvousScore(keyHash, hashString(record.id));
-		const ordered = candidates.toSorted((a, b) => scoreOf(b) - scoreOf(a));
-		return (
-			ordered.find(
-				server => server.load(now) < server.record.slots * slotShare,
-			) ?? ordered[0]
-		);
+		const {holders, version} = this._placement.place(usable, need, now);
+		return holders.length === 0
+			? {kind: 'awaitAdapter'}
+			: this._chooseAmong(holders, need, version, now);
 	}
 
 	private _chooseAmong(
@@ -334,33 +246,26 @@
 				server.hasMemoryFor(need.tokens, memoryShare, now) &&
 				this._mayGetMore(server, now),
 		);
-		if (open.length === 0) {
+		const known =
+			need.session === undefined ? undefined : this._sessions.get(need.session);
+		let best: {readonly id: string; readonly cost: number} | undefined;
+		for (const server of open) {
+			const {id} = server.record;
+			const cost =
+				server.promptDelayMs(now, need.promptTokens) +
+				loadCostMs * server.load(now) +
+				otherZoneCostMs * this._distance(server) -
+				(id === known ? sessionWorthMs : 0);
+			if (best === undefined || cost < best.cost) {
+				best = {id, cost};
+			}
+		}
+
+		if (best === undefined) {
 			return {kind: holders.length === 0 ? 'noServer' : 'full'};
 		}
 
-		const loads = new Map(
-			open.map(
-				server =>
-					[
-						server,
-						server.load(now) + promptWeight * server.promptsBeingRead(now),
-					] as const,
-			),
-		);
-		const [best] = open.toSorted(
-			(a, b) =>
-				loads.get(a)! - loads.get(b)! || this._distance(a) - this._distance(b),
-		);
-		const known = open.find(
-			server =>
-				need.session !== undefined &&
-				server.record.id === this._sessions.get(need.session),
-		);
-		const isKnownLight =
-			known !== undefined &&
-			loads.get(known)! <= loads.get(best!)! + sessionLoadTolerance;
-		const chosen = isKnownLight ? known : best!;
-		return {kind: 'send', server: chosen.record.id, version};
+		return {kind: 'send', server: best.id, version};
 	}
 
 	/** Bounds what a cold server gets in a second to this entry's part. */
--- /dev/null
+++ b/packages/core/src/placement/prompt-pacer.test.ts
@@ -0,0 +1,133 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createRandom} from '../common/random.js';
+import {PromptPacer} from './prompt-pacer.js';
+
+/** Prompt tokens that an engine reads in a step, and its times: the users' sheet. */
+const chunkTokens = 2048;
+const tokensPerMs = 20.4;
+const stepMs = 10.1;
+/** Steps that make one event of a stream. */
+const stepsPerEvent = 3;
+/** Longest pause that callers bear, and time to the first event that they aim at. */
+const pauseBoundMs = 300;
+const firstEventBoundMs = 800;
+const stepsPerAnswer = 171;
+
+type Prompt = {readonly at: number; readonly sentAt: number; left: number};
+type Run = {left: number; lastEventAt: number; steps: number; pauseMs: number};
+
+type Outcome = {
+	/** Share of the answers with a pause beyond the bound. */
+	readonly paused: number;
+	/** Share of the answers whose first event came too late. */
+	readonly late: number;
+};
+
+/** Plays an engine that reads prompts in chunks between the steps of its runs. */
+function play(requestsPerSecond: number, isPaced: boolean): Outcome {
+	const random = createRandom(20_261_204);
+	const pacer = PromptPacer.create(0);
+	const prompts: Prompt[] = [];
+	let at = 0;
+	while (at < 60_000) {
+		at -= (Math.log(1 - random()) * 1000) / requestsPerSecond;
+		const left = Math.min(4000, 300 + Math.exp(6.2 + 1.1 * random() * 1.6));
+		const delayMs = isPaced ? pacer.reserve(left, at) : 0;
+		prompts.push({at, sentAt: at + delayMs, left});
+	}
+
+	prompts.sort((a, b) => a.sentAt - b.sentAt);
+	return run(prompts);
+}
+
+function run(arrivals: readonly Prompt[]): Outcome {
+	const waiting = [...arrivals];
+	const reading: Prompt[] = [];
+	let runs: Run[] = [];
+	let now = 0;
+	let paused = 0;
+	let late = 0;
+	while (waiting.length + reading.length + runs.length > 0) {
+		if (reading.length + runs.length === 0) {
+			now = Math.max(now, waiting[0]!.sentAt);
+		}
+
+		while (waiting.length > 0 && waiting[0]!.sentAt <= now) {
+			reading.push(waiting.shift()!);
+		}
+
+		const read = readChunk(reading);
+		now += stepMs + read / tokensPerMs;
+		for (const answer of runs) {
+			step(answer, now);
+		}
+
+		paused += runs.filter(
+			({left, pauseMs}) => left === 0 && pauseMs > pauseBoundMs,
+		).length;
+		runs = runs.filter(({left}) => left > 0);
+		while (reading.length > 0 && reading[0]!.left <= 0) {
+			const {at} = reading.shift()!;
+			late += now - at > firstEventBoundMs ? 1 : 0;
+			runs.push({left: stepsPerAnswer, lastEventAt: now, steps: 0, pauseMs: 0});
+		}
+	}
+
+	return {paused: paused / arrivals.length, late: late / arrivals.length};
+}
+
+function readChunk(reading: readonly Prompt[]): number {
+	let read = 0;
+	for (const prompt of reading) {
+		const part = Math.min(prompt.left, chunkTokens - read);
+		prompt.left -= part;
+		read += part;
+	}
+
+	return read;
+}
+
+function step(answer: Run, now: number): void {
+	answer.left--;
+	answer.steps++;
+	if (answer.steps % stepsPerEvent === 0 || answer.left === 0) {
+		answer.pauseMs = Math.max(answer.pauseMs, now - answer.lastEventAt);
+		answer.lastEventAt = now;
+	}
+}
+
+describe('PromptPacer', () => {
+	describe('prompts that arrive together at one engine', () => {
+		for (const requestsPerSecond of [5, 7.5]) {
+			it(`pause no streams at ${requestsPerSecond} requests a second, and miss their aims half as often`, () => {
+				const free = play(requestsPerSecond, false);
+				const paced = play(requestsPerSecond, true);
+				assert.ok(free.paused > 0.05, `${free.paused}`);
+				assert.ok(paced.paused < 0.01, `${paced.paused}`);
+				const missed = ({paused, late}: Outcome) => paused + late;
+				assert.ok(missed(paced) < missed(free) / 2, `${missed(paced)}`);
+			});
+		}
+	});
+
+	it('lets a prompt through at once where nothing is read', () => {
+		const pacer = PromptPacer.create(0);
+		assert.equal(pacer.reserve(4000, 0), 0);
+	});
+
+	it('makes the next one wait for a large one', () => {
+		const pacer = PromptPacer.create(0);
+		pacer.reserve(4000, 0);
+		const delayMs = pacer.reserve(1000, 0);
+		assert.ok(delayMs > 150 && delayMs < 300, `${delayMs}`);
+	});
+
+	it('forgets what was read, and what is not sent after all', () => {
+		const pacer = PromptPacer.create(0);
+		pacer.reserve(4000, 0);
+		pacer.release(4000, 0);
+		assert.equal(pacer.reserve(1500, 0), 0);
+		assert.equal(pacer.reserve(1500, 1000), 0);
+	});
+});
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -1,11 +1,12 @@
 import {adapterKey} from '../authority/authority-view.js';
 import {
-	promptReadMs,
 	reportLifetimeMs,
 	silenceMs,
 	suspicionMs,
+	usualPromptTokens,
 	wantLifetimeMs,
 } from './constants.js';
+import {debtAfter, turnDelayMs} from './prompt-pacer.js';
 import type {AdapterWant, EngineReport, ServerRecord} from './types.js';
 
 /** One backend server as an entry sees it: its record, its agent's report, and what the entry itself sent. */
@@ -23,6 +24,9 @@
 	private _report: EngineReport | undefined;
 	private _reportedAt = Number.NEGATIVE_INFINITY;
 	private _sentAt: number[] = [];
+	/** Prompt tokens that this entry sent since the last report. */
+	private _ownDebt = 0;
+	private _ownDebtAt = 0;
 	private _heardAt = Number.NEGATIVE_INFINITY;
 	private _suspectedAt = Number.NEGATIVE_INFINITY;
 	private readonly _wants = new Map<string, {want: AdapterWant; at: number}>();
@@ -61,6 +65,7 @@
 
 		this._report = report;
 		this._reportedAt = now;
+		this._ownDebt = 0;
 		this._refused.clear();
 	}
 
@@ -124,9 +129,15 @@
 		return this._sentAt.filter(at => now - at <= 1000).length;
 	}
 
-	/** Requests of this entry whose prompts the server may still read. */
-	promptsBeingRead(now: number): number {
-		return this._sentAt.filter(at => now - at <= promptReadMs).length;
+	/** Time until the engine could read a prompt, in milliseconds. */
+	promptDelayMs(now: number, tokens: number = usualPromptTokens): number {
+		return turnDelayMs(this._promptDebt(now), tokens);
+	}
+
+	/** This entry took a turn for a prompt, which the next report will include. */
+	notePrompt(tokens: number, now: number): void {
+		this._ownDebt = debtAfter(this._ownDebt, now - this._ownDebtAt) + tokens;
+		this._ownDebtAt = now;
 	}
 
 	/** Requests of this entry that use the adapter here. */
@@ -211,6 +222,13 @@
 		return [...used];
 	}
 
+	private _promptDebt(now: number): number {
+		const reported = this.hasFreshReport(now)
+			? debtAfter(this._report!.promptDebt ?? 0, now - this._reportedAt)
+			: 0;
+		return reported + debtAfter(this._ownDebt, now - this._ownDebtAt);
+	}
+
 	private _models(now: number) {
 		return this.hasFreshReport(now)
 			? this._report!.models
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -45,6 +45,8 @@
 	readonly memoryTotal: number;
 	readonly models: readonly HeldModel[];
 	readonly pending: readonly PendingAdapter[];
+	/** Prompt tokens that were let through to the engine and are not read yet, by its agent's count. */
+	readonly promptDebt?: number;
 };
 
 /** What a request needs of a server. */
@@ -57,6 +59,7 @@
 	readonly session: string | undefined;
 	/** Prompt and the most that may be generated, in tokens. */
 	readonly tokens: number;
+	readonly promptTokens: number;
 	/** Servers that the request was sent to. */
 	readonly tried: ReadonlySet<string>;
 };
@@ -81,4 +84,6 @@
 	readonly adapter: string;
 	/** Least version; 0 means the newest that there is. */
 	readonly version: number;
+	/** Requests that wait for it. */
+	readonly waiting?: number;
 };
--- a/packages/daemon/src/direct/agent-runtime.ts
+++ b/packages/daemon/src/direct/agent-runtime.ts
@@ -1,6 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import {
 	OrderPlanner,
+	PromptPacer,
 	type EngineOrder,
 	type EngineReport,
 	type OrderOutcome,
@@ -34,6 +35,7 @@
 	}
 
 	private readonly _planner = OrderPlanner.create();
+	private readonly _pacer = PromptPacer.create(performance.now());
 	private readonly _metrics = DirectMetrics.create(() => 0);
 	private readonly _entries = new Map<string, Subscriber>();
 	private _socket: DatagramSocket | undefined;
@@ -79,16 +81,24 @@
 	}
 
 	private _onMessage(message: GossipMessage, from: Endpoint): void {
-		if (message.type !== 'demand') {
-			return;
+		const now = performance.now();
+		if (message.type === 'turnAsk') {
+			const {askId, promptTokens} = message;
+			const delayMs = this._pacer.reserve(promptTokens, now);
+			this._socket?.send({type: 'turnAnswer', askId, delayMs}, from);
+		} else if (message.type === 'turnReturn') {
+			this._pacer.release(message.promptTokens, now);
+		} else if (message.type === 'demand') {
+			this._onDemand(message, from, now);
 		}
+	}
 
-		const now = performance.now();
+	private _onDemand(message: DemandMessage, from: Endpoint, now: number): void {
 		const id = `${from.host}:${from.port}`;
 		const isNew = !this._entries.has(id);
 		this._entries.set(id, {endpoint: from, lastAt: now});
 		this._server = message.server;
-		this._noteDemand(message, now);
+		this._planner.noteDemand(message.demand, now);
 		if (isNew) {
 			this._tell(from);
 		}
@@ -99,10 +109,6 @@
 		}
 	}
 
-	private _noteDemand({demand}: DemandMessage, now: number): void {
-		this._planner.noteDemand(demand, now);
-	}
-
 	/** Reads the engine's report, gives orders as far as they are due, and tells the entries. */
 	private async _turn(): Promise<void> {
 		if (this._isTurning) {
@@ -222,7 +228,14 @@
 	private _tell(to: Endpoint): void {
 		if (this._report !== undefined && this._server !== undefined) {
 			this._socket?.send(
-				{type: 'report', server: this._server, report: this._report},
+				{
+					type: 'report',
+					server: this._server,
+					report: {
+						...this._report,
+						promptDebt: Math.round(this._pacer.debt(performance.now())),
+					},
+				},
 				to,
 			);
 		}
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -6,6 +6,7 @@
 	SuspectRegistry,
 } from '@balsamtray/core';
 import type {DirectMetrics} from './direct-metrics.js';
+import type {EngineLinks} from './engine-links.js';
 import type {EntryPeers} from './entry-peers.js';
 import type {EventLog} from './event-log.js';
 import type {CallCodec} from './types.js';
@@ -18,6 +19,7 @@
 	readonly authority: AuthorityView;
 	readonly fleet: FleetView;
 	readonly peers: EntryPeers;
+	readonly links: EngineLinks;
 	/** Requests that were present when connections to servers broke. */
 	readonly suspects: SuspectRegistry;
 	readonly upstream: Upstream;
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -10,6 +10,12 @@
 /** Questions to a customer's owner until its rate is taken from the part kept for this. */
 export const quotaTries = 2;
 
+/** Delay of a turn below which a timer does not pay, in milliseconds. */
+export const shortestTurnMs = 1;
+
+/** Time for an answer of an agent about a turn, in milliseconds: many times the way between zones. */
+export const turnTimeoutMs = 30;
+
 /** Time between two demands to an agent, in milliseconds. */
 export const demandIntervalMs = 250;
 
--- a/packages/daemon/src/direct/engine-links.ts
+++ b/packages/daemon/src/direct/engine-links.ts
@@ -4,8 +4,13 @@
 	ServerState,
 	ServiceSpec,
 } from '@balsamtray/core';
-import type {DemandMessage} from '@balsamtray/protocol';
-import {demandIntervalMs, quietDemandIntervalMs} from './constants.js';
+import type {GossipMessage} from '@balsamtray/protocol';
+import {
+	demandIntervalMs,
+	quietDemandIntervalMs,
+	turnTimeoutMs,
+} from './constants.js';
+import {OpenAsks} from './open-asks.js';
 import type {Endpoint} from './types.js';
 
 export type EngineLinksOptions = {
@@ -13,7 +18,7 @@
 	readonly clock: () => number;
 	readonly serviceOf: (name: string) => ServiceSpec | undefined;
 	readonly agentPort: number;
-	readonly send: (message: DemandMessage, to: Endpoint) => void;
+	readonly send: (message: GossipMessage, to: Endpoint) => void;
 	/** A report came, which may let waiting requests go on. */
 	readonly onReport: () => void;
 	readonly onLost: (server: string, err: unknown) => void;
@@ -29,6 +34,7 @@
 	private readonly _reportedAt = new Map<string, number>();
 	private readonly _demandedAt = new Map<string, number>();
 	private readonly _lost = new Set<string>();
+	private readonly _turns = OpenAsks.create<number>(turnTimeoutMs);
 	private _timer: NodeJS.Timeout | undefined;
 
 	private constructor(private readonly _options: EngineLinksOptions) {}
@@ -43,6 +49,39 @@
 		clearInterval(this._timer);
 	}
 
+	/**
+	 * Takes the turn of a prompt at an engine. Resolves with the time after which it may be sent, in milliseconds: 0
+	 * where no agent answers, as an engine without its agent still serves.
+	 */
+	async takeTurn(id: string, promptTokens: number): Promise<number> {
+		const {fleet, clock, send} = this._options;
+		const server = fleet.server(id);
+		if (server === undefined || !server.hasFreshReport(clock())) {
+			return 0;
+		}
+
+		server.notePrompt(promptTokens, clock());
+		const delayMs = await this._turns.ask(askId => {
+			send({type: 'turnAsk', askId, promptTokens}, this._agentOf(server));
+		});
+		return delayMs ?? 0;
+	}
+
+	/** Gives back the turn of a prompt that is not sent. */
+	returnTurn(id: string, promptTokens: number): void {
+		const server = this._options.fleet.server(id);
+		if (server !== undefined) {
+			this._options.send(
+				{type: 'turnReturn', promptTokens},
+				this._agentOf(server),
+			);
+		}
+	}
+
+	onTurnAnswer(askId: number, delayMs: number): void {
+		this._turns.settle(askId, delayMs);
+	}
+
 	/** Tells one agent at once. */
 	demandOf(id: string): void {
 		const server = this._options.fleet.server(id);
@@ -105,8 +144,8 @@
 	}
 
 	private _demand(server: ServerState): void {
-		const {serviceOf, send, agentPort, clock} = this._options;
-		const {id, service, address} = server.record;
+		const {serviceOf, send, clock} = this._options;
+		const {id, service} = server.record;
 		this._demandedAt.set(id, clock());
 		const engine = serviceOf(service)?.engine;
 		if (engine === undefined) {
@@ -124,7 +163,15 @@
 					adapterPlaces: engine.adapterPlaces,
 				},
 			},
-			{host: address.slice(0, address.lastIndexOf(':')), port: agentPort},
+			this._agentOf(server),
 		);
 	}
+
+	/** An agent is on its engine's host. */
+	private _agentOf({record: {address}}: ServerState): Endpoint {
+		return {
+			host: address.slice(0, address.lastIndexOf(':')),
+			port: this._options.agentPort,
+		};
+	}
 }
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -12,6 +12,7 @@
 	quotaTimeoutMs,
 	quotaTries,
 } from './constants.js';
+import {OpenAsks} from './open-asks.js';
 import type {Endpoint, MemberRow} from './types.js';
 
 export type EntryPeersOptions = {
@@ -41,8 +42,6 @@
 	lastBeat?: {readonly sentAt: number; readonly receivedAt: number};
 };
 
-type OpenAsk = {readonly settle: (grant: QuotaGrant) => void};
-
 /** The other entries: who is there, what they prove, and the customers' rates that they own. */
 export class EntryPeers {
 	static create(options: EntryPeersOptions): EntryPeers {
@@ -50,8 +49,7 @@
 	}
 
 	private readonly _peers = new Map<string, Peer>();
-	private readonly _asks = new Map<number, OpenAsk>();
-	private _nextAskId = 1;
+	private readonly _asks = OpenAsks.create<QuotaGrant>(quotaTimeoutMs);
 	private _beatEpoch = -1;
 	/** Time of the first beat of the present epoch: echoes of earlier beats prove nothing. */
 	private _epochBeganAt = 0;
@@ -173,7 +171,7 @@
 	}
 
 	onQuotaAnswer(askId: number, grant: QuotaGrant): void {
-		this._asks.get(askId)?.settle(grant);
+		this._asks.settle(askId, grant);
 	}
 
 	/** Whether the customer's rate is kept here. */
@@ -278,19 +276,7 @@
 			return undefined;
 		}
 
-		const askId = this._nextAskId++;
-		return new Promise(resolve => {
-			const timer = setTimeout(() => {
-				this._asks.delete(askId);
-				resolve(undefined);
-			}, quotaTimeoutMs);
-			this._asks.set(askId, {
-				settle: grant => {
-					clearTimeout(timer);
-					this._asks.delete(askId);
-					resolve(grant);
-				},
-			});
+		return this._asks.ask(askId => {
 			this._options.send(
 				{type: 'quotaAsk', from: this._options.hostId, askId, customer, units},
 				peer.endpoint,
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -212,6 +212,7 @@
 			authority: this._authority,
 			fleet: this._fleet,
 			peers: this._peers,
+			links: this._links,
 			suspects: this._suspects,
 			upstream: this._upstream,
 			waiting: this._waiting,
@@ -464,6 +465,14 @@
 				break;
 			}
 
+			case 'turnAnswer': {
+				this._links.onTurnAnswer(message.askId, message.delayMs);
+				break;
+			}
+
+			// For agents.
+			case 'turnAsk':
+			case 'turnReturn':
 			case 'demand': {
 				break;
 			}
--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -148,6 +148,7 @@
 	key: undefined,
 	model: undefined,
 	adapter: undefined,
+	promptTokens: undefined,
 	tokens: undefined,
 	session: undefined,
 	lastEventId: undefined,
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -15,7 +15,11 @@
 	type ServerChoice,
 } from '@balsamtray/core';
 import {broken, unavailable, type CallRefusal} from './call-refusal.js';
-import {elsewhereRetryAfterMs, longestWaitShare} from './constants.js';
+import {
+	elsewhereRetryAfterMs,
+	longestWaitShare,
+	shortestTurnMs,
+} from './constants.js';
 import type {CallContext} from './call-context.js';
 import {CallRecord} from './call-record.js';
 import type {CallFacts} from './types.js';
@@ -34,6 +38,11 @@
 /** One send of the request to a server. */
 type Send = {
 	readonly server: string;
+	/** Version of the adapter that the server must have, where an older one would be wrong. */
+	readonly version: number | undefined;
+	/** Prompt tokens of a turn that was taken and not used yet. */
+	turnTokens: number | undefined;
+	/** Undefined until it is dispatched. */
 	call: UpstreamCall | undefined;
 	/** Whether a connection took it, so that it may run. */
 	isSent: boolean;
@@ -75,6 +84,7 @@
 	private _waiter: Waiter | undefined;
 	private _waitUntil = 0;
 	private _timer: NodeJS.Timeout | undefined;
+	private _turnTimer: NodeJS.Timeout | undefined;
 	private _deadlineAt = 0;
 	private _isEnded = false;
 	/** Whether some server may have run the request. */
@@ -282,7 +292,7 @@
 	}
 
 	private _choose(now: number): ServerChoice {
-		const {model, adapter, session, tokens} = this._facts;
+		const {model, adapter, session, tokens, promptTokens} = this._facts;
 		return this._context.fleet.choose(
 			{
 				service: this._service ?? '',
@@ -290,6 +300,7 @@
 				adapter,
 				session,
 				tokens: tokens ?? 0,
+				promptTokens: promptTokens ?? 0,
 				tried: this._tried,
 			},
 			now,
@@ -324,49 +335,104 @@
 		version: number | undefined,
 		now: number,
 	): void {
-		const {fleet, retries, upstream, codec, peers, maxConnections} =
+		const {fleet} = this._context;
+		fleet.server(server)!.noteSent(this._adapterKey, now);
+		if (this._facts.session !== undefined) {
+			fleet.noteSession(this._facts.session, server);
+		}
+
+		const send: Send = {
+			server,
+			version,
+			call: undefined,
+			turnTokens: undefined,
+			isSent: false,
+			hasAnswered: false,
+		};
+		this._send = send;
+		clearTimeout(this._timer);
+		this._timer = setTimeout(() => {
+			this._onDeadline();
+		}, this._deadlineAt - now);
+		if (this._facts.model === undefined) {
+			this._dispatch(send);
+		} else {
+			void this._takeTurn(send);
+		}
+	}
+
+	/** Waits until the engine can read the prompt without holding up the streams that run on it. */
+	private async _takeTurn(send: Send): Promise<void> {
+		const {links, clock} = this._context;
+		const promptTokens = this._facts.promptTokens ?? 0;
+		const delayMs = await links.takeTurn(send.server, promptTokens);
+		if (this._send !== send) {
+			links.returnTurn(send.server, promptTokens);
+			return;
+		}
+
+		send.turnTokens = promptTokens;
+		const startsAt = clock() + delayMs;
+		if (startsAt > Math.max(this._waitUntil, clock())) {
+			this._endSend('turn too late');
+			this._giveUp({...unavailable('promptQueue'), retryAfterMs: delayMs});
+		} else if (delayMs < shortestTurnMs) {
+			this._onTurn(send);
+		} else {
+			this._record.noteWait('promptQueue');
+			this._turnTimer = setTimeout(() => {
+				this._onTurn(send);
+			}, delayMs);
+		}
+	}
+
+	/** Decides again, as much may have changed since the turn was taken. */
+	private _onTurn(send: Send): void {
+		const refusal = this._authorize();
+		if (refusal !== undefined) {
+			this._endSend('not sent: no longer allowed');
+			this._giveUp(refusal);
+			return;
+		}
+
+		if (!this._context.fleet.isUsable(send.server, this._context.clock())) {
+			this._endSend('not sent: the server leaves');
+			this._place();
+			return;
+		}
+
+		this._dispatch(send);
+	}
+
+	private _dispatch(send: Send): void {
+		const {fleet, retries, upstream, codec, peers, maxConnections, clock} =
 			this._context;
-		const state = fleet.server(server)!;
-		const {service} = state.record;
+		const now = clock();
+		const {service, address} = fleet.server(send.server)!.record;
 		if (!this._hasCounted) {
 			this._hasCounted = true;
 			retries(service).noteRequest(now);
 		} else if (!retries(service).tryTake(peers.entryCount, now)) {
+			this._endSend('not sent: retry budget');
 			this._giveUp(unavailable('retryBudget'));
 			return;
 		}
 
-		clearTimeout(this._timer);
-		this._timer = setTimeout(() => {
-			this._onDeadline();
-		}, this._deadlineAt - now);
 		this._record.noteSent(now);
-		this._tried.add(server);
-		const key = this._adapterKey;
-		state.noteSent(key, now);
-		if (this._facts.session !== undefined) {
-			fleet.noteSession(this._facts.session, server);
-		}
-
+		this._tried.add(send.server);
+		send.turnTokens = undefined;
 		const headers = codec.encodeForward(this._req.rawHeaders, {
-			server,
+			server: send.server,
 			deadlineMs: Math.max(1, Math.floor(this._deadlineAt - now)),
 			customer: this._customer?.name,
-			adapterVersion: version,
+			adapterVersion: send.version,
 			urgency: this._priority,
 			lastEventId: this._lastEventId,
 		});
-		const send: Send = {
-			server,
-			call: undefined,
-			isSent: false,
-			hasAnswered: false,
-		};
-		this._send = send;
 		send.call = upstream.send(
 			{
-				server,
-				address: state.record.address,
+				server: send.server,
+				address,
 				maxConnections: maxConnections(service),
 				method: this._req.method ?? 'GET',
 				path: this._req.url ?? '/',
@@ -570,7 +636,13 @@
 		}
 
 		send.call?.abort();
-		this._mayHaveRun ||= send.isSent;
+		if (!send.isSent) {
+			this._endSend('not sent: deadline');
+			this._giveUp(unavailable('deadline'));
+			return;
+		}
+
+		this._mayHaveRun = true;
 		this._endSend('deadline');
 		this._giveUp({status: 504, reason: 'deadline', isNotRun: false});
 	}
@@ -594,6 +666,11 @@
 		}
 
 		this._send = undefined;
+		clearTimeout(this._turnTimer);
+		if (send.turnTokens !== undefined) {
+			this._context.links.returnTurn(send.server, send.turnTokens);
+		}
+
 		this._record.noteSend(send.server, outcome);
 		const {fleet, metrics} = this._context;
 		const server = fleet.server(send.server);
--- a/packages/daemon/src/direct/types.ts
+++ b/packages/daemon/src/direct/types.ts
@@ -53,6 +53,7 @@
 	readonly key: string | undefined;
 	readonly model: string | undefined;
 	readonly adapter: string | undefined;
+	readonly promptTokens: number | undefined;
 	/** Prompt tokens and the most that may be generated. */
 	readonly tokens: number | undefined;
 	/** Names the part of the prompt that belongs to the request's session. */
--- a/packages/protocol/src/gossip/messages.ts
+++ b/packages/protocol/src/gossip/messages.ts
@@ -53,6 +53,26 @@
 	readonly demand: EngineDemand;
 };
 
+/** Asks the agent beside an engine for the turn of a prompt. */
+export type TurnAsk = {
+	readonly type: 'turnAsk';
+	readonly askId: number;
+	readonly promptTokens: number;
+};
+
+export type TurnAnswer = {
+	readonly type: 'turnAnswer';
+	readonly askId: number;
+	/** Time after which the prompt may be sent, in milliseconds. */
+	readonly delayMs: number;
+};
+
+/** Gives back the turn of a prompt that was not sent. */
+export type TurnReturn = {
+	readonly type: 'turnReturn';
+	readonly promptTokens: number;
+};
+
 /** An engine's report, from the agent beside it. */
 export type ReportMessage = {
 	readonly type: 'report';
@@ -76,6 +96,9 @@
 	| QuotaReturn
 	| SuspectMessage
 	| DemandMessage
+	| TurnAsk
+	| TurnAnswer
+	| TurnReturn
 	| ReportMessage;
 
 const messageTypes: ReadonlySet<string> = new Set([
@@ -85,6 +108,9 @@
 	'quotaReturn',
 	'suspect',
 	'demand',
+	'turnAsk',
+	'turnAnswer',
+	'turnReturn',
 	'report',
 ] satisfies ReadonlyArray<GossipMessage['type']>);
 
