Load adapters one after the other while the weight store is busy, more waiters first

Cause: at the weight store's 32 loads a second all loads of the fleet shared its rate, so that each took seconds and many requests timed out together; a load that had been carried out still counted as under way. Ruled out: the time of an order on its way (milliseconds). Change: a queue of wanted adapters ranked by first want and waiters; while the fleet loads much only one fetched load at a time on an engine; accepted loads are cleared once the engine shows them.

--- a/packages/core/src/orders/order-planner.test.ts
+++ b/packages/core/src/orders/order-planner.test.ts
@@ -34,7 +34,7 @@
 	now = 0,
 ): OrderPlanner {
 	const planner = OrderPlanner.create();
-	planner.noteDemand({wants, used, models: ['m'], adapterPlaces: 2}, now);
+	planner.noteDemand({wants, used, models: ['m'], adapterPlaces: 2}, 'e1', now);
 	return planner;
 }
 
@@ -79,6 +79,7 @@
 			assert.equal(planner.plan(restarted, 0)?.operation, 'unload');
 			planner.noteDemand(
 				{wants: [want('c')], used: [], models: ['m'], adapterPlaces: 2},
+				'e1',
 				doubtMs,
 			);
 			assert.equal(planner.plan(restarted, doubtMs)?.operation, 'load');
@@ -92,6 +93,7 @@
 			assert.equal(planner.plan(report, evictionQuietMs - 1), undefined);
 			planner.noteDemand(
 				{wants: [want('c')], used: ['m/a'], models: ['m'], adapterPlaces: 2},
+				'e1',
 				evictionQuietMs,
 			);
 			const order = planner.plan(report, evictionQuietMs);
@@ -110,6 +112,7 @@
 			const planner = OrderPlanner.create();
 			planner.noteDemand(
 				{wants: [want('a')], used: [], models: ['m'], adapterPlaces: 17},
+				'e1',
 				0,
 			);
 			assert.equal(planner.plan(reportOf({}, {pending}), 0), undefined);
@@ -124,6 +127,7 @@
 			for (let now = 40; now < 1400; now += 40) {
 				planner.noteDemand(
 					{wants: [want('a', 2)], used: [], models: ['m'], adapterPlaces: 2},
+					'e1',
 					now,
 				);
 				assert.equal(planner.plan({...report, sequence: 4}, now), undefined);
@@ -131,6 +135,7 @@
 
 			planner.noteDemand(
 				{wants: [want('a', 2)], used: [], models: ['m'], adapterPlaces: 2},
+				'e1',
 				acceptedLoadMs,
 			);
 			assert.equal(planner.plan(report, acceptedLoadMs)?.operation, 'load');
@@ -142,6 +147,48 @@
 			assert.equal(order?.expectedSequence, 3);
 		});
 
+		it('come again after an adapter was loaded and evicted', () => {
+			const planner = plannerWith([want('a')]);
+			planner.noteOutcome(planner.plan(reportOf({}), 0)!, 'accepted', 1, 0);
+			assert.equal(planner.plan(reportOf({a: 1}), 300), undefined);
+			planner.noteDemand(
+				{wants: [want('a')], used: [], models: ['m'], adapterPlaces: 2},
+				'e1',
+				600,
+			);
+			assert.equal(planner.plan(reportOf({}), 600)?.adapter, 'a');
+		});
+
+		it('go one after the other while the weight store is busy, but for adapters at hand', () => {
+			const planner = OrderPlanner.create();
+			const demand = {
+				wants: [want('a'), want('b')],
+				used: [],
+				models: ['m'],
+				adapterPlaces: 17,
+				loads: 8,
+				engines: 13,
+			};
+			planner.noteDemand(demand, 'e1', 0);
+			const pending = [{model: 'm', adapter: 'x', version: 1}];
+			assert.equal(planner.plan(reportOf({}, {pending}), 0), undefined);
+			assert.equal(planner.plan(reportOf({}), 0)?.adapter, 'a');
+			planner.plan(reportOf({a: 1, b: 1}), 10);
+			planner.noteDemand(demand, 'e1', 20);
+			assert.equal(planner.plan(reportOf({}, {pending}), 20)?.adapter, 'a');
+			planner.noteDemand({...demand, loads: 2}, 'e1', 30);
+			assert.equal(planner.plan(reportOf({}, {pending}), 30)?.adapter, 'a');
+		});
+
+		it('go first to adapters for which more requests wait', () => {
+			const planner = OrderPlanner.create();
+			const demand = {used: [], models: ['m'], adapterPlaces: 17};
+			planner.noteDemand({...demand, wants: [want('a')]}, 'e1', 0);
+			planner.noteDemand({...demand, wants: [want('b')]}, 'e1', 100);
+			planner.noteDemand({...demand, wants: [want('b')]}, 'e2', 100);
+			assert.equal(planner.plan(reportOf({}), 100)?.adapter, 'b');
+		});
+
 		it('end with the want', () => {
 			const planner = plannerWith([want('a')]);
 			assert.equal(planner.plan(reportOf({}), 2000), undefined);
--- a/packages/core/src/orders/order-planner.ts
+++ b/packages/core/src/orders/order-planner.ts
@@ -3,10 +3,12 @@
 import type {AdapterWant, EngineReport} from '../placement/types.js';
 import {
 	acceptedLoadMs,
+	busyLoadsPerEngine,
 	doubtMs,
 	evictionQuietMs,
-	wantLifetimeMs,
+	keptAdapters,
 } from './constants.js';
+import {WantQueue} from './want-queue.js';
 
 /** An order to an engine, with the count of accepted orders at which it is valid. */
 export type EngineOrder = {
@@ -35,12 +37,16 @@
 	/** Models that the service is to hold. */
 	readonly models: readonly string[];
 	readonly adapterPlaces: number;
+	/** Loads under way over all engines, and the engines, as the entry knows them. */
+	readonly loads?: number;
+	readonly engines?: number;
 };
 
-type Want = {
-	readonly want: AdapterWant;
-	readonly firstAt: number;
-	readonly lastAt: number;
+/** A load that the engine accepted and does not show yet. */
+type AcceptedLoad = {
+	readonly at: number;
+	/** Version that was ordered; undefined for the newest. */
+	readonly version: number | undefined;
 };
 
 type Doubt = {
@@ -55,13 +61,15 @@
 		return new OrderPlanner();
 	}
 
-	private readonly _wants = new Map<string, Want>();
+	private readonly _wants = WantQueue.create();
+	private readonly _kept = new Map<string, true>();
+	private _keptBorn = 0;
+	private _isStoreBusy = false;
 	private readonly _usedAt = new Map<string, number>();
 	private _models: readonly string[] = [];
 	private _places = 0;
 	private _doubts: Doubt[] = [];
-	/** Times of accepted loads that the report does not show yet, by adapter. */
-	private readonly _accepted = new Map<string, number>();
+	private readonly _accepted = new Map<string, AcceptedLoad>();
 
 	private constructor() {}
 
@@ -70,16 +78,17 @@
 		return this._wants.size > 0;
 	}
 
-	noteDemand(demand: EngineDemand, now: number): void {
-		this._models = demand.models;
-		this._places = demand.adapterPlaces;
-		for (const want of demand.wants) {
-			const key = adapterKey(want.model, want.adapter);
-			const firstAt = this._wants.get(key)?.firstAt ?? now;
-			this._wants.set(key, {want, firstAt, lastAt: now});
+	/** @param from the entry that demands */
+	noteDemand(demand: EngineDemand, from: string, now: number): void {
+		const {models, adapterPlaces, wants, used, loads = 0, engines = 1} = demand;
+		this._models = models;
+		this._places = adapterPlaces;
+		this._isStoreBusy = loads >= engines * busyLoadsPerEngine;
+		for (const want of wants) {
+			this._wants.note(want, from, now);
 		}
 
-		for (const key of demand.used) {
+		for (const key of used) {
 			this._usedAt.set(key, now);
 		}
 	}
@@ -96,7 +105,7 @@
 
 		if (outcome === 'accepted' && order.operation === 'load') {
 			this._usedAt.set(keyOf(order), now);
-			this._accepted.set(keyOf(order), now);
+			this._accepted.set(keyOf(order), {at: now, version: order.version});
 		}
 	}
 
@@ -110,7 +119,7 @@
 				: order('load', {model}, report);
 		}
 
-		for (const {want} of this._openWants(report)) {
+		for (const want of this._openWants(report)) {
 			const planned = this._planWant(want, report, now);
 			if (planned !== undefined) {
 				return planned;
@@ -126,22 +135,21 @@
 		);
 	}
 
-	private _openWants(report: EngineReport): readonly Want[] {
-		for (const [key, {want}] of this._wants) {
-			if (holds(report, want)) {
-				this._wants.delete(key);
-				this._accepted.delete(key);
-			}
-		}
-
-		return [...this._wants.values()]
+	/** Wants that may be ordered now: adapters that the engine has at hand first, as they cost the store nothing. */
+	private _openWants(report: EngineReport): readonly AdapterWant[] {
+		const open = this._wants
+			.ordered()
 			.filter(
-				({want}) =>
+				want =>
 					report.models.some(({name}) => name === want.model) &&
-					!this._accepted.has(adapterKey(want.model, want.adapter)) &&
+					!this._accepted.has(wantKey(want)) &&
 					!isPending(report, want),
-			)
-			.toSorted((a, b) => a.firstAt - b.firstAt);
+			);
+		const atHand = open.filter(want => this._kept.has(wantKey(want)));
+		const fetched = open.filter(want => !this._kept.has(wantKey(want)));
+		return this._isStoreBusy && report.pending.length > 0
+			? atHand
+			: [...atHand, ...fetched];
 	}
 
 	private _planWant(
@@ -190,6 +198,28 @@
 		return victim;
 	}
 
+	/** Remembers which adapters the engine held since its start, the latest last. */
+	private _noteKept(report: EngineReport): void {
+		if (report.born !== this._keptBorn) {
+			this._keptBorn = report.born;
+			this._kept.clear();
+		}
+
+		for (const {model, adapter} of residentKeys(report)) {
+			const key = adapterKey(model, adapter);
+			this._kept.delete(key);
+			this._kept.set(key, true);
+		}
+
+		for (const key of this._kept.keys()) {
+			if (this._kept.size <= keptAdapters) {
+				return;
+			}
+
+			this._kept.delete(key);
+		}
+	}
+
 	/** Loads without an answer that may still take a place. */
 	private _doubtfulLoads(): number {
 		return this._doubts.filter(
@@ -199,14 +229,12 @@
 	}
 
 	private _forget(report: EngineReport, now: number): void {
-		for (const [key, {lastAt}] of this._wants) {
-			if (now - lastAt >= wantLifetimeMs) {
-				this._wants.delete(key);
-			}
-		}
-
-		for (const [key, at] of this._accepted) {
-			if (now - at >= acceptedLoadMs) {
+		this._wants.forget(want => holds(report, want), now);
+		this._noteKept(report);
+		for (const [key, {at, version = 0}] of this._accepted) {
+			const [model = '', adapter = ''] = key.split('/');
+			const isShown = holds(report, {model, adapter, version});
+			if (isShown || now - at >= acceptedLoadMs) {
 				this._accepted.delete(key);
 			}
 		}
@@ -223,6 +251,10 @@
 	}
 }
 
+function wantKey({model, adapter}: AdapterWant): string {
+	return adapterKey(model, adapter);
+}
+
 function order(
 	operation: 'load' | 'unload',
 	target: {
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -125,6 +125,16 @@
 		return count;
 	}
 
+	/** Servers of a service that are listed. */
+	engineCount(service: string): number {
+		let count = 0;
+		for (const {record} of this._servers.values()) {
+			count += record.service === service ? 1 : 0;
+		}
+
+		return count;
+	}
+
 	/** Chooses a server, or says what the request has to wait for. */
 	choose(need: ServerNeed, now: number): ServerChoice {
 		const usable = this._usable(need, now);
--- a/packages/daemon/src/direct/agent-runtime.ts
+++ b/packages/daemon/src/direct/agent-runtime.ts
@@ -82,14 +82,27 @@
 
 	private _onMessage(message: GossipMessage, from: Endpoint): void {
 		const now = performance.now();
-		if (message.type === 'turnAsk') {
-			const {askId, promptTokens} = message;
-			const delayMs = this._pacer.reserve(promptTokens, now);
-			this._socket?.send({type: 'turnAnswer', askId, delayMs}, from);
-		} else if (message.type === 'turnReturn') {
-			this._pacer.release(message.promptTokens, now);
-		} else if (message.type === 'demand') {
-			this._onDemand(message, from, now);
+		switch (message.type) {
+			case 'turnAsk': {
+				const {askId, promptTokens} = message;
+				const delayMs = this._pacer.reserve(promptTokens, now);
+				this._socket?.send({type: 'turnAnswer', askId, delayMs}, from);
+
+				break;
+			}
+
+			case 'turnReturn': {
+				this._pacer.release(message.promptTokens, now);
+
+				break;
+			}
+
+			case 'demand': {
+				this._onDemand(message, from, now);
+
+				break;
+			}
+			// No default
 		}
 	}
 
@@ -98,7 +111,7 @@
 		const isNew = !this._entries.has(id);
 		this._entries.set(id, {endpoint: from, lastAt: now});
 		this._server = message.server;
-		this._planner.noteDemand(message.demand, now);
+		this._planner.noteDemand(message.demand, id, now);
 		if (isNew) {
 			this._tell(from);
 		}
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -71,7 +71,7 @@
 export const quietReportIntervalMs = 300;
 
 /** Time between two reports of an engine that loads adapters, in milliseconds. */
-export const busyReportIntervalMs = 40;
+export const busyReportIntervalMs = 25;
 
 /** Time between two reports of an engine that no entry uses, in milliseconds. */
 export const idleReportIntervalMs = 2000;
--- a/packages/daemon/src/direct/engine-links.ts
+++ b/packages/daemon/src/direct/engine-links.ts
@@ -1,8 +1,9 @@
-import type {
-	FleetView,
-	EngineReport,
-	ServerState,
-	ServiceSpec,
+import {
+	adapterKey,
+	type FleetView,
+	type EngineReport,
+	type ServerState,
+	type ServiceSpec,
 } from '@balsamtray/core';
 import type {GossipMessage} from '@balsamtray/protocol';
 import {
@@ -18,6 +19,8 @@
 	readonly clock: () => number;
 	readonly serviceOf: (name: string) => ServiceSpec | undefined;
 	readonly agentPort: number;
+	/** Requests of this entry that wait for an adapter. */
+	readonly waitingFor: (adapter: string) => number;
 	readonly send: (message: GossipMessage, to: Endpoint) => void;
 	/** A report came, which may let waiting requests go on. */
 	readonly onReport: () => void;
@@ -56,7 +59,7 @@
 	async takeTurn(id: string, promptTokens: number): Promise<number> {
 		const {fleet, clock, send} = this._options;
 		const server = fleet.server(id);
-		if (server === undefined || !server.hasFreshReport(clock())) {
+		if (!server?.hasFreshReport(clock())) {
 			return 0;
 		}
 
@@ -144,7 +147,7 @@
 	}
 
 	private _demand(server: ServerState): void {
-		const {serviceOf, send, clock} = this._options;
+		const {fleet, serviceOf, send, clock, waitingFor} = this._options;
 		const {id, service} = server.record;
 		this._demandedAt.set(id, clock());
 		const engine = serviceOf(service)?.engine;
@@ -157,10 +160,15 @@
 				type: 'demand',
 				server: id,
 				demand: {
-					wants: server.wants(clock()),
+					wants: server.wants(clock()).map(want => ({
+						...want,
+						waiting: waitingFor(adapterKey(want.model, want.adapter)),
+					})),
 					used: server.takeUsedAdapters(),
 					models: engine.models.map(({name}) => name),
 					adapterPlaces: engine.adapterPlaces,
+					loads: fleet.pendingLoads(clock()),
+					engines: fleet.engineCount(service),
 				},
 			},
 			this._agentOf(server),
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -111,6 +111,7 @@
 			clock,
 			serviceOf: name => this._serviceOf(name),
 			agentPort: settings.agentPort,
+			waitingFor: adapter => this._waiting.waitingFor(adapter),
 			send: (message, to) => {
 				this._send(message, to);
 			},
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -317,6 +317,7 @@
 		const waiter: Waiter = {
 			priority: this._priority,
 			arrivedAt: this._arrivedAt,
+			adapter: this._adapterKey,
 			retry: () => {
 				this._waiter = undefined;
 				this._place();
--- a/packages/daemon/src/direct/waiting-line.ts
+++ b/packages/daemon/src/direct/waiting-line.ts
@@ -5,6 +5,8 @@
 	/** 0 is the most urgent. */
 	readonly priority: number;
 	readonly arrivedAt: number;
+	/** Adapter that the request waits for, by `adapterKey`. */
+	readonly adapter: string | undefined;
 	/** Tries again to find a server. */
 	readonly retry: () => void;
 };
@@ -24,6 +26,16 @@
 		return this._waiters.size;
 	}
 
+	/** Requests that wait for the adapter. */
+	waitingFor(adapter: string): number {
+		let count = 0;
+		for (const waiter of this._waiters) {
+			count += waiter.adapter === adapter ? 1 : 0;
+		}
+
+		return count;
+	}
+
 	add(waiter: Waiter): void {
 		this._waiters.add(waiter);
 	}
