--- a/packages/core/src/placement/adapter-placement.ts
+++ b/packages/core/src/placement/adapter-placement.ts
@@ -79,6 +79,7 @@
 		now: number,
 	): void {
 		const {model, adapter, version} = want;
+		const key = adapterKey(model, adapter);
 		const isCurrent = holders.some(
 			server => server.adapterVersion(model, adapter, now)! >= version,
 		);
@@ -90,7 +91,10 @@
 		const delayMs = Math.min(
 			...holders.map(server => server.promptDelayMs(now)),
 		);
-		if (this._deservesCopy(usable, holders, want, delayMs, now)) {
+		const inUse = holders.reduce((sum, server) => sum + server.inUse(key), 0);
+		const load = {delayMs, inUse, holders: holders.length};
+		const pendingShare = this._options.pendingLoads(now) / usable.length;
+		if (deservesCopy(load, pendingShare)) {
 			const lighter = usable.filter(
 				server => server.promptDelayMs(now) <= delayMs * copyDelayShare,
 			);
@@ -98,27 +102,6 @@
 		}
 	}
 
-	/** Whether an adapter should stand on one more server than it does. */
-	private _deservesCopy(
-		usable: readonly ServerState[],
-		holders: readonly ServerState[],
-		{model, adapter}: AdapterWant,
-		delayMs: number,
-		now: number,
-	): boolean {
-		if (delayMs >= copyDelayMs) {
-			return true;
-		}
-
-		const key = adapterKey(model, adapter);
-		const inUse = holders.reduce((sum, server) => sum + server.inUse(key), 0);
-		return (
-			delayMs >= spareCopyDelayMs &&
-			inUse > holders.length &&
-			this._options.pendingLoads(now) <= spareLoadsShare * usable.length
-		);
-	}
-
 	private _wantOnOne(
 		usable: readonly ServerState[],
 		want: AdapterWant,
@@ -146,6 +129,28 @@
 	}
 }
 
+/**
+ * Whether an adapter should stand on one more server than it does.
+ *
+ * @param load The least delay of a prompt among its holders in milliseconds, its requests on them, and their number.
+ * @param pendingShare Adapters on their way over all servers, as a share of these.
+ */
+function deservesCopy(
+	load: {
+		readonly delayMs: number;
+		readonly inUse: number;
+		readonly holders: number;
+	},
+	pendingShare: number,
+): boolean {
+	return (
+		load.delayMs >= copyDelayMs ||
+		(load.delayMs >= spareCopyDelayMs &&
+			load.inUse > load.holders &&
+			pendingShare <= spareLoadsShare)
+	);
+}
+
 /** The first server in the adapter's order that is not full. */
 function firstInOrder(
 	candidates: readonly ServerState[],
--- a/packages/daemon/src/direct/agent-runtime.ts
+++ b/packages/daemon/src/direct/agent-runtime.ts
@@ -82,27 +82,18 @@
 
 	private _onMessage(message: GossipMessage, from: Endpoint): void {
 		const now = performance.now();
-		switch (message.type) {
-			case 'turnAsk': {
-				const {askId, promptTokens} = message;
-				const delayMs = this._pacer.reserve(promptTokens, now);
-				this._socket?.send({type: 'turnAnswer', askId, delayMs}, from);
-
-				break;
-			}
-
-			case 'turnReturn': {
-				this._pacer.release(message.promptTokens, now);
-
-				break;
-			}
+		if (message.type === 'demand') {
+			this._onDemand(message, from, now);
+		}
 
-			case 'demand': {
-				this._onDemand(message, from, now);
+		if (message.type === 'turnAsk') {
+			const {askId, promptTokens} = message;
+			const delayMs = this._pacer.reserve(promptTokens, now);
+			this._socket?.send({type: 'turnAnswer', askId, delayMs}, from);
+		}
 
-				break;
-			}
-			// No default
+		if (message.type === 'turnReturn') {
+			this._pacer.release(message.promptTokens, now);
 		}
 	}
 
--- a/packages/daemon/src/direct/upstream.test.ts
+++ b/packages/daemon/src/direct/upstream.test.ts
@@ -22,6 +22,13 @@
 	return `127.0.0.1:${port}`;
 }
 
+/** Resets a connection once what was written has been read. */
+function resetLater(socket: Socket): void {
+	setTimeout(() => {
+		socket.resetAndDestroy();
+	}, 20);
+}
+
 type Outcome = {
 	readonly events: readonly string[];
 	readonly call: UpstreamCall;
@@ -91,9 +98,7 @@
 		it('is broken when its connection is reset', async () => {
 			const address = await listen(socket => {
 				socket.write(`${head}\r\nhello`);
-				setTimeout(() => {
-					socket.resetAndDestroy();
-				}, 20);
+				resetLater(socket);
 			});
 			const {events} = await send(address);
 			assert.equal(events.at(-1), 'error');
