Count requests in a prompt's turn as waiting for their adapter; load adapters on engines that are not behind

Ruled out: room on other engines (half of them read no prompts then). Change: a request that waits for its prompt's turn counts in the rank of its adapter's loads; a turn may come up to half of the time allowed; a new adapter goes to the first engine of its order that is less than 200 ms behind; a rate nobody told of starts with the half of the slack that no entry without an owner uses, but not after a freeze.

--- a/packages/core/src/placement/adapter-placement.ts
+++ b/packages/core/src/placement/adapter-placement.ts
@@ -3,6 +3,7 @@
 import {
 	copyDelayMs,
 	copyDelayShare,
+	homeDelayMs,
 	slotShare,
 	spareCopyDelayMs,
 	spareLoadsShare,
@@ -151,7 +152,7 @@
 	);
 }
 
-/** The first server in the adapter's order that is not full. */
+/** The first server in the adapter's order that is neither full nor behind with its prompts. */
 function firstInOrder(
 	candidates: readonly ServerState[],
 	{model, adapter}: AdapterWant,
@@ -161,9 +162,13 @@
 	const scoreOf = ({record}: ServerState) =>
 		rendezvousScore(keyHash, hashString(record.id));
 	const ordered = candidates.toSorted((a, b) => scoreOf(b) - scoreOf(a));
+	const isFree = (server: ServerState) =>
+		server.load(now) < server.record.slots * slotShare;
 	return (
 		ordered.find(
-			server => server.load(now) < server.record.slots * slotShare,
-		) ?? ordered[0]
+			server => isFree(server) && server.promptDelayMs(now) < homeDelayMs,
+		) ??
+		ordered.find(server => isFree(server)) ??
+		ordered[0]
 	);
 }
--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -31,6 +31,9 @@
 /** Loads over all engines up to which the weight store has capacity to spare, as a share of the engines. */
 export const spareLoadsShare = 0.25;
 
+/** Delay of a usual prompt from which an adapter is loaded on the next server in its order, in milliseconds. */
+export const homeDelayMs = 200;
+
 /** Part of a holder's delay that a further server may have at most. */
 export const copyDelayShare = 0.5;
 
--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -5,6 +5,7 @@
 import {
 	outageAftermathMs,
 	copyDelayMs,
+	homeDelayMs,
 	promptTokensPerMs,
 	silenceMs,
 	vanishedGraceMs,
@@ -152,6 +153,20 @@
 			assert.equal(chosen(), 'x');
 			assert.deepEqual(wanted, ['y']);
 		});
+
+		it('are loaded on a server that is not behind with its prompts', () => {
+			list(record('x'), record('y'));
+			for (const id of ['x', 'y']) {
+				fleet.noteReport(id, report({}), 0);
+			}
+
+			chosen();
+			const [home = ''] = wanted.splice(0);
+			const promptDebt = (homeDelayMs + 200) * promptTokensPerMs;
+			fleet.noteReport(home, report({}, {promptDebt}), 0);
+			chosen();
+			assert.deepEqual(wanted, [home === 'x' ? 'y' : 'x']);
+		});
 	});
 
 	describe('a server that restarted empty', () => {
--- a/packages/core/src/quota/constants.ts
+++ b/packages/core/src/quota/constants.ts
@@ -4,7 +4,7 @@
 /** Part of a customer's rate that all hosts together may use without its owner. Half of the overage allowed. */
 export const unownedRateShare = 0.05;
 
-/** Part of the slack in units that all hosts together may use without a customer's owner. */
+/** Part of the slack in units that all hosts together may use without a customer's owner. The rest is for new owners. */
 export const unownedSlackShare = 0.5;
 
 /**
--- a/packages/core/src/quota/quota-ledger.test.ts
+++ b/packages/core/src/quota/quota-ledger.test.ts
@@ -4,8 +4,8 @@
 import {heardLevelLifetimeMs} from './constants.js';
 import {QuotaLedger} from './quota-ledger.js';
 
-function create(isFirstStart: boolean): QuotaLedger {
-	return QuotaLedger.create({isFirstStart, slackUnits: 1000, now: 0});
+function create(isFirstStart: boolean, slackUnits = 0): QuotaLedger {
+	return QuotaLedger.create({isFirstStart, slackUnits, now: 0});
 }
 
 function kindOf(ledger: QuotaLedger, units: number, now: number): string {
@@ -33,6 +33,14 @@
 		assert.equal(kindOf(create(false), 101, 60_000), 'refused');
 	});
 
+	it('starts with half of the slack where nobody told of a level, but not after it stood still', () => {
+		assert.equal(kindOf(create(false, 100), 51, 0), 'refused');
+		assert.equal(kindOf(create(false, 100), 50, 0), 'granted');
+		const thawed = create(false, 100);
+		thawed.forget(0);
+		assert.equal(kindOf(thawed, 1, 0), 'refused');
+	});
+
 	it('goes on from the level that the owner before told', () => {
 		const ledger = create(true);
 		ledger.hear([{customer: 'c', level: 10}], 0);
@@ -81,7 +89,7 @@
 	it('without an owner grants all entries together at most the slack', () => {
 		let granted = 0;
 		for (let entry = 0; entry < 5; entry++) {
-			const ledger = create(false);
+			const ledger = create(false, 1000);
 			for (let i = 0; i < 100; i++) {
 				if (ledger.takeUnowned(customer, 10, 5, 0).kind === 'granted') {
 					granted += 10;
--- a/packages/core/src/quota/quota-ledger.ts
+++ b/packages/core/src/quota/quota-ledger.ts
@@ -44,10 +44,13 @@
 	private readonly _heard = new Map<string, HeardLevel>();
 	private _isFirstStart: boolean;
 	private _startedAt: number;
+	/** Units with which a rate starts of which nobody told. */
+	private _untoldUnits: number;
 
 	private constructor(private readonly _options: QuotaLedgerOptions) {
 		this._isFirstStart = _options.isFirstStart;
 		this._startedAt = _options.now;
+		this._untoldUnits = _options.slackUnits * (1 - unownedSlackShare);
 	}
 
 	/** Spends units as the customer's owner. */
@@ -114,6 +117,7 @@
 	forget(now: number): void {
 		this._isFirstStart = false;
 		this._startedAt = now;
+		this._untoldUnits = 0;
 		this._heard.clear();
 		for (const [customer, bucket] of this._owned) {
 			this._owned.set(customer, TokenBucket.create(bucket.limit, 0, now));
@@ -138,7 +142,7 @@
 		const accruesFrom = Math.max(this._startedAt, now - untoldAccrualMs);
 		return this._isFirstStart
 			? TokenBucket.create(limit, limit.burst, now)
-			: TokenBucket.create(limit, 0, accruesFrom);
+			: TokenBucket.create(limit, this._untoldUnits, accruesFrom);
 	}
 }
 
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -9,6 +9,7 @@
 import type {EngineLinks} from './engine-links.js';
 import type {EntryPeers} from './entry-peers.js';
 import type {EventLog} from './event-log.js';
+import type {KeyCounts} from './key-counts.js';
 import type {CallCodec} from './types.js';
 import type {Upstream} from './upstream.js';
 import type {WaitingLine} from './waiting-line.js';
@@ -24,6 +25,8 @@
 	readonly suspects: SuspectRegistry;
 	readonly upstream: Upstream;
 	readonly waiting: WaitingLine;
+	/** Requests that have a server and wait for their prompt's turn there, by adapter. */
+	readonly inTurn: KeyCounts;
 	readonly codec: CallCodec;
 	readonly log: EventLog;
 	readonly metrics: DirectMetrics;
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -52,6 +52,9 @@
 /** Part of its time that a request may wait for a place or an adapter before it is refused. */
 export const longestWaitShare = 0.3;
 
+/** Part of its time after which a prompt that has a server may still get its turn. */
+export const longestTurnShare = 0.5;
+
 /** Time after which a refused caller may come back where nothing better is known, in milliseconds. */
 export const retryAfterMs = 500;
 
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -35,6 +35,7 @@
 import {type EventLog} from './event-log.js';
 import {HttpClient} from './http-client.js';
 import {Ingress} from './ingress.js';
+import {KeyCounts} from './key-counts.js';
 import {TableWatch, type TableWatchOptions} from './table-watch.js';
 import {TextServer, type TextAnswer} from './text-server.js';
 import type {
@@ -81,6 +82,7 @@
 	private readonly _links: EngineLinks;
 	private readonly _upstream = Upstream.create();
 	private readonly _waiting = WaitingLine.create();
+	private readonly _inTurn = KeyCounts.create();
 	private readonly _suspects = SuspectRegistry.create();
 	private readonly _client = HttpClient.create(1);
 	private readonly _metrics = DirectMetrics.create(() => this._waiting.size);
@@ -111,7 +113,8 @@
 			clock,
 			serviceOf: name => this._serviceOf(name),
 			agentPort: settings.agentPort,
-			waitingFor: adapter => this._waiting.waitingFor(adapter),
+			waitingFor: adapter =>
+				this._waiting.waitingFor(adapter) + this._inTurn.count(adapter),
 			send: (message, to) => {
 				this._send(message, to);
 			},
@@ -217,6 +220,7 @@
 			suspects: this._suspects,
 			upstream: this._upstream,
 			waiting: this._waiting,
+			inTurn: this._inTurn,
 			codec,
 			log,
 			metrics: this._metrics,
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -17,6 +17,7 @@
 import {broken, unavailable, type CallRefusal} from './call-refusal.js';
 import {
 	elsewhereRetryAfterMs,
+	longestTurnShare,
 	longestWaitShare,
 	shortestTurnMs,
 } from './constants.js';
@@ -42,6 +43,8 @@
 	readonly version: number | undefined;
 	/** Prompt tokens of a turn that was taken and not used yet. */
 	turnTokens: number | undefined;
+	/** Whether it waits for its turn. */
+	isInTurn: boolean;
 	/** Undefined until it is dispatched. */
 	call: UpstreamCall | undefined;
 	/** Whether a connection took it, so that it may run. */
@@ -347,6 +350,7 @@
 			version,
 			call: undefined,
 			turnTokens: undefined,
+			isInTurn: false,
 			isSent: false,
 			hasAnswered: false,
 		};
@@ -374,13 +378,17 @@
 
 		send.turnTokens = promptTokens;
 		const startsAt = clock() + delayMs;
-		if (startsAt > Math.max(this._waitUntil, clock())) {
+		const timeMs = this._deadlineAt - this._arrivedAt;
+		const latestAt = this._arrivedAt + timeMs * longestTurnShare;
+		if (startsAt > Math.max(latestAt, clock())) {
 			this._endSend('turn too late');
 			this._giveUp({...unavailable('promptQueue'), retryAfterMs: delayMs});
 		} else if (delayMs < shortestTurnMs) {
 			this._onTurn(send);
 		} else {
 			this._record.noteWait('promptQueue');
+			send.isInTurn = true;
+			this._context.inTurn.add(this._adapterKey);
 			this._turnTimer = setTimeout(() => {
 				this._onTurn(send);
 			}, delayMs);
@@ -389,6 +397,7 @@
 
 	/** Decides again, as much may have changed since the turn was taken. */
 	private _onTurn(send: Send): void {
+		this._endTurn(send);
 		const refusal = this._authorize();
 		if (refusal !== undefined) {
 			this._endSend('not sent: no longer allowed');
@@ -405,6 +414,13 @@
 		this._dispatch(send);
 	}
 
+	private _endTurn(send: Send): void {
+		if (send.isInTurn) {
+			send.isInTurn = false;
+			this._context.inTurn.remove(this._adapterKey);
+		}
+	}
+
 	private _dispatch(send: Send): void {
 		const {fleet, retries, upstream, codec, peers, maxConnections, clock} =
 			this._context;
@@ -668,6 +684,7 @@
 
 		this._send = undefined;
 		clearTimeout(this._turnTimer);
+		this._endTurn(send);
 		if (send.turnTokens !== undefined) {
 			this._context.links.returnTurn(send.server, send.turnTokens);
 		}
--- a/packages/daemon/src/direct/waiting-line.ts
+++ b/packages/daemon/src/direct/waiting-line.ts
@@ -1,4 +1,5 @@
 import {wakeIntervalMs} from './constants.js';
+import {KeyCounts} from './key-counts.js';
 
 /** A request that waits for a server or an adapter. */
 export type Waiter = {
@@ -18,6 +19,7 @@
 	}
 
 	private readonly _waiters = new Set<Waiter>();
+	private readonly _byAdapter = KeyCounts.create();
 	private _timer: NodeJS.Timeout | undefined;
 
 	private constructor() {}
@@ -28,20 +30,22 @@
 
 	/** Requests that wait for the adapter. */
 	waitingFor(adapter: string): number {
-		let count = 0;
-		for (const waiter of this._waiters) {
-			count += waiter.adapter === adapter ? 1 : 0;
-		}
-
-		return count;
+		return this._byAdapter.count(adapter);
 	}
 
 	add(waiter: Waiter): void {
 		this._waiters.add(waiter);
+		this._byAdapter.add(waiter.adapter);
 	}
 
-	remove(waiter: Waiter): void {
-		this._waiters.delete(waiter);
+	/** Returns whether the request still waited. */
+	remove(waiter: Waiter): boolean {
+		const hasWaited = this._waiters.delete(waiter);
+		if (hasWaited) {
+			this._byAdapter.remove(waiter.adapter);
+		}
+
+		return hasWaited;
 	}
 
 	/** Tries all again soon. Changes that come together share one round. */
@@ -59,7 +63,7 @@
 			(a, b) => a.priority - b.priority || a.arrivedAt - b.arrivedAt,
 		);
 		for (const waiter of ordered) {
-			if (this._waiters.delete(waiter)) {
+			if (this.remove(waiter)) {
 				waiter.retry();
 			}
 		}
