Name a port to one process of a fleet only

A worker drew ports at random from its 2,000, without regard to those that it had named to processes that did not listen yet. Test: 200 draws of 3 ports gave one twice before (seen red), none now. Conclusion: ports are named in order, each again only after the whole range.

--- a/packages/scenarios/src/harness/free-ports.ts
+++ b/packages/scenarios/src/harness/free-ports.ts
@@ -40,24 +40,31 @@
 	return {lowest, highest: lowest + size};
 }
 
-/** Finds `count` distinct TCP ports that are free on the loopback interface. */
+/** Next port of this worker to look at; undefined before the first. */
+let nextPort: number | undefined;
+
+/**
+ * Finds `count` TCP ports that are free on the loopback interface. Goes through the worker's range once before it
+ * names a port again: a process that starts up does not listen yet on the port that it was given.
+ */
 export async function freePorts(count: number): Promise<readonly number[]> {
 	const {lowest, highest} = rangeOf(
 		Number(process.env.CUCUMBER_WORKER_ID ?? 0),
 	);
-	const ports = new Set<number>();
-	for (let i = 0; ports.size < count; i++) {
+	const ports: number[] = [];
+	for (let i = 0; ports.length < count; i++) {
 		if (i > mostTries) {
 			throw new Error('found no free port');
 		}
 
-		const port = randomInt(lowest, highest);
-		// Ports are taken one after the other, so that the same one is not found twice.
+		const port = nextPort ?? randomInt(lowest, highest);
+		nextPort = port + 1 < highest ? port + 1 : lowest;
+		// Ports are looked at one after the other.
 		// eslint-disable-next-line no-await-in-loop
-		if (!ports.has(port) && (await isFree(port))) {
-			ports.add(port);
+		if (await isFree(port)) {
+			ports.push(port);
 		}
 	}
 
-	return [...ports];
+	return ports;
 }
