Split the entry's runtime; let settings that change bind at once

Change: freshness, the log of servers, statements between entries and the shutdown stand in classes of their own; bounds are asked for when they are needed.

--- a/packages/core/src/direct/direct.test.ts
+++ b/packages/core/src/direct/direct.test.ts
@@ -11,7 +11,7 @@
 	it('keeps all entries together within the bound without requests', () => {
 		let retries = 0;
 		for (let entry = 0; entry < 8; entry++) {
-			const allowance = RetryAllowance.create(bound);
+			const allowance = RetryAllowance.create(() => bound);
 			for (let i = 0; i < 100; i++) {
 				retries += allowance.tryTake(8, 0) ? 1 : 0;
 			}
@@ -21,7 +21,7 @@
 	});
 
 	it('keeps within the bound in each window while requests come', () => {
-		const allowance = RetryAllowance.create(bound);
+		const allowance = RetryAllowance.create(() => bound);
 		const taken: number[] = [];
 		let requests = 0;
 		for (let now = 0; now < 30_000; now += 50) {
@@ -40,6 +40,19 @@
 			assert.ok(inWindow <= 0.2 * 200 + 56 / 8, `${inWindow}`);
 		}
 	});
+
+	it('goes by a new bound at once, with what was taken before', () => {
+		let current = bound;
+		const allowance = RetryAllowance.create(() => current);
+		while (allowance.tryTake(1, 0)) {
+			// Takes all that the first bound allows.
+		}
+
+		current = {...bound, extra: 2 * bound.extra};
+		assert.equal(allowance.tryTake(1, 1), true);
+		current = bound;
+		assert.equal(allowance.tryTake(1, 2), false);
+	});
 });
 
 describe('EventStreamCutter', () => {
--- a/packages/core/src/direct/retry-allowance.ts
+++ b/packages/core/src/direct/retry-allowance.ts
@@ -14,20 +14,21 @@
 };
 
 type Bucket = {
-	readonly index: number;
+	readonly startedAt: number;
 	requests: number;
 	retries: number;
 };
 
 /** Bounds what this entry sends to one service beyond the first dispatch of each request. */
 export class RetryAllowance {
-	static create(bound: RetryBound): RetryAllowance {
+	/** @param bound the bound in force */
+	static create(bound: () => RetryBound): RetryAllowance {
 		return new RetryAllowance(bound);
 	}
 
 	private _buckets: Bucket[] = [];
 
-	private constructor(private readonly _bound: RetryBound) {}
+	private constructor(private readonly _bound: () => RetryBound) {}
 
 	noteRequest(now: number): void {
 		this._bucketAt(now).requests++;
@@ -43,7 +44,7 @@
 			retries += past.retries;
 		}
 
-		const {ratio, extra} = this._bound;
+		const {ratio, extra} = this._bound();
 		const fixed = extra / Math.max(entryCount, leastBudgetEntries);
 		if (retries + 1 > retryBudgetShare * (ratio * requests + fixed)) {
 			return false;
@@ -54,17 +55,18 @@
 	}
 
 	private _bucketAt(now: number): Bucket {
-		const index = Math.floor(now / (this._bound.windowMs / retryWindowBuckets));
+		const {windowMs} = this._bound();
+		const bucketMs = windowMs / retryWindowBuckets;
 		const last = this._buckets.at(-1);
-		if (last?.index === index) {
+		if (last !== undefined && now - last.startedAt < bucketMs) {
 			return last;
 		}
 
 		// One bucket more than the window has, as the oldest lies in it only in part.
 		this._buckets = this._buckets.filter(
-			past => past.index >= index - retryWindowBuckets,
+			past => now - past.startedAt < windowMs + bucketMs,
 		);
-		const bucket = {index, requests: 0, retries: 0};
+		const bucket = {startedAt: now, requests: 0, retries: 0};
 		this._buckets.push(bucket);
 		return bucket;
 	}
--- a/packages/core/src/freshness/freshness-lease.ts
+++ b/packages/core/src/freshness/freshness-lease.ts
@@ -5,15 +5,15 @@
  * surely knew the newest statements: the start of a read that was answered, its own or a peer's.
  */
 export class FreshnessLease {
-	/** @param boundMs time after which a withdrawn key must not be used, in milliseconds */
-	static create(boundMs: number): FreshnessLease {
-		return new FreshnessLease(Math.max(0, boundMs - freshnessMarginMs));
+	/** @param boundMs time after which a withdrawn key must not be used, in milliseconds; undefined without a bound */
+	static create(boundMs: () => number | undefined): FreshnessLease {
+		return new FreshnessLease(boundMs);
 	}
 
 	private _provenAt = Number.NEGATIVE_INFINITY;
 	private _epoch = 0;
 
-	private constructor(private readonly _termMs: number) {}
+	private constructor(private readonly _boundMs: () => number | undefined) {}
 
 	get provenAt(): number {
 		return this._provenAt;
@@ -37,6 +37,9 @@
 	}
 
 	isFresh(now: number): boolean {
-		return now - this._provenAt < this._termMs;
+		const boundMs = this._boundMs();
+		return (
+			boundMs === undefined || this.ageMs(now) < boundMs - freshnessMarginMs
+		);
 	}
 }
--- a/packages/core/src/freshness/freshness.test.ts
+++ b/packages/core/src/freshness/freshness.test.ts
@@ -6,22 +6,32 @@
 
 describe('FreshnessLease', () => {
 	it('ends before the bound', () => {
-		const lease = FreshnessLease.create(5000);
+		const lease = FreshnessLease.create(() => 5000);
 		assert.equal(lease.isFresh(0), false);
 		lease.prove(100, 0);
 		assert.equal(lease.isFresh(100 + 5000 - freshnessMarginMs - 1), true);
 		assert.equal(lease.isFresh(100 + 5000 - freshnessMarginMs), false);
 	});
 
+	it('goes by a bound that changes, and has no end without one', () => {
+		let boundMs: number | undefined = 5000;
+		const lease = FreshnessLease.create(() => boundMs);
+		lease.prove(0, 0);
+		boundMs = 2000;
+		assert.equal(lease.isFresh(2000), false);
+		boundMs = undefined;
+		assert.equal(lease.isFresh(60_000), true);
+	});
+
 	it('does not go back to an older proof', () => {
-		const lease = FreshnessLease.create(5000);
+		const lease = FreshnessLease.create(() => 5000);
 		lease.prove(200, 0);
 		lease.prove(100, 0);
 		assert.equal(lease.provenAt, 200);
 	});
 
 	it('drops proofs from before a suspension, also those that come late', () => {
-		const lease = FreshnessLease.create(5000);
+		const lease = FreshnessLease.create(() => 5000);
 		lease.prove(100, 0);
 		lease.invalidate(1);
 		assert.equal(lease.isFresh(101), false);
--- a/packages/core/src/quota/quota-ledger.test.ts
+++ b/packages/core/src/quota/quota-ledger.test.ts
@@ -5,7 +5,11 @@
 import {QuotaLedger} from './quota-ledger.js';
 
 function create(isFirstStart: boolean, slackUnits = 0): QuotaLedger {
-	return QuotaLedger.create({isFirstStart, slackUnits, now: 0});
+	return QuotaLedger.create({
+		isFirstStart,
+		slackUnits: () => slackUnits,
+		now: 0,
+	});
 }
 
 function kindOf(ledger: QuotaLedger, units: number, now: number): string {
--- a/packages/core/src/quota/quota-ledger.ts
+++ b/packages/core/src/quota/quota-ledger.ts
@@ -27,7 +27,7 @@
 	/** Start of the process, in milliseconds on its steady clock. */
 	readonly now: number;
 	/** Units beyond rate and burst that the platform tolerates over all hosts. */
-	readonly slackUnits: number;
+	readonly slackUnits: () => number;
 };
 
 /**
@@ -44,13 +44,11 @@
 	private readonly _heard = new Map<string, HeardLevel>();
 	private _isFirstStart: boolean;
 	private _startedAt: number;
-	/** Units with which a rate starts of which nobody told. */
-	private _untoldUnits: number;
+	private _hasStoodStill = false;
 
 	private constructor(private readonly _options: QuotaLedgerOptions) {
 		this._isFirstStart = _options.isFirstStart;
 		this._startedAt = _options.now;
-		this._untoldUnits = _options.slackUnits * (1 - unownedSlackShare);
 	}
 
 	/** Spends units as the customer's owner. */
@@ -79,7 +77,7 @@
 		const limit = limitOf(customer);
 		const share: BucketLimit = {
 			tokensPerMs: (limit.tokensPerMs * unownedRateShare) / entryCount,
-			burst: (this._options.slackUnits * unownedSlackShare) / entryCount,
+			burst: (this._options.slackUnits() * unownedSlackShare) / entryCount,
 		};
 		let bucket = this._unowned.get(customer.name);
 		if (bucket === undefined) {
@@ -117,7 +115,7 @@
 	forget(now: number): void {
 		this._isFirstStart = false;
 		this._startedAt = now;
-		this._untoldUnits = 0;
+		this._hasStoodStill = true;
 		this._heard.clear();
 		for (const [customer, bucket] of this._owned) {
 			this._owned.set(customer, TokenBucket.create(bucket.limit, 0, now));
@@ -144,6 +142,13 @@
 			? TokenBucket.create(limit, limit.burst, now)
 			: TokenBucket.create(limit, this._untoldUnits, accruesFrom);
 	}
+
+	/** Units with which a rate starts of which nobody told. */
+	private get _untoldUnits(): number {
+		return this._hasStoodStill
+			? 0
+			: this._options.slackUnits() * (1 - unownedSlackShare);
+	}
 }
 
 function limitOf({unitsPerSecond, burstUnits}: CustomerRule): BucketLimit {
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -3,9 +3,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	AuthorityView,
-	ClockGuard,
 	FleetView,
-	FreshnessLease,
 	QuotaLedger,
 	RetryAllowance,
 	SuspectRegistry,
@@ -13,7 +11,6 @@
 	type AuthorityRow,
 	type ServerChange,
 	type ServiceSpec,
-	type ShutdownProgress,
 } from '@balsamtray/core';
 import type {GossipMessage} from '@balsamtray/protocol';
 import type {Disposable} from '../common/types.js';
@@ -21,26 +18,28 @@
 import {
 	authorityWaitMs,
 	graceMarginMs,
-	leaveDelayMs,
 	membersIntervalMs,
 	membersWaitMs,
 	serversIntervalMs,
 	storeBackoffMs,
-	storeTimeoutMs,
 } from './constants.js';
 import {DatagramSocket} from './datagram-socket.js';
 import {DirectMetrics} from './direct-metrics.js';
 import {EngineLinks} from './engine-links.js';
 import {EntryPeers} from './entry-peers.js';
-import {type EventLog} from './event-log.js';
-import {HttpClient} from './http-client.js';
+import {EntryShutdown} from './entry-shutdown.js';
+import type {EventLog} from './event-log.js';
+import {FreshnessKeeper} from './freshness-keeper.js';
 import {Ingress} from './ingress.js';
 import {KeyCounts} from './key-counts.js';
+import {ServerLog} from './server-log.js';
+import {StatementExchange} from './statement-exchange.js';
 import {TableWatch, type TableWatchOptions} from './table-watch.js';
 import {TextServer, type TextAnswer} from './text-server.js';
 import type {
 	CallCodec,
 	Endpoint,
+	EntryBounds,
 	EntrySettings,
 	EntryStore,
 	TableRead,
@@ -74,8 +73,7 @@
 	}
 
 	private readonly _authority = AuthorityView.create();
-	private readonly _guard = ClockGuard.create(performance.now(), Date.now());
-	private readonly _lease: FreshnessLease | undefined;
+	private readonly _freshness: FreshnessKeeper;
 	private readonly _ledger: QuotaLedger;
 	private readonly _fleet: FleetView;
 	private readonly _peers: EntryPeers;
@@ -84,28 +82,40 @@
 	private readonly _waiting = WaitingLine.create();
 	private readonly _inTurn = KeyCounts.create();
 	private readonly _suspects = SuspectRegistry.create();
-	private readonly _client = HttpClient.create(1);
+	private readonly _statements = StatementExchange.create(this._authority);
+	private readonly _shutdown: EntryShutdown;
+	private readonly _serverLog: ServerLog;
 	private readonly _metrics = DirectMetrics.create(() => this._waiting.size);
 	private readonly _retries = new Map<string, RetryAllowance>();
 	private readonly _ingress: Ingress;
 	private readonly _watches: Disposable[] = [];
 	private _socket: DatagramSocket | undefined;
+	private _bounds: EntryBounds;
 	private _hasServers = false;
-	private _stoppingSince: number | undefined;
 	private _wasReady: boolean | undefined;
 
 	private constructor(private readonly _options: EntryRuntimeOptions) {
-		const {settings} = _options;
-		const {bounds} = settings;
-		this._lease =
-			bounds.revokeMs === undefined
-				? undefined
-				: FreshnessLease.create(bounds.revokeMs);
+		const {settings, log} = _options;
+		this._bounds = settings.bounds;
 		this._ledger = QuotaLedger.create({
 			isFirstStart: settings.isFirstStart,
-			slackUnits: bounds.quotaSlackUnits,
+			slackUnits: () => this._bounds.quotaSlackUnits,
 			now: clock(),
 		});
+		this._freshness = FreshnessKeeper.create({
+			clock,
+			timeOfDay: () => Date.now(),
+			boundMs: () => this._bounds.revokeMs,
+			onSuspended: (epoch, now) => {
+				this._ledger.forget(now);
+				log.write({event: 'suspended', epoch});
+			},
+		});
+		this._shutdown = EntryShutdown.create({
+			clock,
+			graceMs: () => this._bounds.graceMs,
+		});
+		this._serverLog = ServerLog.create(log);
 		this._peers = this._createPeers();
 		this._fleet = this._createFleet();
 		this._links = EngineLinks.create({
@@ -144,7 +154,9 @@
 			},
 		);
 		await TextServer.listen(settings.ready, () => this._answerReady());
-		await TextServer.listen(settings.peer, path => this._answerPeer(path));
+		await TextServer.listen(settings.peer, path =>
+			this._statements.answer(path),
+		);
 		await TextServer.listen(settings.metrics, async () =>
 			this._metrics.answer(),
 		);
@@ -164,20 +176,8 @@
 	async stop(): Promise<void> {
 		const {settings, log, store} = this._options;
 		const startedAt = clock();
-		this._stoppingSince = startedAt;
 		log.write({event: 'stopping', running: this._ingress.running});
-		const endAt = startedAt + this._shutdownMs;
-		await delay(leaveDelayMs);
-		while (
-			clock() < endAt &&
-			(this._ingress.running > 0 || this._ingress.connections > 0)
-		) {
-			this._ingress.closeIdle();
-			// Looks again until nothing runs.
-			// eslint-disable-next-line no-await-in-loop
-			await delay(50);
-		}
-
+		await this._shutdown.run(this._ingress);
 		for (const watch of this._watches) {
 			watch.dispose();
 		}
@@ -195,18 +195,9 @@
 		});
 	}
 
-	/** Time from the signal to stop until the process ends by itself. */
-	private get _shutdownMs(): number {
-		return this._options.settings.bounds.graceMs - graceMarginMs;
-	}
-
-	private _shutdown(): ShutdownProgress | undefined {
-		if (this._stoppingSince === undefined) {
-			return undefined;
-		}
-
-		const sinceMs = clock() - this._stoppingSince;
-		return {sinceMs, leftMs: this._shutdownMs - sinceMs};
+	/** Goes by other bounds from now on. */
+	setBounds(bounds: EntryBounds): void {
+		this._bounds = bounds;
 	}
 
 	private _createContext(): CallContext {
@@ -224,12 +215,12 @@
 			codec,
 			log,
 			metrics: this._metrics,
-			isFresh: () => this._isFresh(),
-			proofAgeMs: () => this._proofAgeMs(),
+			isFresh: () => this._freshness.isFresh(),
+			proofAgeMs: () => this._freshness.proofAgeMs(),
 			retries: service => this._retriesOf(service),
 			maxConnections: service => this._connectionsTo(service),
 			draw: Math.random,
-			shutdown: () => this._shutdown(),
+			shutdown: () => this._shutdown.progress,
 		};
 	}
 
@@ -241,7 +232,7 @@
 			declaredVersion: (model, adapter) =>
 				this._authority.declaredVersion(model, adapter),
 			serviceOf: name => this._serviceOf(name),
-			coldBound: settings.bounds.coldBound,
+			coldBound: service => this._bounds.coldBound(service),
 			entryCount: () => this._peers.entryCount,
 			onNewWant: server => {
 				this._links.demandOf(server);
@@ -254,17 +245,17 @@
 		return EntryPeers.create({
 			hostId: settings.hostId,
 			clock,
-			epoch: () => this._guard.epoch,
+			epoch: () => this._freshness.epoch,
 			ledger: this._ledger,
 			send: (message, to) => {
 				this._send(message, to);
 			},
 			authorityVersion: () => this._authority.version,
-			provenAt: () => this._lease?.provenAt ?? Number.NEGATIVE_INFINITY,
+			provenAt: () => this._freshness.provenAt,
 			onProof: (provenAt, epoch) => {
-				this._lease?.prove(provenAt, epoch);
+				this._freshness.prove(provenAt, epoch);
 			},
-			fetchStatements: async endpoint => this._fetchStatements(endpoint),
+			fetchStatements: async endpoint => this._statements.fetch(endpoint),
 			onStatements: (rows, from) => {
 				this._onAuthority(this._authority.apply(rows, clock()), from);
 			},
@@ -320,9 +311,9 @@
 		const watch = TableWatch.create<Row>({
 			...followed,
 			clock,
-			epoch: () => this._guard.epoch,
+			epoch: () => this._freshness.epoch,
 			onRead: (...read) => {
-				this._look();
+				this._freshness.look();
 				followed.onRead(...read);
 			},
 			onTimed: (outcome, forMs) => {
@@ -350,7 +341,7 @@
 		const change = isWhole
 			? this._authority.applyAll(read.rows, read.version, now)
 			: this._authority.apply(read.rows, now);
-		this._lease?.prove(startedAt, epoch);
+		this._freshness.prove(startedAt, epoch);
 		this._onAuthority(change, 'store');
 	}
 
@@ -375,7 +366,6 @@
 
 	private _onServersRead(read: TableRead<ServerChange>): void {
 		const now = clock();
-		const before = this._serverStates();
 		if (this._hasServers) {
 			this._fleet.apply(read.rows, now);
 		} else {
@@ -383,42 +373,13 @@
 			this._hasServers = true;
 		}
 
-		this._logServers(before);
+		this._serverLog.update(this._fleet.servers());
 		this._upstream.keepOnly(
 			new Set([...this._fleet.servers()].map(({record}) => record.id)),
 		);
 		this._waiting.wake();
 	}
 
-	private _serverStates(): ReadonlyMap<string, string> {
-		return new Map(
-			[...this._fleet.servers()].map(({record, vanishedAt}) => [
-				record.id,
-				vanishedAt === undefined
-					? record.isDraining
-						? 'draining'
-						: 'ready'
-					: 'vanished',
-			]),
-		);
-	}
-
-	private _logServers(before: ReadonlyMap<string, string>): void {
-		const {log} = this._options;
-		const after = this._serverStates();
-		for (const [server, state] of after) {
-			if (before.get(server) !== state) {
-				log.write({event: 'serverChanged', server, state});
-			}
-		}
-
-		for (const server of before.keys()) {
-			if (!after.has(server)) {
-				log.write({event: 'serverChanged', server, state: 'gone'});
-			}
-		}
-	}
-
 	/** Lists this entry for the others. */
 	private async _join(): Promise<void> {
 		const {store, settings} = this._options;
@@ -437,7 +398,7 @@
 	}
 
 	private _onMessage(message: GossipMessage, from: Endpoint): void {
-		this._look();
+		this._freshness.look();
 		switch (message.type) {
 			case 'entry': {
 				this._peers.onBeat(message);
@@ -497,29 +458,6 @@
 		}
 	}
 
-	private _isFresh(): boolean {
-		this._look();
-		return this._lease?.isFresh(clock()) ?? true;
-	}
-
-	private _proofAgeMs(): number | undefined {
-		const age = this._lease?.ageMs(clock());
-		return age !== undefined && Number.isFinite(age) ? age : undefined;
-	}
-
-	/** Proofs and levels count for nothing after the steady clock may have stood still. */
-	private _look(): void {
-		const now = clock();
-		if (this._guard.look(now, Date.now())) {
-			this._lease?.invalidate(this._guard.epoch);
-			this._ledger.forget(now);
-			this._options.log.write({
-				event: 'suspended',
-				epoch: this._guard.epoch,
-			});
-		}
-	}
-
 	private _serviceOf(name: string): ServiceSpec | undefined {
 		return this._authority.inForce?.services.get(name);
 	}
@@ -527,7 +465,7 @@
 	private _retriesOf(service: string): RetryAllowance {
 		let retries = this._retries.get(service);
 		if (retries === undefined) {
-			retries = RetryAllowance.create(this._options.settings.bounds.retry);
+			retries = RetryAllowance.create(() => this._bounds.retry);
 			this._retries.set(service, retries);
 		}
 
@@ -561,7 +499,7 @@
 	}
 
 	private _unreadyReason(): string | undefined {
-		if (this._stoppingSince !== undefined) {
+		if (this._shutdown.progress !== undefined) {
 			return 'stopping';
 		}
 
@@ -573,38 +511,7 @@
 			return 'no servers';
 		}
 
-		return this._isFresh() ? undefined : 'configuration stale';
-	}
-
-	private _answerPeer(path: string): TextAnswer {
-		return path === statementsPath
-			? {
-					status: 200,
-					contentType: 'application/json',
-					body: JSON.stringify(this._authority.rows()),
-				}
-			: text(404, 'not found');
-	}
-
-	private async _fetchStatements(
-		endpoint: Endpoint,
-	): Promise<readonly AuthorityRow[]> {
-		const {status, body} = await this._client.call({
-			endpoint,
-			method: 'GET',
-			path: statementsPath,
-			timeoutMs: storeTimeoutMs,
-		});
-		if (status !== 200) {
-			throw new Error(`statements of ${endpoint.host}: status ${status}`);
-		}
-
-		const rows: unknown = JSON.parse(body);
-		if (!Array.isArray(rows)) {
-			throw new TypeError(`statements of ${endpoint.host}: not a list`);
-		}
-
-		return rows as readonly AuthorityRow[];
+		return this._freshness.isFresh() ? undefined : 'configuration stale';
 	}
 
 	private _send(message: GossipMessage, to: Endpoint): void {
@@ -632,9 +539,6 @@
 	}
 }
 
-/** Path of the statements that entries hand to each other. */
-const statementsPath = '/statements';
-
 /** Ends the process after its runtime has stopped on a signal. */
 export function stopOnSignal(runtime: {
 	readonly stop: () => Promise<void>;
--- /dev/null
+++ b/packages/daemon/src/direct/server-log.ts
@@ -0,0 +1,40 @@
+import type {ServerState} from '@balsamtray/core';
+import type {EventLog} from './event-log.js';
+
+/** Writes a line for each server that came, changed its state or left. */
+export class ServerLog {
+	static create(log: EventLog): ServerLog {
+		return new ServerLog(log);
+	}
+
+	private _states: ReadonlyMap<string, string> = new Map();
+
+	private constructor(private readonly _log: EventLog) {}
+
+	/** @param servers all that are known after a change */
+	update(servers: Iterable<ServerState>): void {
+		const before = this._states;
+		this._states = new Map(
+			[...servers].map(server => [server.record.id, stateOf(server)]),
+		);
+		for (const [server, state] of this._states) {
+			if (before.get(server) !== state) {
+				this._log.write({event: 'serverChanged', server, state});
+			}
+		}
+
+		for (const server of before.keys()) {
+			if (!this._states.has(server)) {
+				this._log.write({event: 'serverChanged', server, state: 'gone'});
+			}
+		}
+	}
+}
+
+function stateOf({record, vanishedAt}: ServerState): string {
+	if (vanishedAt !== undefined) {
+		return 'vanished';
+	}
+
+	return record.isDraining ? 'draining' : 'ready';
+}
--- /dev/null
+++ b/packages/daemon/src/direct/statement-exchange.ts
@@ -0,0 +1,48 @@
+import type {AuthorityRow, AuthorityView} from '@balsamtray/core';
+import {storeTimeoutMs} from './constants.js';
+import {HttpClient} from './http-client.js';
+import type {TextAnswer} from './text-server.js';
+import type {Endpoint} from './types.js';
+
+/** Path of the statements that entries hand to each other. */
+const statementsPath = '/statements';
+
+/** Hands the authority's statements to other entries, and fetches theirs where the store can't be reached. */
+export class StatementExchange {
+	static create(authority: AuthorityView): StatementExchange {
+		return new StatementExchange(authority);
+	}
+
+	private readonly _client = HttpClient.create(1);
+
+	private constructor(private readonly _authority: AuthorityView) {}
+
+	answer(path: string): TextAnswer {
+		return path === statementsPath
+			? {
+					status: 200,
+					contentType: 'application/json',
+					body: JSON.stringify(this._authority.rows()),
+				}
+			: {status: 404, contentType: 'text/plain', body: 'not found'};
+	}
+
+	async fetch(endpoint: Endpoint): Promise<readonly AuthorityRow[]> {
+		const {status, body} = await this._client.call({
+			endpoint,
+			method: 'GET',
+			path: statementsPath,
+			timeoutMs: storeTimeoutMs,
+		});
+		if (status !== 200) {
+			throw new Error(`statements of ${endpoint.host}: status ${status}`);
+		}
+
+		const rows: unknown = JSON.parse(body);
+		if (!Array.isArray(rows)) {
+			throw new TypeError(`statements of ${endpoint.host}: not a list`);
+		}
+
+		return rows as readonly AuthorityRow[];
+	}
+}
