Let entries that start together know each other at once

The log shows both entries granting as owners 1.1 s after the start: each had read the table of members before the other had joined, and reads it again only after a second. Ruled out: the part kept for a customer without an owner (it waits 120 ms for answers first), accrual (21 units). Change: an entry joins before it reads the table; a beat of an entry that was not listed yet adds it, and each that is added gets a beat at once; an entry that is not listed keeps no rate beside others. The beats end before the row of a leaving entry is deleted.

--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -36,6 +36,8 @@
 
 type Peer = {
 	readonly endpoint: Endpoint;
+	/** Whether the members' table names it. One that only beats is forgotten when it falls silent. */
+	isListed: boolean;
 	heardAt: number;
 	isLost: boolean;
 	/** The peer's last beat: its `sentAt`, and when it came. */
@@ -54,6 +56,7 @@
 	/** Time of the first beat of the present epoch: echoes of earlier beats prove nothing. */
 	private _epochBeganAt = 0;
 	private _isFetching = false;
+	private _isListed = false;
 	private _timer: NodeJS.Timeout | undefined;
 
 	private constructor(private readonly _options: EntryPeersOptions) {}
@@ -65,7 +68,7 @@
 
 	start(): void {
 		this._timer = setInterval(() => {
-			this._beat();
+			this.beat();
 		}, beatIntervalMs);
 	}
 
@@ -73,12 +76,17 @@
 		clearInterval(this._timer);
 	}
 
+	/** The members' table names this entry, so that others that read it know it. */
+	noteListed(): void {
+		this._isListed = true;
+	}
+
 	/** Takes in rows of the members' table. */
 	setMembers(rows: readonly MemberRow[], isWhole: boolean): void {
 		if (isWhole) {
 			const listed = new Set(rows.map(({id}) => id));
 			for (const id of this._peers.keys()) {
-				if (!listed.has(id)) {
+				if (!listed.has(id) && this._peers.get(id)!.isListed) {
 					this._peers.delete(id);
 				}
 			}
@@ -89,17 +97,13 @@
 				continue;
 			}
 
+			const known = this._peers.get(id);
 			if (endpoint === undefined) {
 				this._peers.delete(id);
-			} else if (
-				this._peers.get(id)?.endpoint.host !== endpoint.host ||
-				this._peers.get(id)?.endpoint.port !== endpoint.port
-			) {
-				this._peers.set(id, {
-					endpoint,
-					heardAt: Number.NEGATIVE_INFINITY,
-					isLost: true,
-				});
+			} else if (known !== undefined && isSame(known.endpoint, endpoint)) {
+				known.isListed = true;
+			} else {
+				this._add(id, endpoint, true);
 			}
 		}
 	}
@@ -150,13 +154,11 @@
 		}
 	}
 
-	onBeat(beat: EntryBeat): void {
+	/** Takes in a beat, also of an entry that joined after the table was last read. */
+	onBeat(beat: EntryBeat, from: Endpoint): void {
 		const now = this._options.clock();
-		const peer = this._peers.get(beat.from);
-		if (peer === undefined) {
-			return;
-		}
-
+		const peer =
+			this._peers.get(beat.from) ?? this._add(beat.from, from, false);
 		if (peer.isLost) {
 			peer.isLost = false;
 			if (Number.isFinite(peer.heardAt)) {
@@ -179,17 +181,15 @@
 		return this._ownerOf(customer) === this._options.hostId;
 	}
 
-	private _beat(): void {
-		const {clock, epoch, ledger, send, hostId, authorityVersion, provenAt} =
-			this._options;
+	/** Tells the others what they need to know. Done several times a second once started. */
+	beat(): void {
+		const {clock, epoch} = this._options;
 		const now = clock();
 		if (epoch() !== this._beatEpoch) {
 			this._beatEpoch = epoch();
 			this._epochBeganAt = now;
 		}
 
-		const proofAgeMs = now - provenAt();
-		const levels = ledger.levels(now);
 		for (const [id, peer] of this._peers) {
 			if (!peer.isLost && now - peer.heardAt > peerSilenceMs) {
 				peer.isLost = true;
@@ -199,27 +199,49 @@
 				);
 			}
 
-			const {lastBeat} = peer;
-			send(
-				{
-					type: 'entry',
-					from: hostId,
-					sentAt: now,
-					authorityVersion: authorityVersion(),
-					levels,
-					...(Number.isFinite(proofAgeMs) && {proofAgeMs}),
-					...(lastBeat !== undefined && {
-						echo: {
-							sentAt: lastBeat.sentAt,
-							heldForMs: now - lastBeat.receivedAt,
-						},
-					}),
-				},
-				peer.endpoint,
-			);
+			if (peer.isLost && !peer.isListed) {
+				this._peers.delete(id);
+			} else {
+				this._beatTo(peer, now);
+			}
 		}
 	}
 
+	/** Adds an entry and lets it know of this one at once. */
+	private _add(id: string, endpoint: Endpoint, isListed: boolean): Peer {
+		const peer: Peer = {
+			endpoint,
+			isListed,
+			heardAt: Number.NEGATIVE_INFINITY,
+			isLost: true,
+		};
+		this._peers.set(id, peer);
+		this._beatTo(peer, this._options.clock());
+		return peer;
+	}
+
+	private _beatTo({lastBeat, endpoint}: Peer, now: number): void {
+		const {ledger, send, hostId, authorityVersion, provenAt} = this._options;
+		const proofAgeMs = now - provenAt();
+		send(
+			{
+				type: 'entry',
+				from: hostId,
+				sentAt: now,
+				authorityVersion: authorityVersion(),
+				levels: ledger.levels(now),
+				...(Number.isFinite(proofAgeMs) && {proofAgeMs}),
+				...(lastBeat !== undefined && {
+					echo: {
+						sentAt: lastBeat.sentAt,
+						heldForMs: now - lastBeat.receivedAt,
+					},
+				}),
+			},
+			endpoint,
+		);
+	}
+
 	/**
 	 * A peer's proof counts from the moment at which this entry sent the beat that the peer echoes: the peer
 	 * wrote its answer later than that, however long the answer was on its way.
@@ -263,7 +285,10 @@
 		const present = [...this._peers]
 			.filter(([, peer]) => !peer.isLost)
 			.map(([id]) => id);
-		return topByRendezvous(customer, [hostId, ...present], 1)[0] ?? hostId;
+		// Others do not ask an entry that the table does not name.
+		const owners =
+			this._isListed || present.length === 0 ? [hostId, ...present] : present;
+		return topByRendezvous(customer, owners, 1)[0] ?? hostId;
 	}
 
 	private async _ask(
@@ -284,3 +309,7 @@
 		});
 	}
 }
+
+function isSame(a: Endpoint, b: Endpoint): boolean {
+	return a.host === b.host && a.port === b.port;
+}
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -164,7 +164,7 @@
 		this._followTables();
 		this._peers.start();
 		this._links.start();
-		void this._join();
+		void this._joinPeers();
 		log.write({
 			event: 'started',
 			role: 'entry',
@@ -182,6 +182,8 @@
 			watch.dispose();
 		}
 
+		// A beat after its row is gone would list it again with those that hear it.
+		this._peers.dispose();
 		await Promise.race([
 			store.leave(settings.hostId).catch((error: unknown) => {
 				this._onError('leave', error);
@@ -291,9 +293,12 @@
 				this._onServersRead(read);
 			},
 		});
+	}
+
+	private _followMembers(): void {
 		this._follow({
 			name: 'members',
-			source: store.members,
+			source: this._options.store.members,
 			waitMs: membersWaitMs,
 			intervalMs: membersIntervalMs,
 			onRead: ({rows}, isWhole) => {
@@ -380,20 +385,28 @@
 		this._waiting.wake();
 	}
 
-	/** Lists this entry for the others. */
-	private async _join(): Promise<void> {
+	/** Lists this entry before it reads the others, so that of two that start together the later one knows the other. */
+	private async _joinPeers(): Promise<void> {
+		let isListed = await this._tryJoin();
+		this._followMembers();
+		while (!isListed) {
+			// Tries until the store answers.
+			// eslint-disable-next-line no-await-in-loop
+			await delay(storeBackoffMs.longest);
+			// eslint-disable-next-line no-await-in-loop
+			isListed = await this._tryJoin();
+		}
+	}
+
+	private async _tryJoin(): Promise<boolean> {
 		const {store, settings} = this._options;
-		for (;;) {
-			try {
-				// Tries until the store answers.
-				// eslint-disable-next-line no-await-in-loop
-				await store.join({id: settings.hostId, endpoint: settings.peer});
-				return;
-			} catch (error) {
-				this._onError('join', error);
-				// eslint-disable-next-line no-await-in-loop
-				await delay(storeBackoffMs.longest);
-			}
+		try {
+			await store.join({id: settings.hostId, endpoint: settings.peer});
+			this._peers.noteListed();
+			return true;
+		} catch (error) {
+			this._onError('join', error);
+			return false;
 		}
 	}
 
@@ -401,7 +414,7 @@
 		this._freshness.look();
 		switch (message.type) {
 			case 'entry': {
-				this._peers.onBeat(message);
+				this._peers.onBeat(message, from);
 				break;
 			}
 
