--- a/packages/core/src/quota/quota-ledger.test.ts
+++ b/packages/core/src/quota/quota-ledger.test.ts
@@ -21,7 +21,7 @@
 		const ledger = create(true);
 		assert.equal(kindOf(ledger, 200, 0), 'granted');
 		const refused = ledger.take(customer, 50, 100);
-		assert.deepEqual(refused, {kind: 'refused', retryAfterMs: 400});
+		assert.deepEqual(refused, {kind: 'refused', retryAfterMs: 400, level: 10});
 		assert.equal(kindOf(ledger, 50, 500), 'granted');
 	});
 
--- a/packages/core/src/quota/quota-ledger.ts
+++ b/packages/core/src/quota/quota-ledger.ts
@@ -10,7 +10,12 @@
 /** Whether units of a customer's rate may be spent. */
 export type QuotaGrant =
 	| {readonly kind: 'granted'}
-	| {readonly kind: 'refused'; readonly retryAfterMs: number};
+	| {
+			readonly kind: 'refused';
+			readonly retryAfterMs: number;
+			/** Units that were left. */
+			readonly level: number;
+	  };
 
 /** What a customer had left at a moment. */
 export type QuotaLevel = {
@@ -176,7 +181,7 @@
 		const retryAfterMs = Math.ceil(
 			(needed - bucket.level) / Math.max(limit.tokensPerMs, 1e-6),
 		);
-		return {kind: 'refused', retryAfterMs};
+		return {kind: 'refused', retryAfterMs, level: bucket.available};
 	}
 
 	bucket.hold(units);
--- a/packages/daemon/src/direct/call-record.ts
+++ b/packages/daemon/src/direct/call-record.ts
@@ -29,6 +29,7 @@
 	private _firstByteAt: number | undefined;
 	private _lastByteAt: number | undefined;
 	private _longestPauseMs = 0;
+	private _rate: {readonly owner: string; readonly level: number} | undefined;
 
 	private constructor() {}
 
@@ -37,6 +38,15 @@
 		return this._waitedFor;
 	}
 
+	/**
+	 * The customer's rate was refused.
+	 *
+	 * @param owner the entry that decided; undefined where none could be asked
+	 */
+	noteRate(owner: string | undefined, level: number): void {
+		this._rate = {owner: owner ?? 'none', level};
+	}
+
 	noteWait(cause: string): void {
 		this._waitedFor = cause;
 	}
@@ -76,6 +86,10 @@
 			...(refusal?.retryAfterMs !== undefined && {
 				retryAfterMs: Math.round(refusal.retryAfterMs),
 			}),
+			...(this._rate && {
+				rateOwner: this._rate.owner,
+				rateLevel: this._rate.level,
+			}),
 			...(this._sentAt !== undefined && {waitedMs: since(this._sentAt)}),
 			...(this._waitedFor !== undefined && {waitedFor: this._waitedFor}),
 			...(this._firstByteAt !== undefined && {
--- a/packages/daemon/src/direct/direct-metrics.ts
+++ b/packages/daemon/src/direct/direct-metrics.ts
@@ -22,6 +22,7 @@
 	private readonly _firstByte = this._histogram(metricDefinitions.firstByte);
 	private readonly _pause = this._histogram(metricDefinitions.pause);
 	private readonly _storeCall = this._histogram(metricDefinitions.storeCall);
+	private readonly _peerCall = this._histogram(metricDefinitions.peerCall);
 	private readonly _proofAge = this._histogram(metricDefinitions.proofAge);
 
 	private constructor(waiting: () => number) {
@@ -64,6 +65,11 @@
 		this._quota.observe({outcome}, forMs / 1000);
 	}
 
+	/** @param kind what was asked of another of our processes */
+	noteAsk(kind: 'rate' | 'turn', outcome: string, forMs: number): void {
+		this._peerCall.observe({kind, outcome}, forMs / 1000);
+	}
+
 	noteStoreRead(table: string, outcome: string, forMs: number): void {
 		this._storeCall.observe({table, outcome}, forMs / 1000);
 	}
--- a/packages/daemon/src/direct/engine-links.ts
+++ b/packages/daemon/src/direct/engine-links.ts
@@ -11,7 +11,7 @@
 	quietDemandIntervalMs,
 	turnTimeoutMs,
 } from './constants.js';
-import {OpenAsks} from './open-asks.js';
+import {OpenAsks, type OpenAsksOptions} from './open-asks.js';
 import type {Endpoint} from './types.js';
 
 export type EngineLinksOptions = {
@@ -24,6 +24,8 @@
 	readonly send: (message: GossipMessage, to: Endpoint) => void;
 	/** A report came, which may let waiting requests go on. */
 	readonly onReport: () => void;
+	/** A question about a prompt's turn ended. */
+	readonly onAsked: OpenAsksOptions['onTimed'];
 	readonly onLost: (server: string, err: unknown) => void;
 	readonly onRegained: (server: string, lostForMs: number) => void;
 };
@@ -37,10 +39,17 @@
 	private readonly _reportedAt = new Map<string, number>();
 	private readonly _demandedAt = new Map<string, number>();
 	private readonly _lost = new Set<string>();
-	private readonly _turns = OpenAsks.create<number>(turnTimeoutMs);
+	private readonly _turns: OpenAsks<number>;
 	private _timer: NodeJS.Timeout | undefined;
 
-	private constructor(private readonly _options: EngineLinksOptions) {}
+	private constructor(private readonly _options: EngineLinksOptions) {
+		const {clock, onAsked} = _options;
+		this._turns = OpenAsks.create({
+			timeoutMs: turnTimeoutMs,
+			clock,
+			onTimed: onAsked,
+		});
+	}
 
 	start(): void {
 		this._timer = setInterval(() => {
--- a/packages/daemon/src/direct/entry-peers.test.ts
+++ b/packages/daemon/src/direct/entry-peers.test.ts
@@ -47,6 +47,7 @@
 		onProof: () => undefined,
 		fetchStatements: async () => [],
 		onStatements: () => undefined,
+		onAsked: () => undefined,
 		onLost: () => undefined,
 		onRegained: () => undefined,
 		onError: () => undefined,
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -12,7 +12,7 @@
 	quotaTimeoutMs,
 	quotaTries,
 } from './constants.js';
-import {OpenAsks} from './open-asks.js';
+import {OpenAsks, type OpenAsksOptions} from './open-asks.js';
 import type {Endpoint, MemberRow} from './types.js';
 
 export type EntryPeersOptions = {
@@ -29,11 +29,20 @@
 		from: Endpoint,
 	) => Promise<readonly AuthorityRow[]>;
 	readonly onStatements: (rows: readonly AuthorityRow[], from: string) => void;
+	/** A question about a customer's rate ended. */
+	readonly onAsked: OpenAsksOptions['onTimed'];
 	readonly onLost: (peer: string, err: unknown) => void;
 	readonly onRegained: (peer: string, lostForMs: number) => void;
 	readonly onError: (step: string, err: unknown) => void;
 };
 
+/** What became of a request for units of a customer's rate. */
+export type Reservation = {
+	readonly grant: QuotaGrant;
+	/** The entry that decided; undefined where none could be asked, or there is no limit. */
+	readonly owner: string | undefined;
+};
+
 type Peer = {
 	readonly endpoint: Endpoint;
 	/** Whether the members' table names it. One that only beats is forgotten when it falls silent. */
@@ -51,7 +60,7 @@
 	}
 
 	private readonly _peers = new Map<string, Peer>();
-	private readonly _asks = OpenAsks.create<QuotaGrant>(quotaTimeoutMs);
+	private readonly _asks: OpenAsks<QuotaGrant>;
 	private _beatEpoch = -1;
 	/** Time of the first beat of the present epoch: echoes of earlier beats prove nothing. */
 	private _epochBeganAt = 0;
@@ -59,7 +68,14 @@
 	private _isListed = false;
 	private _timer: NodeJS.Timeout | undefined;
 
-	private constructor(private readonly _options: EntryPeersOptions) {}
+	private constructor(private readonly _options: EntryPeersOptions) {
+		const {clock, onAsked} = _options;
+		this._asks = OpenAsks.create({
+			timeoutMs: quotaTimeoutMs,
+			clock,
+			onTimed: onAsked,
+		});
+	}
 
 	/** Entries that are listed, this one included. */
 	get entryCount(): number {
@@ -109,27 +125,29 @@
 	}
 
 	/** Spends units of a customer's rate, through its owner. */
-	async reserve(customer: CustomerRule, units: number): Promise<QuotaGrant> {
+	async reserve(customer: CustomerRule, units: number): Promise<Reservation> {
 		const {ledger, clock, hostId} = this._options;
 		if (customer.unitsPerSecond <= 0) {
-			return {kind: 'granted'};
+			return {grant: {kind: 'granted'}, owner: undefined};
 		}
 
 		for (let i = 0; i < quotaTries; i++) {
 			const owner = this._ownerOf(customer.name);
 			if (owner === hostId) {
-				return ledger.take(customer, units, clock());
+				return {grant: ledger.take(customer, units, clock()), owner};
 			}
 
 			// Each try waits for the one before.
 			// eslint-disable-next-line no-await-in-loop
 			const grant = await this._ask(owner, customer.name, units);
 			if (grant !== undefined) {
-				return grant;
+				return {grant, owner};
 			}
 		}
 
-		return ledger.takeUnowned(customer, units, this.entryCount, clock());
+		const {entryCount} = this;
+		const grant = ledger.takeUnowned(customer, units, entryCount, clock());
+		return {grant, owner: undefined};
 	}
 
 	/** Gives back units of a request that did not run. */
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -133,6 +133,9 @@
 			onReport: () => {
 				this._waiting.wake();
 			},
+			onAsked: (outcome, forMs) => {
+				this._metrics.noteAsk('turn', outcome, forMs);
+			},
 			onLost: (dependency, err) => {
 				this._onLost(dependency, err);
 			},
@@ -263,6 +266,9 @@
 			onStatements: (rows, from) => {
 				this._onAuthority(this._authority.apply(rows, clock()), from);
 			},
+			onAsked: (outcome, forMs) => {
+				this._metrics.noteAsk('rate', outcome, forMs);
+			},
 			onLost: (dependency, err) => {
 				this._onLost(dependency, err);
 			},
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -103,4 +103,7 @@
 	/** Age of the proof that the configuration is the newest. */
 	readonly proofAgeMs?: number;
 	readonly retryAfterMs?: number;
+	/** The entry that refused the customer's rate, `none` where it could not be asked, and the units that were left. */
+	readonly rateOwner?: string;
+	readonly rateLevel?: number;
 };
--- a/packages/daemon/src/direct/metric-definitions.ts
+++ b/packages/daemon/src/direct/metric-definitions.ts
@@ -15,7 +15,7 @@
 	wait: {
 		kind: 'histogram',
 		name: 'balsamtray_wait_seconds',
-		help: 'Time from arrival to the last send, by what the request waited for (`nothing`, `awaitAdapter`, `full`, `noServer`).',
+		help: 'Time from arrival to the last send, by what the request waited for (`nothing`, `awaitAdapter`, `full`, `noServer`, `promptQueue`).',
 		labels: ['cause'],
 	},
 	quota: {
@@ -42,6 +42,12 @@
 		help: 'Reads of tables of the store, waits for changes included, by table and outcome.',
 		labels: ['table', 'outcome'],
 	},
+	peerCall: {
+		kind: 'histogram',
+		name: 'balsamtray_peer_call_seconds',
+		help: "Questions to other entries about a customer's rate and to agents about a prompt's turn, by how they ended (`answered`, `silent`).",
+		labels: ['kind', 'outcome'],
+	},
 	proofAge: {
 		kind: 'histogram',
 		name: 'balsamtray_proof_age_seconds',
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -10,7 +10,6 @@
 	mayTakeWhileStopping,
 	pickShare,
 	type CustomerRule,
-	type QuotaGrant,
 	type RouteRule,
 	type ServerChoice,
 } from '@balsamtray/core';
@@ -23,6 +22,7 @@
 } from './constants.js';
 import type {CallContext} from './call-context.js';
 import {CallRecord} from './call-record.js';
+import type {Reservation} from './entry-peers.js';
 import type {CallFacts} from './types.js';
 import type {UpstreamCall, UpstreamSink} from './upstream.js';
 import type {Waiter} from './waiting-line.js';
@@ -157,7 +157,7 @@
 		const customer = this._customer;
 		if (customer !== undefined) {
 			const units = this._unitsOf(customer);
-			const grant = await this._reserve(customer, units);
+			const {grant, owner} = await this._reserve(customer, units);
 			if (this._isEnded) {
 				if (grant.kind === 'granted') {
 					this._context.peers.giveBack(customer.name, units);
@@ -167,6 +167,7 @@
 			}
 
 			if (grant.kind === 'refused') {
+				this._record.noteRate(owner, grant.level);
 				this.refuse({
 					status: 429,
 					reason: 'overRate',
@@ -215,12 +216,12 @@
 	private async _reserve(
 		customer: CustomerRule,
 		units: number,
-	): Promise<QuotaGrant> {
+	): Promise<Reservation> {
 		const {peers, metrics, clock} = this._context;
 		const askedAt = clock();
-		const grant = await peers.reserve(customer, units);
-		metrics.noteQuota(grant.kind, clock() - askedAt);
-		return grant;
+		const reservation = await peers.reserve(customer, units);
+		metrics.noteQuota(reservation.grant.kind, clock() - askedAt);
+		return reservation;
 	}
 
 	/** Decides under the present configuration, which may be newer than the one under which the request came. */
