Go by the newest server at an address; let prompts wait for the next engine; end a shutdown early where others serve

The newest row of an address now counts. Cause 2: the first engine that had its model back (i-7db4b2883e, 38.3 s) got all waiting requests at once; 17 were refused with promptQueue and a wait of 2 to 4 s while other engines were about to be ready. They wait for the next engine now, as long as they may wait. Cause 3: four entries that were stopped one after the other, 2 s apart, all waited until the end of their grace time for connections that callers kept half open, so that at 9 s none served and 78 requests were refused with 'stopping'. An entry now ends when nothing runs and another one serves. Ruled out: the fencing token (taken 0.3 s after the start), the store. Tests in fleet-view.test.ts (a quarter of the engines restarted empty), direct.test.ts, entry-peers.test.ts, ingress.test.ts.

--- a/packages/core/src/authority/authority-view.test.ts
+++ b/packages/core/src/authority/authority-view.test.ts
@@ -21,6 +21,13 @@
 			assert.equal(view.inForce?.config.version, 3);
 		});
 
+		it('keeps the newest configuration when a newer row holds an older one', () => {
+			const view = AuthorityView.create();
+			view.apply([configRow(1, 2)], 0);
+			view.apply([configRow(2, 1)], 0);
+			assert.equal(view.inForce?.config.version, 2);
+		});
+
 		it('keeps the configuration when a whole read lacks it', () => {
 			const view = AuthorityView.create();
 			view.apply([configRow(5, 3)], 0);
--- a/packages/core/src/direct/constants.ts
+++ b/packages/core/src/direct/constants.ts
@@ -12,3 +12,6 @@
 
 /** Time that a single call needs before the process ends, in milliseconds. Calls take tenths of a second. */
 export const shutdownCallMs = 1500;
+
+/** Time between the signal to stop and the close of idle connections, in milliseconds: two probes of the balancer. */
+export const shutdownLeaveMs = 2500;
--- a/packages/core/src/direct/direct.test.ts
+++ b/packages/core/src/direct/direct.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
 import {describe, it} from 'node:test';
+import {shutdownLeaveMs} from './constants.js';
 import {EventStreamCutter} from './event-stream-cutter.js';
 import {RetryAllowance} from './retry-allowance.js';
 import {mayTakeWhileStopping} from './shutdown.js';
@@ -88,15 +89,24 @@
 
 describe('mayTakeWhileStopping', () => {
 	it('takes streams only until balancers have noticed', () => {
-		const early = {sinceMs: 500, leftMs: 7000};
-		const late = {sinceMs: 2500, leftMs: 5000};
+		const early = {sinceMs: 500, leftMs: 7000, hasOthers: true};
+		const late = {sinceMs: 2500, leftMs: 5000, hasOthers: false};
 		assert.equal(mayTakeWhileStopping('stream', early), true);
 		assert.equal(mayTakeWhileStopping('stream', late), false);
 		assert.equal(mayTakeWhileStopping('once', late), true);
 	});
 
+	it('takes nothing more where another entry serves and callers had time to go there', () => {
+		const left = {sinceMs: shutdownLeaveMs, leftMs: 5000, hasOthers: true};
+		assert.equal(mayTakeWhileStopping('once', left), false);
+		assert.equal(
+			mayTakeWhileStopping('once', {...left, sinceMs: shutdownLeaveMs - 1}),
+			true,
+		);
+	});
+
 	it('refuses single calls that would be cut at the end', () => {
-		const end = {sinceMs: 7000, leftMs: 500};
+		const end = {sinceMs: 7000, leftMs: 500, hasOthers: false};
 		assert.equal(mayTakeWhileStopping('idempotent', end), false);
 		assert.equal(mayTakeWhileStopping('once', end), false);
 	});
--- a/packages/core/src/direct/shutdown.ts
+++ b/packages/core/src/direct/shutdown.ts
@@ -1,5 +1,9 @@
 import type {RouteKind} from '../authority/types.js';
-import {shutdownCallMs, shutdownStreamWindowMs} from './constants.js';
+import {
+	shutdownCallMs,
+	shutdownLeaveMs,
+	shutdownStreamWindowMs,
+} from './constants.js';
 
 /** How far a shutdown is. */
 export type ShutdownProgress = {
@@ -7,16 +11,23 @@
 	readonly sinceMs: number;
 	/** Time until the process ends, in milliseconds. */
 	readonly leftMs: number;
+	/** Whether another entry serves, so that callers can go there. */
+	readonly hasOthers: boolean;
 };
 
 /**
  * Whether an entry that is stopping still takes a request. Balancers go on sending for a while, and where a whole
- * zone restarts they send to the end; what can't be finished is refused, so that it runs elsewhere.
+ * zone restarts they send to the end; what can't be finished is refused, so that it runs elsewhere. Once callers had
+ * time to go to an entry that serves, nothing more is taken, so that the process ends early and comes back early.
  */
 export function mayTakeWhileStopping(
 	kind: RouteKind,
-	{sinceMs, leftMs}: ShutdownProgress,
+	{sinceMs, leftMs, hasOthers}: ShutdownProgress,
 ): boolean {
+	if (hasOthers && sinceMs >= shutdownLeaveMs) {
+		return false;
+	}
+
 	return kind === 'stream'
 		? sinceMs < shutdownStreamWindowMs
 		: leftMs >= shutdownCallMs;
--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -35,7 +35,7 @@
 const record = (id: string, changes: Partial<ServerRecord> = {}) => ({
 	id,
 	service: 's',
-	address: '127.0.0.1:1',
+	address: id,
 	zone: 'z1',
 	slots: 64,
 	isDraining: false,
@@ -67,6 +67,7 @@
 	session: undefined,
 	tokens: 1,
 	promptTokens: 1,
+	longestTurnMs: 1000,
 	tried: new Set(),
 };
 
@@ -169,6 +170,35 @@
 		});
 	});
 
+	describe('a quarter of the engines restarted empty', () => {
+		it('are used under their new names only, though the list still has the old ones', () => {
+			list(record('old', {models: [{name: 'm', adapters: {a: 1}}]}));
+			assert.equal(chosen(), 'old');
+			const renamed = record('new', {address: 'old'});
+			fleet.apply([{id: 'new', rowVersion: 2, record: renamed}], 0);
+			assert.equal(chosen(), 'awaitAdapter');
+			assert.deepEqual(wanted, []);
+			fleet.noteReport('new', report({}), 0);
+			assert.equal(chosen(), 'awaitAdapter');
+			assert.deepEqual(wanted, ['new']);
+			fleet.apply([{id: 'new', rowVersion: 3, record: undefined}], 0);
+			assert.equal(chosen(), 'old');
+		});
+
+		it('get no more prompts than they read in time; the rest waits for the next engine', () => {
+			list(record('x'), record('y'));
+			const promptDebt = 2000 * promptTokensPerMs;
+			fleet.noteReport('x', report({a: 1}, {promptDebt}), 0);
+			const choice = fleet.choose({...need, longestTurnMs: 500}, 0);
+			assert.equal(choice.kind, 'promptQueue');
+			fleet.noteReport('y', report({a: 1}), 0);
+			assert.equal(chosen({longestTurnMs: 500}), 'y');
+			fleet.server('y')!.noteDelay(600, 0);
+			assert.equal(chosen({longestTurnMs: 500}), 'promptQueue');
+			assert.equal(chosen({longestTurnMs: 500}, 200), 'y');
+		});
+	});
+
 	describe('a server that restarted empty', () => {
 		it('is not asked again for an adapter that it refused, and stays in use', () => {
 			list(
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -18,6 +18,7 @@
 	ServerChange,
 	ServerChoice,
 	ServerNeed,
+	ServerRecord,
 } from './types.js';
 
 /** What the fleet view asks of the process round it. */
@@ -47,8 +48,13 @@
 	private readonly _servers = new Map<string, ServerState>();
 	private readonly _rowVersions = new Map<string, number>();
 	private readonly _sessions = new Map<string, string>();
-	private _outageEndedAt = Number.NEGATIVE_INFINITY;
+	/** Server that was listed last at each address, with the version of its row. An address has one server at a time. */
+	private readonly _holders = new Map<
+		string,
+		{readonly id: string; readonly rowVersion: number}
+	>();
 
+	private _outageEndedAt = Number.NEGATIVE_INFINITY;
 	private readonly _placement: AdapterPlacement;
 
 	private constructor(private readonly _options: FleetViewOptions) {
@@ -79,7 +85,11 @@
 			const server = this._servers.get(id);
 			if (record === undefined) {
 				this._vanish(server, now);
-			} else if (server === undefined) {
+				continue;
+			}
+
+			this._noteHolder(record, rowVersion);
+			if (server === undefined) {
 				this._servers.set(id, ServerState.create(record, now));
 			} else {
 				server.setRecord(record, now);
@@ -135,6 +145,12 @@
 		return count;
 	}
 
+	/** Whether another server was listed later at the server's address, so that this one is gone. */
+	isReplaced({record: {id, address}}: ServerState): boolean {
+		const holder = this._holders.get(address);
+		return holder !== undefined && holder.id !== id;
+	}
+
 	/** Chooses a server, or says what the request has to wait for. */
 	choose(need: ServerNeed, now: number): ServerChoice {
 		const usable = this._usable(need, now);
@@ -174,11 +190,23 @@
 		return server !== undefined && this._isUsable(server, now);
 	}
 
+	private _noteHolder({id, address}: ServerRecord, rowVersion: number): void {
+		const holder = this._holders.get(address);
+		if (holder === undefined || rowVersion > holder.rowVersion) {
+			this._holders.set(address, {id, rowVersion});
+		}
+	}
+
 	private _vanish(server: ServerState | undefined, now: number): void {
 		if (server === undefined) {
 			return;
 		}
 
+		const {id, address} = server.record;
+		if (this._holders.get(address)?.id === id) {
+			this._holders.delete(address);
+		}
+
 		server.vanishedAt ??= now;
 		if (!this._isVanishedUsable(server, now) && server.outstanding === 0) {
 			this._servers.delete(server.record.id);
@@ -197,6 +225,7 @@
 		const {isDraining, zone} = server.record;
 		return (
 			!isDraining &&
+			!this.isReplaced(server) &&
 			!this._options.isZoneOut(zone) &&
 			this._isVanishedUsable(server, now)
 		);
@@ -256,13 +285,21 @@
 				server.hasMemoryFor(need.tokens, memoryShare, now) &&
 				this._mayGetMore(server, now),
 		);
+		const delays = open.map(server =>
+			server.promptDelayMs(now, need.promptTokens),
+		);
+		const delayMs = Math.min(...delays);
+		if (open.length > 0 && delayMs > need.longestTurnMs) {
+			return {kind: 'promptQueue', delayMs};
+		}
+
 		const known =
 			need.session === undefined ? undefined : this._sessions.get(need.session);
 		let best: {readonly id: string; readonly cost: number} | undefined;
-		for (const server of open) {
+		for (const [i, server] of open.entries()) {
 			const {id} = server.record;
 			const cost =
-				server.promptDelayMs(now, need.promptTokens) +
+				delays[i]! +
 				loadCostMs * server.load(now) +
 				otherZoneCostMs * this._distance(server) -
 				(id === known ? sessionWorthMs : 0);
--- a/packages/core/src/placement/prompt-pacer.ts
+++ b/packages/core/src/placement/prompt-pacer.ts
@@ -52,3 +52,8 @@
 	const room = promptRoomTokens - Math.min(tokens, promptRoomTokens);
 	return Math.max(0, (debt - room) / promptTokensPerMs);
 }
+
+/** Debt with which even the smallest prompt has to wait this long. */
+export function debtOf(delayMs: number): number {
+	return delayMs * promptTokensPerMs + promptRoomTokens;
+}
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -6,7 +6,7 @@
 	usualPromptTokens,
 	wantLifetimeMs,
 } from './constants.js';
-import {debtAfter, turnDelayMs} from './prompt-pacer.js';
+import {debtAfter, debtOf, turnDelayMs} from './prompt-pacer.js';
 import type {AdapterWant, EngineReport, ServerRecord} from './types.js';
 
 /** One backend server as an entry sees it: its record, its agent's report, and what the entry itself sent. */
@@ -140,6 +140,13 @@
 		this._ownDebtAt = now;
 	}
 
+	/** The server's agent said when a prompt could be sent, which was too late. */
+	noteDelay(delayMs: number, now: number): void {
+		const reported = this._reportedDebt(now);
+		this._ownDebt = Math.max(0, debtOf(delayMs) - reported);
+		this._ownDebtAt = now;
+	}
+
 	/** Requests of this entry that use the adapter here. */
 	inUse(key: string): number {
 		return this._inUse.get(key) ?? 0;
@@ -223,10 +230,15 @@
 	}
 
 	private _promptDebt(now: number): number {
-		const reported = this.hasFreshReport(now)
+		return (
+			this._reportedDebt(now) + debtAfter(this._ownDebt, now - this._ownDebtAt)
+		);
+	}
+
+	private _reportedDebt(now: number): number {
+		return this.hasFreshReport(now)
 			? debtAfter(this._report!.promptDebt ?? 0, now - this._reportedAt)
 			: 0;
-		return reported + debtAfter(this._ownDebt, now - this._ownDebtAt);
 	}
 
 	private _models(now: number) {
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -60,6 +60,8 @@
 	/** Prompt and the most that may be generated, in tokens. */
 	readonly tokens: number;
 	readonly promptTokens: number;
+	/** Time for which the prompt may wait for its turn at a server, in milliseconds. */
+	readonly longestTurnMs: number;
 	/** Servers that the request was sent to. */
 	readonly tried: ReadonlySet<string>;
 };
@@ -76,6 +78,8 @@
 	| {readonly kind: 'awaitAdapter'}
 	/** Each server that could run it has all that it bears. */
 	| {readonly kind: 'full'}
+	/** Each server that could run it is behind with its prompts, the best one by this time in milliseconds. */
+	| {readonly kind: 'promptQueue'; readonly delayMs: number}
 	| {readonly kind: 'noServer'};
 
 /** An adapter that should stand on a server. */
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -64,9 +64,6 @@
 /** Time after which a caller may come back that another entry can serve at once, in milliseconds. */
 export const elsewhereRetryAfterMs = 50;
 
-/** Time between the signal to stop and the close of idle connections, in milliseconds: two probes of the balancer. */
-export const leaveDelayMs = 2500;
-
 /** Part of the grace time that is left when the process ends by itself, in milliseconds. */
 export const graceMarginMs = 500;
 
--- a/packages/daemon/src/direct/engine-links.ts
+++ b/packages/daemon/src/direct/engine-links.ts
@@ -105,6 +105,11 @@
 	onReport(id: string, report: EngineReport): void {
 		const {fleet, clock, onReport, onRegained} = this._options;
 		const now = clock();
+		const server = fleet.server(id);
+		if (server === undefined || fleet.isReplaced(server)) {
+			return;
+		}
+
 		if (this._lost.delete(id)) {
 			onRegained(id, now - (this._reportedAt.get(id) ?? now));
 		}
@@ -121,6 +126,10 @@
 		for (const server of fleet.servers()) {
 			const {id} = server.record;
 			known.add(id);
+			if (fleet.isReplaced(server)) {
+				continue;
+			}
+
 			if (this._isDemandDue(server, now)) {
 				this._demand(server);
 			}
--- a/packages/daemon/src/direct/entry-peers.test.ts
+++ b/packages/daemon/src/direct/entry-peers.test.ts
@@ -23,6 +23,7 @@
 	from,
 	sentAt: 0,
 	authorityVersion: 0,
+	isServing: true,
 	levels: [],
 });
 
@@ -43,6 +44,7 @@
 			sent.push({message, to: host});
 		},
 		authorityVersion: () => 0,
+		isServing: () => true,
 		provenAt: () => 0,
 		onProof: () => undefined,
 		fetchStatements: async () => [],
@@ -98,6 +100,19 @@
 		});
 	});
 
+	it('know whether another entry serves, until it says otherwise or falls silent', () => {
+		const peers = create('a');
+		assert.equal(peers.hasServing, false);
+		peers.onBeat(beatOf('b'), endpointOf('b'));
+		assert.equal(peers.hasServing, true);
+		peers.onBeat({...beatOf('b'), isServing: false}, endpointOf('b'));
+		assert.equal(peers.hasServing, false);
+		peers.onBeat(beatOf('b'), endpointOf('b'));
+		now = peerSilenceMs + 1;
+		peers.beat();
+		assert.equal(peers.hasServing, false);
+	});
+
 	describe('an entry that is not listed', () => {
 		it('is kept while it is heard, and told nothing once it is silent', async () => {
 			const peers = create('a');
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -23,6 +23,8 @@
 	readonly send: (message: GossipMessage, to: Endpoint) => void;
 	readonly authorityVersion: () => number;
 	readonly provenAt: () => number;
+	/** Whether this entry takes requests and is not about to stop. */
+	readonly isServing: () => boolean;
 	/** A peer proved that the statements of the version are the newest as of the time. */
 	readonly onProof: (provenAt: number, epoch: number) => void;
 	readonly fetchStatements: (
@@ -49,6 +51,8 @@
 	isListed: boolean;
 	heardAt: number;
 	isLost: boolean;
+	/** Whether it said so in its last beat. */
+	isServing: boolean;
 	/** The peer's last beat: its `sentAt`, and when it came. */
 	lastBeat?: {readonly sentAt: number; readonly receivedAt: number};
 };
@@ -82,6 +86,13 @@
 		return this._peers.size + 1;
 	}
 
+	/** Whether another entry takes requests, as far as was heard. */
+	get hasServing(): boolean {
+		return [...this._peers.values()].some(
+			({isLost, isServing}) => isServing && !isLost,
+		);
+	}
+
 	start(): void {
 		this._timer = setInterval(() => {
 			this.beat();
@@ -185,6 +196,7 @@
 		}
 
 		peer.heardAt = now;
+		peer.isServing = beat.isServing;
 		peer.lastBeat = {sentAt: beat.sentAt, receivedAt: now};
 		this._options.ledger.hear(beat.levels, now);
 		this._takeProof(beat, peer);
@@ -232,6 +244,7 @@
 			isListed,
 			heardAt: Number.NEGATIVE_INFINITY,
 			isLost: true,
+			isServing: false,
 		};
 		this._peers.set(id, peer);
 		this._beatTo(peer, this._options.clock());
@@ -239,7 +252,8 @@
 	}
 
 	private _beatTo({lastBeat, endpoint}: Peer, now: number): void {
-		const {ledger, send, hostId, authorityVersion, provenAt} = this._options;
+		const {ledger, send, hostId, authorityVersion, provenAt, isServing} =
+			this._options;
 		const proofAgeMs = now - provenAt();
 		send(
 			{
@@ -247,6 +261,7 @@
 				from: hostId,
 				sentAt: now,
 				authorityVersion: authorityVersion(),
+				isServing: isServing(),
 				levels: ledger.levels(now),
 				...(Number.isFinite(proofAgeMs) && {proofAgeMs}),
 				...(lastBeat !== undefined && {
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -116,6 +116,7 @@
 		this._shutdown = EntryShutdown.create({
 			clock,
 			graceMs: () => this._bounds.graceMs,
+			hasOthers: () => this._peers.hasServing,
 		});
 		this._serverLog = ServerLog.create(log);
 		this._peers = this._createPeers();
@@ -258,6 +259,7 @@
 				this._send(message, to);
 			},
 			authorityVersion: () => this._authority.version,
+			isServing: () => this._unreadyReason() === undefined,
 			provenAt: () => this._freshness.provenAt,
 			onProof: (provenAt, epoch) => {
 				this._freshness.prove(provenAt, epoch);
--- a/packages/daemon/src/direct/entry-shutdown.ts
+++ b/packages/daemon/src/direct/entry-shutdown.ts
@@ -1,12 +1,14 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import type {ShutdownProgress} from '@balsamtray/core';
-import {graceMarginMs, leaveDelayMs} from './constants.js';
+import {shutdownLeaveMs, type ShutdownProgress} from '@balsamtray/core';
+import {graceMarginMs} from './constants.js';
 import type {Ingress} from './ingress.js';
 
 export type EntryShutdownOptions = {
 	readonly clock: () => number;
 	/** Time from the signal to stop until the process is ended, in milliseconds. */
 	readonly graceMs: () => number;
+	/** Whether another entry serves. */
+	readonly hasOthers: () => boolean;
 };
 
 /** Time between two looks at what still runs, in milliseconds. */
@@ -29,19 +31,28 @@
 		}
 
 		const sinceMs = this._options.clock() - this._startedAt;
-		return {sinceMs, leftMs: this._shutdownMs - sinceMs};
+		return {
+			sinceMs,
+			leftMs: this._shutdownMs - sinceMs,
+			hasOthers: this._options.hasOthers(),
+		};
 	}
 
 	/** Resolves when nothing runs or the time is over. */
 	async run(ingress: Ingress): Promise<void> {
-		const {clock} = this._options;
+		const {clock, hasOthers} = this._options;
 		this._startedAt ??= clock();
 		const endAt = this._startedAt + this._shutdownMs;
-		await delay(leaveDelayMs);
+		await delay(shutdownLeaveMs);
+		// A connection that is closed in one round has a round's time before the process ends.
 		while (
 			clock() < endAt &&
 			(ingress.running > 0 || ingress.connections > 0)
 		) {
+			if (hasOthers()) {
+				ingress.stopListening();
+			}
+
 			ingress.closeIdle();
 			// Looks again until nothing runs.
 			// eslint-disable-next-line no-await-in-loop
--- a/packages/daemon/src/direct/ingress.test.ts
+++ b/packages/daemon/src/direct/ingress.test.ts
@@ -43,6 +43,7 @@
 		assert.equal(ingress.connections, 1);
 
 		ingress.closeIdle();
+		assert.equal(ingress.connections, 0);
 		socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
 		await delay(200);
 		assert.equal(decoded, 0);
--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -63,8 +63,11 @@
 		return this._running;
 	}
 
+	/** Connections that are open to this side. Callers may keep theirs half open after this side has closed. */
 	get connections(): number {
-		return this._sockets.size;
+		return [...this._sockets.keys()].filter(
+			socket => !this._closing.has(socket),
+		).length;
 	}
 
 	async listen({host, port}: Endpoint): Promise<void> {
@@ -81,10 +84,17 @@
 		this._server.keepAliveTimeout = limits.idleTimeoutMs;
 	}
 
+	/** Takes no more connections. Those that are there go on. */
+	stopListening(): void {
+		if (this._server.listening) {
+			this._server.close();
+		}
+	}
+
 	/** Closes the connections that no request uses. */
 	closeIdle(): void {
 		for (const [socket, running] of this._sockets) {
-			if (running === 0) {
+			if (running === 0 && !this._closing.has(socket)) {
 				this._closing.add(socket);
 				socket.end();
 			}
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -305,6 +305,7 @@
 				session,
 				tokens: tokens ?? 0,
 				promptTokens: promptTokens ?? 0,
+				longestTurnMs: this._latestTurnAt - now,
 				tried: this._tried,
 			},
 			now,
@@ -314,7 +315,10 @@
 	private _wait(choice: ServerChoice, now: number): void {
 		this._record.noteWait(choice.kind);
 		if (now >= this._waitUntil) {
-			this._giveUp(unavailable(choice.kind));
+			this._giveUp({
+				...unavailable(choice.kind),
+				...(choice.kind === 'promptQueue' && {retryAfterMs: choice.delayMs}),
+			});
 			return;
 		}
 
@@ -369,7 +373,7 @@
 
 	/** Waits until the engine can read the prompt without holding up the streams that run on it. */
 	private async _takeTurn(send: Send): Promise<void> {
-		const {links, clock} = this._context;
+		const {fleet, links, clock} = this._context;
 		const promptTokens = this._facts.promptTokens ?? 0;
 		const delayMs = await links.takeTurn(send.server, promptTokens);
 		if (this._send !== send) {
@@ -378,12 +382,11 @@
 		}
 
 		send.turnTokens = promptTokens;
-		const startsAt = clock() + delayMs;
-		const timeMs = this._deadlineAt - this._arrivedAt;
-		const latestAt = this._arrivedAt + timeMs * longestTurnShare;
-		if (startsAt > Math.max(latestAt, clock())) {
+		const now = clock();
+		if (now + delayMs > Math.max(this._latestTurnAt, now)) {
+			fleet.server(send.server)?.noteDelay(delayMs, now);
 			this._endSend('turn too late');
-			this._giveUp({...unavailable('promptQueue'), retryAfterMs: delayMs});
+			this._place();
 		} else if (delayMs < shortestTurnMs) {
 			this._onTurn(send);
 		} else {
@@ -746,6 +749,12 @@
 		return this._knownFingerprint;
 	}
 
+	/** Time until which the prompt may get its turn at a server. */
+	private get _latestTurnAt(): number {
+		const timeMs = this._deadlineAt - this._arrivedAt;
+		return this._arrivedAt + timeMs * longestTurnShare;
+	}
+
 	private get _path(): string {
 		const url = this._req.url ?? '/';
 		const query = url.indexOf('?');
--- a/packages/protocol/src/gossip/messages.ts
+++ b/packages/protocol/src/gossip/messages.ts
@@ -19,6 +19,8 @@
 	readonly authorityVersion: number;
 	/** Age of the sender's proof that it knows the newest statements. Absent without one. */
 	readonly proofAgeMs?: number;
+	/** Whether the sender takes requests and is not about to stop. */
+	readonly isServing: boolean;
 	/** Levels of the customers that the sender owns. */
 	readonly levels: readonly QuotaLevel[];
 };
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -141,7 +141,7 @@
 		what: 'entries that start together do not know each other',
 		file: `${direct}/entry-peers.ts`,
 		from: 'this._peers.get(beat.from) ?? this._add(beat.from, from, false);',
-		to: 'this._peers.get(beat.from) ?? {endpoint: from, isListed: false, heardAt: 0, isLost: true};',
+		to: 'this._peers.get(beat.from);\n\t\tif (peer === undefined || from.port < 0) {\n\t\t\treturn;\n\t\t}',
 		test: 'packages/daemon/dist/direct/entry-peers.test.js',
 	},
 	{
