--- a/packages/client/src/commands/config-apply-command.ts
+++ b/packages/client/src/commands/config-apply-command.ts
@@ -3,7 +3,7 @@
 import * as t from 'typanion';
 import {readDocumentFile} from '../document-file.js';
 import type {OperatorClient} from '../operator-client.js';
-import {describePlan, isDestructive, type Plan} from '../plan-report.js';
+import type {Plan} from '../plan-report.js';
 import {ChangeCommand} from './change-command.js';
 
 /** Applies a document. */
@@ -34,14 +34,7 @@
 	protected override async call(client: OperatorClient): Promise<number> {
 		const {text} = readDocumentFile(this.file);
 		const plan = await this._plan(client, text);
-		if (!this.isJson) {
-			this.context.stdout.write(`${describePlan(plan).join('\n')}\n`);
-		}
-
-		const isConfirmed =
-			!isDestructive(plan) ||
-			(await this.confirm('The plan takes something away.', this.isYes));
-		if (!isConfirmed) {
+		if (!(await this.confirmPlan(plan))) {
 			return this.reportDeclined();
 		}
 
--- a/packages/client/src/commands/config-promote-command.ts
+++ b/packages/client/src/commands/config-promote-command.ts
@@ -1,7 +1,6 @@
 import {Command, Option} from 'clipanion';
 import {readDocumentFile} from '../document-file.js';
 import {createOperatorClient, type OperatorClient} from '../operator-client.js';
-import {describePlan, isDestructive} from '../plan-report.js';
 import {readConnection, trialVariables} from '../settings.js';
 import {ChangeCommand} from './change-command.js';
 
@@ -48,14 +47,7 @@
 			return this.reportChange(plan);
 		}
 
-		if (!this.isJson) {
-			this.context.stdout.write(`${describePlan(plan).join('\n')}\n`);
-		}
-
-		const isConfirmed =
-			!isDestructive(plan) ||
-			(await this.confirm('The plan takes something away.', this.isYes));
-		if (!isConfirmed) {
+		if (!(await this.confirmPlan(plan))) {
 			return this.reportDeclined();
 		}
 
--- a/packages/core/src/agent/adapter-loader.ts
+++ b/packages/core/src/agent/adapter-loader.ts
@@ -8,7 +8,7 @@
 } from './constants.js';
 import type {LoadLimiter} from './load-limiter.js';
 import type {AgentCommand, AgentLimits, AgentSettings} from './types.js';
-import {UseHistory} from './use-history.js';
+import {DecayingCounts} from './decaying-counts.js';
 
 /** An adapter version that waiting requests need. */
 export type WantedAdapter = {
@@ -38,8 +38,11 @@
 	readonly slots: AdapterSlots;
 
 	private readonly _limiter: LoadLimiter;
-	private readonly _uses = UseHistory.create();
-	private readonly _customerLoads = UseHistory.create(customerLoadHalfLifeMs);
+	private readonly _uses = DecayingCounts.create();
+	private readonly _customerLoads = DecayingCounts.create(
+		customerLoadHalfLifeMs,
+	);
+
 	private readonly _startedAt = new Map<string, number>();
 	private readonly _failures = new Map<string, LoadFailures>();
 	private readonly _unloadRetries = new Map<string, number>();
@@ -88,7 +91,7 @@
 		now: number,
 	): readonly WantedAdapter[] {
 		return this._policy.orderLoads(wanted, customer =>
-			this._customerLoads.recentUses(customer, now),
+			this._customerLoads.recent(customer, now),
 		);
 	}
 
@@ -221,8 +224,8 @@
 	}
 
 	private _hasFewLoads(customer: string, now: number): boolean {
-		const own = this._customerLoads.recentUses(customer, now);
-		return own < pacedShare * this._customerLoads.mostUses(now);
+		const own = this._customerLoads.recent(customer, now);
+		return own < pacedShare * this._customerLoads.most(now);
 	}
 
 	private _load({servedName, weights, customer}: WantedAdapter, now: number) {
@@ -253,7 +256,7 @@
 		}
 
 		const {servedName} = this._policy.pickVictim(idle, name =>
-			this._uses.recentUses(name, now),
+			this._uses.recent(name, now),
 		);
 		const orderId = this._nextOrderId();
 		this.slots.beginUnload(servedName, orderId);
