Let a stream that broke late go on at another server

Cause: found in reading: a prompt's turn had to come within half of the request's time, so that a stream that broke after that was not resumed at all, even where an engine could read its prompt at once.

--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -305,7 +305,7 @@
 				session,
 				tokens: tokens ?? 0,
 				promptTokens: promptTokens ?? 0,
-				longestTurnMs: this._latestTurnAt - now,
+				longestTurnMs: this._longestTurnMs(now),
 				tried: this._tried,
 			},
 			now,
@@ -383,7 +383,7 @@
 
 		send.turnTokens = promptTokens;
 		const now = clock();
-		if (now + delayMs > Math.max(this._latestTurnAt, now)) {
+		if (delayMs > this._longestTurnMs(now)) {
 			fleet.server(send.server)?.noteDelay(delayMs, now);
 			this._endSend('turn too late');
 			this._place();
@@ -399,6 +399,13 @@
 		}
 	}
 
+	/** Time for which the prompt may wait for its turn. An answer that has begun goes on as long as there is time. */
+	private _longestTurnMs(now: number): number {
+		const from = this._res.headersSent ? now : this._arrivedAt;
+		const latestAt = from + (this._deadlineAt - from) * longestTurnShare;
+		return Math.max(0, latestAt - now);
+	}
+
 	/** Decides again, as much may have changed since the turn was taken. */
 	private _onTurn(send: Send): void {
 		this._endTurn(send);
@@ -749,12 +756,6 @@
 		return this._knownFingerprint;
 	}
 
-	/** Time until which the prompt may get its turn at a server. */
-	private get _latestTurnAt(): number {
-		const timeMs = this._deadlineAt - this._arrivedAt;
-		return this._arrivedAt + timeMs * longestTurnShare;
-	}
-
 	private get _path(): string {
 		const url = this._req.url ?? '/';
 		const query = url.indexOf('?');
