--- a/packages/scenarios/src/measure/serving/serving-entry.ts
+++ b/packages/scenarios/src/measure/serving/serving-entry.ts
@@ -12,6 +12,7 @@
 import {deadlineMs, networkDelayMs} from './constants.js';
 import type {WorkloadRequest} from './types.js';
 import type {VirtualAgent} from './virtual-agent.js';
+import {WakeTimer} from './wake-timer.js';
 
 /** What an entry tells of its callers' requests. */
 export type CallerListener = {
@@ -50,7 +51,7 @@
 	private readonly _core: EntryCore;
 	private readonly _requests = new Map<string, WorkloadRequest>();
 	private readonly _serverOf = new Map<string, string>();
-	private _wakeAt = Infinity;
+	private readonly _wakeTimer: WakeTimer;
 
 	private constructor(private readonly _options: ServingEntryOptions) {
 		const {id, region, view, policy, time, hosts} = _options;
@@ -61,6 +62,9 @@
 			policy,
 			now: time.now,
 		});
+		this._wakeTimer = WakeTimer.create(time, () => {
+			this.handle({type: 'tick'});
+		});
 		this.handle({type: 'membershipChanged', hosts});
 	}
 
@@ -98,22 +102,7 @@
 			this._carryOut(command);
 		}
 
-		this._scheduleWake();
-	}
-
-	private _scheduleWake(): void {
-		const at = this._core.nextWakeAt();
-		if (at === undefined || at >= this._wakeAt) {
-			return;
-		}
-
-		this._wakeAt = at;
-		this._options.time.at(at, () => {
-			if (this._wakeAt === at) {
-				this._wakeAt = Infinity;
-				this.handle({type: 'tick'});
-			}
-		});
+		this._wakeTimer.schedule(this._core.nextWakeAt());
 	}
 
 	private _carryOut(command: EntryCommand): void {
--- a/packages/scenarios/src/measure/serving/virtual-agent.ts
+++ b/packages/scenarios/src/measure/serving/virtual-agent.ts
@@ -19,6 +19,7 @@
 } from './constants.js';
 import type {WorkloadRequest} from './types.js';
 import type {VirtualEngine} from './virtual-engine.js';
+import {WakeTimer} from './wake-timer.js';
 
 /** What an agent tells the entry that sent a dispatch. */
 export type DispatchListener = {
@@ -70,10 +71,10 @@
 
 	private readonly _core: AgentCore;
 	private readonly _held = new Map<string, HeldDispatch>();
-	private _wakeAt = Infinity;
+	private readonly _wakeTimer: WakeTimer;
 
 	private constructor(private readonly _options: VirtualAgentOptions) {
-		const {server, zone, baseModel, view, policy} = _options;
+		const {server, zone, baseModel, view, policy, time} = _options;
 		this._core = AgentCore.create({
 			settings: {
 				server,
@@ -91,6 +92,9 @@
 			config: view,
 			policy,
 		});
+		this._wakeTimer = WakeTimer.create(time, () => {
+			this._handle({type: 'tick'});
+		});
 		this._checkHealth();
 		this._checkHealthRegularly();
 	}
@@ -143,22 +147,7 @@
 			this._carryOut(command);
 		}
 
-		this._scheduleWake();
-	}
-
-	private _scheduleWake(): void {
-		const at = this._core.nextWakeAt();
-		if (at === undefined || at >= this._wakeAt) {
-			return;
-		}
-
-		this._wakeAt = at;
-		this._options.time.at(at, () => {
-			if (this._wakeAt === at) {
-				this._wakeAt = Infinity;
-				this._handle({type: 'tick'});
-			}
-		});
+		this._wakeTimer.schedule(this._core.nextWakeAt());
 	}
 
 	private _carryOut(command: AgentCommand): void {
