--- a/features/leaving-server.feature
+++ b/features/leaving-server.feature
@@ -21,6 +21,8 @@
     When an operator drains "engine-2" at "entry-1"
     And 5 seconds pass
     Then the back end "engine-2" begins nothing in the next 2 seconds
+    When an operator undrains "engine-2" at "entry-1"
+    Then within 45 seconds the back end "engine-2" begins work
     When the traffic stops
     And the calls end
     Then each answer is whole and its caller's own
--- a/packages/core/src/routing/default-routing-policy.ts
+++ b/packages/core/src/routing/default-routing-policy.ts
@@ -11,6 +11,11 @@
 export type RoutingWeights = {
 	/** Cost of an adapter that has to be loaded first. */
 	readonly absentMs: number;
+	/**
+	 * Cost of an adapter that has to be loaded first on its most preferred server while that server is in slow start. It
+	 * is below `residentBeyondTargetMs`, so adapters return to the server although other servers hold them by now.
+	 */
+	readonly absentOnReturnMs: number;
 	/** Cost of an adapter that is being loaded. */
 	readonly loadingMs: number;
 	/** Cost of each rank beyond the subject's target server count, if the adapter is not resident on the server. */
@@ -29,6 +34,7 @@
 
 const defaultWeights: RoutingWeights = {
 	absentMs: 2000,
+	absentOnReturnMs: 200,
 	loadingMs: 300,
 	beyondTargetMs: 900,
 	residentBeyondTargetMs: 300,
@@ -64,9 +70,11 @@
 	let lowestCost = Infinity;
 	for (const [rank, host] of fleet.preferred(query, now).entries()) {
 		const ranksBeyond = Math.max(0, rank - targetCount + 1);
+		const state = fleet.adapterState(query.subject, host.id);
+		const isReturning = rank === 0 && fleet.isInSlowStart(host, now);
 		const cost =
-			rankCost(query, fleet, host, weights) * ranksBeyond +
-			adapterCost(query, fleet, host, weights) +
+			rankCost(state, weights) * ranksBeyond +
+			adapterCost(query, state, isReturning, weights) +
 			loadCost(fleet.load(host.id, now, query.customer), weights);
 		if (cost < lowestCost) {
 			best = host;
@@ -93,21 +101,17 @@
 }
 
 /** Cost of each rank beyond the target server count. It is lower if the server already holds the adapter. */
-function rankCost(
-	query: RoutingQuery,
-	fleet: RoutingFleet,
-	host: AgentHost,
-	weights: RoutingWeights,
-): number {
-	return fleet.adapterState(query.subject, host.id) === 'resident'
+function rankCost(state: AdapterState, weights: RoutingWeights): number {
+	return state === 'resident'
 		? weights.residentBeyondTargetMs
 		: weights.beyondTargetMs;
 }
 
+/** @param isReturning whether the server is the query's most preferred one and in slow start */
 function adapterCost(
 	query: RoutingQuery,
-	fleet: RoutingFleet,
-	host: AgentHost,
+	state: AdapterState,
+	isReturning: boolean,
 	weights: RoutingWeights,
 ): number {
 	if (query.backend.kind === 'service') {
@@ -117,9 +121,9 @@
 	const costs: Readonly<Record<AdapterState, number>> = {
 		resident: 0,
 		loading: weights.loadingMs,
-		absent: weights.absentMs,
+		absent: isReturning ? weights.absentOnReturnMs : weights.absentMs,
 	};
-	return costs[fleet.adapterState(query.subject, host.id)];
+	return costs[state];
 }
 
 function loadCost(load: ServerLoad, weights: RoutingWeights): number {
--- a/packages/core/src/routing/router.test.ts
+++ b/packages/core/src/routing/router.test.ts
@@ -263,6 +263,91 @@
 		});
 	});
 
+	describe('a returning server that refused its last requests', () => {
+		const subjects = Array.from({length: 60}, (_, i) => `adapter-${i}`);
+
+		/** Runs one request for each adapter, after which the chosen server holds it. */
+		function serveAll(router: Router, at: number): ReadonlyMap<string, string> {
+			return new Map(
+				subjects.map(subject => {
+					const server = chosen(router, subject, at)!;
+					router.noteDispatch(subject, server, at);
+					router.noteStatus({status: statusOf(server), subject}, at);
+					router.noteAnswered(server);
+					router.noteEnd(subject, server);
+					return [subject, server];
+				}),
+			);
+		}
+
+		/** The agent learns first that it is out of service, and refuses requests of entries that do not know yet. */
+		function refuseAll(router: Router, server: string): void {
+			for (const subject of subjects) {
+				router.noteResult(subject, server, 'refused');
+			}
+		}
+
+		function checkReturn(
+			leave: (router: Router) => void,
+			comeBack: (router: Router) => void,
+		): void {
+			const router = routerOf(hostsOf(3));
+			const before = serveAll(router, now);
+			refuseAll(router, 's1');
+			leave(router);
+			assert.ok(!new Set(serveAll(router, now).values()).has('s1'));
+			comeBack(router);
+			// Requests keep coming during the slow start.
+			for (let part = 0; part < 1; part += 0.05) {
+				serveAll(router, now + part * slowStartMs);
+			}
+
+			assert.deepEqual(serveAll(router, now + slowStartMs - 1), before);
+		}
+
+		it('gets them back within the slow start after it was drained', () => {
+			checkReturn(
+				router => {
+					apply({op: 'drainServer', server: 's1'});
+					router.updateConfig(now);
+				},
+				router => {
+					apply({op: 'undrainServer', server: 's1'});
+					router.updateConfig(now);
+				},
+			);
+		});
+
+		it('gets them back within the slow start after its zone was out', () => {
+			checkReturn(
+				router => {
+					apply({op: 'takeZoneOut', zone: 'z1'});
+					router.updateConfig(now);
+				},
+				router => {
+					apply({op: 'bringZoneIn', zone: 'z1'});
+					router.updateConfig(now);
+				},
+			);
+		});
+
+		it('gets them back within the slow start after the platform listed it as leaving', () => {
+			checkReturn(
+				router => {
+					router.updateHosts(
+						hostsOf(3).map(host =>
+							host.id === 's1' ? {...host, state: 'leaving'} : host,
+						),
+						now,
+					);
+				},
+				router => {
+					router.updateHosts(hostsOf(3), now);
+				},
+			);
+		});
+	});
+
 	describe('the naive policy', () => {
 		it('chooses the server with the fewest connections', () => {
 			const router = routerOf(hostsOf(3), naiveRoutingPolicy);
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -52,6 +52,7 @@
 	private readonly _table: ServerTable;
 	private readonly _slowStart = SlowStart.create();
 	private _zonesOut: ReadonlySet<string> = new Set();
+	private _drained: ReadonlySet<string> = new Set();
 	private _zones: ReadonlySet<string> = new Set();
 	private _hasHosts = false;
 
@@ -87,9 +88,19 @@
 		this.updateConfig(now);
 	}
 
-	/** Updates the zones that are out. Begins the slow start of zones that are back in. */
+	/** Updates the zones that are out and the drained servers. Begins the slow start of those that are back in service. */
 	updateConfig(now: number): void {
 		const view = this._options.view();
+		const drained = new Set<string>();
+		for (const id of this._directory.ids()) {
+			if (view.isServerDrained(id)) {
+				drained.add(id);
+			} else if (this._drained.has(id)) {
+				this._slowStart.start(`server:${id}`, now);
+			}
+		}
+
+		this._drained = drained;
 		const zonesOut = new Set<string>();
 		for (const zone of this._zones) {
 			if (view.isZoneOut(zone)) {
@@ -146,6 +157,10 @@
 		return this._table.load(server, now, customer);
 	}
 
+	isInSlowStart(host: AgentHost, now: number): boolean {
+		return this._slowStart.isActive(host, now);
+	}
+
 	adapterState(subject: string, server: string) {
 		return this._residency.state(subject, server);
 	}
--- a/packages/core/src/routing/slow-start.ts
+++ b/packages/core/src/routing/slow-start.ts
@@ -22,17 +22,15 @@
 
 	/** Whether the server already accepts requests for the subject. */
 	isEligible(subject: string, host: AgentHost, now: number): boolean {
-		if (this._startedAt.size === 0) {
-			return true;
-		}
-
-		const share = Math.min(
-			this._share(`zone:${host.zone}`, now),
-			this._share(`server:${host.id}`, now),
-		);
+		const share = this._shareOf(host, now);
 		return share >= 1 || positionOf(subject, host.id) < share;
 	}
 
+	/** Whether the server does not get its full share of work yet. */
+	isActive(host: AgentHost, now: number): boolean {
+		return this._shareOf(host, now) < 1;
+	}
+
 	/** Removes slow starts that are over. */
 	prune(now: number): void {
 		for (const [name, startedAt] of this._startedAt) {
@@ -42,6 +40,15 @@
 		}
 	}
 
+	private _shareOf({id, zone}: AgentHost, now: number): number {
+		return this._startedAt.size === 0
+			? 1
+			: Math.min(
+					this._share(`zone:${zone}`, now),
+					this._share(`server:${id}`, now),
+				);
+	}
+
 	private _share(name: string, now: number): number {
 		const startedAt = this._startedAt.get(name);
 		if (startedAt === undefined) {
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -36,6 +36,8 @@
 	/** Load of a server. With `customer`, the expected wait is that of the customer. */
 	load(server: string, now: number, customer?: string): ServerLoad;
 	adapterState(subject: string, server: string): AdapterState;
+	/** Whether the server is new or back in service, and its share of work is still growing. */
+	isInSlowStart(host: AgentHost, now: number): boolean;
 	/** Number of this entry's dispatches in flight for the subject. */
 	demand(subject: string): number;
 };
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -33,6 +33,8 @@
 	readonly metrics: DirectMetrics;
 	/** Whether the authority statements are proven recent enough to act on. */
 	readonly isFresh: () => boolean;
+	/** Clock epoch. It increases when the host may have been suspended, see `SuspensionDetector`. */
+	readonly epoch: () => number;
 	/** Age of the newest freshness proof, in milliseconds; undefined without a proof. */
 	readonly proofAgeMs: () => number | undefined;
 	readonly retryAllowance: (service: string) => RetryAllowance;
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -227,6 +227,10 @@
 			log,
 			metrics: this._metrics,
 			isFresh: () => this._freshness.isFresh(),
+			epoch: () => {
+				this._freshness.checkForSuspension();
+				return this._freshness.epoch;
+			},
 			proofAgeMs: () => this._freshness.proofAgeMs(),
 			retryAllowance: service => this._retryAllowanceOf(service),
 			maxConnections: service => this._maxConnectionsTo(service),
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -8,6 +8,7 @@
 	adapterKey,
 	EventStreamSplitter,
 	canAcceptWhileStopping,
+	checkDispatch,
 	pickShare,
 	type CustomerRule,
 	type RouteRule,
@@ -76,6 +77,8 @@
 	private readonly _res: ServerResponse;
 	private readonly _metadata: CallMetadata;
 	private readonly _arrivedAt: number;
+	/** Clock epoch at the arrival. */
+	private readonly _epoch: number;
 	private _route: RouteRule | undefined;
 	private _service: string | undefined;
 	private _customer: CustomerRule | undefined;
@@ -107,6 +110,7 @@
 		this._res = res;
 		this._metadata = metadata;
 		this._arrivedAt = arrivedAt;
+		this._epoch = _context.epoch();
 		this._randomShare = _context.random();
 		this._lastEventId = metadata.lastEventId;
 		res.on('close', () => {
@@ -452,6 +456,13 @@
 			maxConnections,
 			clock,
 		} = this._context;
+		const late = this._checkDispatch();
+		if (late !== undefined) {
+			this._endAttempt(`not sent: ${late.reason}`);
+			this._fail(late);
+			return;
+		}
+
 		const now = clock();
 		const {service, address} = fleet.server(attempt.server)!.record;
 		if (!this._hasCountedRequest) {
@@ -488,12 +499,35 @@
 		);
 	}
 
+	/** Returns the refusal of a request that may no longer be sent to a server. */
+	private _checkDispatch(): CallRefusal | undefined {
+		const {clock, epoch} = this._context;
+		const limits = {deadlineAt: this._deadlineAt, epoch: this._epoch};
+		const check = checkDispatch(limits, clock(), epoch());
+		if (check === 'allowed') {
+			return undefined;
+		}
+
+		return unavailable(check === 'tooLate' ? 'deadline' : 'suspended');
+	}
+
 	/** Creates the sink of an attempt. Drops the events of an attempt that is no longer the current one. */
 	private _createSink(attempt: Attempt): UpstreamSink {
 		const isCurrent = () => this._attempt === attempt;
 		return {
-			onSent() {
-				attempt.isSent = true;
+			onSending: () => {
+				const late = this._checkDispatch();
+				if (isCurrent() && late === undefined) {
+					attempt.isSent = true;
+					return true;
+				}
+
+				if (isCurrent() && late !== undefined) {
+					this._endAttempt(`not sent: ${late.reason}`);
+					this._fail(late);
+				}
+
+				return false;
 			},
 			onHeaders: (status, headers) => {
 				const {fleet, clock} = this._context;
--- a/packages/daemon/src/direct/upstream.test.ts
+++ b/packages/daemon/src/direct/upstream.test.ts
@@ -57,8 +57,9 @@
 				body: new Uint8Array(0),
 			},
 			{
-				onSent() {
+				onSending() {
 					events.push('sent');
+					return true;
 				},
 				onHeaders(status) {
 					events.push(`${status}`);
@@ -121,6 +122,61 @@
 		assert.deepEqual(events, ['error']);
 	});
 
+	it('does not send a request that is canceled when its connection opens', async () => {
+		let hasData = false;
+		const address = await listen(() => {
+			hasData = true;
+		});
+		const closed = new Promise<void>(resolve => {
+			server!.once('connection', socket => {
+				socket.once('close', () => {
+					resolve();
+				});
+			});
+		});
+		Upstream.create().send(
+			{
+				server: 's',
+				address,
+				maxConnections: 1,
+				method: 'GET',
+				path: '/',
+				headers: [],
+				body: new Uint8Array(0),
+			},
+			{
+				onSending: () => false,
+				onHeaders: () => undefined,
+				onData: () => true,
+				onEnd: () => undefined,
+				onError: () => undefined,
+			},
+		);
+		await closed;
+		assert.equal(hasData, false);
+	});
+
+	it('resets the connection of an aborted request, so that unsent bytes do not reach the server', async () => {
+		const code = await new Promise<string | undefined>(resolve => {
+			const listening = listen(socket => {
+				let error: NodeJS.ErrnoException | undefined;
+				socket.on('error', err => {
+					error = err;
+				});
+				socket.once('close', () => {
+					resolve(error?.code);
+				});
+				socket.write(`${head}Content-Length: 9\r\n\r\nhello`);
+			});
+			void listening.then(async address =>
+				send(address, call => {
+					call.abort();
+				}),
+			);
+		});
+		assert.equal(code, 'ECONNRESET');
+	});
+
 	it('closes the connection of an aborted request', async () => {
 		await new Promise<void>(resolve => {
 			const listening = listen(socket => {
--- a/packages/daemon/src/direct/upstream.ts
+++ b/packages/daemon/src/direct/upstream.ts
@@ -1,4 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Dispatcher} from 'undici';
 import buildConnector from 'undici/lib/core/connect.js';
 import Pool from 'undici/lib/dispatcher/pool.js';
@@ -18,8 +19,11 @@
 
 /** Receives the events of a request to a server, in this order. */
 export type UpstreamSink = {
-	/** Called when a connection is assigned to the request. From then on the server may run it. */
-	readonly onSent: () => void;
+	/**
+	 * Called when a connection is assigned to the request, just before it is sent. From then on the server may run it.
+	 * Returns false to cancel the request; it is not sent then, and no event follows.
+	 */
+	readonly onSending: () => boolean;
 	readonly onHeaders: (status: number, headers: IncomingHttpHeaders) => void;
 	/** Returns false to pause the response until `resume` is called. */
 	readonly onData: (chunk: Uint8Array) => boolean;
@@ -35,6 +39,9 @@
 	readonly resume: () => void;
 };
 
+/** Message of the error with which undici destroys the socket of an aborted request. */
+const abortMessage = 'aborted';
+
 /** Sends requests to servers over one connection pool per server. */
 export class Upstream {
 	static create(): Upstream {
@@ -56,6 +63,10 @@
 		this._connect = (options, callback) => {
 			connect(options, (...result) => {
 				const [, socket] = result;
+				if (socket) {
+					resetOnAbort(socket);
+				}
+
 				socket?.prependListener('error', () => {
 					this._noteConnectionError();
 				});
@@ -86,10 +97,9 @@
 			{
 				onRequestStart(started) {
 					controller = started;
-					if (isAborted) {
+					if (isAborted || !sink.onSending()) {
+						isAborted = true;
 						started.abort(new Error('aborted'));
-					} else {
-						sink.onSent();
 					}
 				},
 				onResponseStart(_controller, status, headers) {
@@ -175,3 +185,20 @@
 		return pool;
 	}
 }
+
+/**
+ * Makes a socket reset its connection when its request is aborted. After a plain close, bytes that are still unsent or
+ * held up on the way would reach the server, which would then begin a request whose caller is gone.
+ */
+function resetOnAbort(socket: Socket): void {
+	const destroy = socket.destroy.bind(socket);
+	socket.destroy = err => {
+		socket.destroy = destroy;
+		if (err?.message !== abortMessage || socket.destroyed) {
+			return destroy(err);
+		}
+
+		socket.destroy = () => destroy(err);
+		return socket.resetAndDestroy();
+	};
+}
--- a/packages/scenarios/src/steps/fault-steps.ts
+++ b/packages/scenarios/src/steps/fault-steps.ts
@@ -87,6 +87,8 @@
 When(
 	'the platform lists {string} as leaving',
 	async function (this: FleetWorld, id: string) {
+		// After a server comes back, its share of requests grows only gradually.
+		this.shouldDiscardFleet = true;
 		await this.fleet.setHostState(id, 'leaving');
 	},
 );
--- a/packages/scenarios/src/steps/operator-steps.ts
+++ b/packages/scenarios/src/steps/operator-steps.ts
@@ -102,6 +102,20 @@
 	},
 );
 
+When(
+	'an operator undrains {string} at {string}',
+	async function (this: FleetWorld, server: string, entryId: string) {
+		await this.runOperatorCommand(
+			entryId,
+			'server',
+			'undrain',
+			server,
+			'--yes',
+			'--json',
+		);
+	},
+);
+
 async function applyVersions(
 	world: FleetWorld,
 	current: CurrentVersions,
