--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -57,3 +57,7 @@
 export {SuspectRegistry} from './entry/suspect-registry.js';
 export * from './direct/shutdown.js';
 export * from './direct/event-stream-splitter.js';
+export type * from './topology/types.js';
+export * from './topology/constants.js';
+export * from './topology/entry-topology.js';
+export * from './topology/read-duty.js';
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -71,6 +71,17 @@
 		return this._servers.values();
 	}
 
+	/** Rows of the servers that the platform lists, for sending them to another entry. */
+	listedRows(): readonly ServerChange[] {
+		return [...this._servers.values()]
+			.filter(({vanishedAt}) => vanishedAt === undefined)
+			.map(({record}) => ({
+				id: record.id,
+				rowVersion: this._rowVersions.get(record.id) ?? 0,
+				record,
+			}));
+	}
+
 	server(id: string): ServerState | undefined {
 		return this._servers.get(id);
 	}
--- a/packages/daemon/src/direct/agent-client.ts
+++ b/packages/daemon/src/direct/agent-client.ts
@@ -10,6 +10,7 @@
 	demandIntervalMs,
 	idleDemandIntervalMs,
 	prefillTimeoutMs,
+	relayTimeoutMs,
 } from './constants.js';
 import {PendingQueries, type PendingQueriesOptions} from './pending-queries.js';
 import type {Endpoint} from './types.js';
@@ -21,6 +22,8 @@
 	readonly agentPort: number;
 	/** Number of requests of this entry that wait for an adapter. */
 	readonly waitingCount: (adapter: string) => number;
+	/** Whether this entry relays the reports of the server's agent to its zone. */
+	readonly isRelay: (server: string) => boolean;
 	readonly send: (message: GossipMessage, to: Endpoint) => void;
 	/** Called after a report, which may allow waiting requests to proceed. */
 	readonly onReport: () => void;
@@ -38,6 +41,8 @@
 
 	private readonly _lastReportAt = new Map<string, number>();
 	private readonly _lastDemandAt = new Map<string, number>();
+	/** Time of each server's last report, or the time at which it became known. */
+	private readonly _silentSince = new Map<string, number>();
 	private readonly _lostServers = new Set<string>();
 	private readonly _prefillQueries: PendingQueries<number>;
 	private _timer: NodeJS.Timeout | undefined;
@@ -115,6 +120,7 @@
 		}
 
 		this._lastReportAt.set(id, now);
+		this._silentSince.set(id, now);
 		fleet.noteReport(id, report, now);
 		onReport();
 	}
@@ -126,6 +132,10 @@
 		for (const server of fleet.servers()) {
 			const {id} = server.record;
 			known.add(id);
+			if (!this._silentSince.has(id)) {
+				this._silentSince.set(id, now);
+			}
+
 			if (fleet.isReplaced(server)) {
 				continue;
 			}
@@ -144,8 +154,9 @@
 			}
 		}
 
-		for (const id of this._lastReportAt.keys()) {
+		for (const id of this._silentSince.keys()) {
 			if (!known.has(id)) {
+				this._silentSince.delete(id);
 				this._lastReportAt.delete(id);
 				this._lostServers.delete(id);
 				this._lastDemandAt.delete(id);
@@ -160,7 +171,21 @@
 		return (
 			server.outstanding > 0 ||
 			server.wants(now).length > 0 ||
-			now - lastDemandAt >= idleDemandIntervalMs
+			(now - lastDemandAt >= idleDemandIntervalMs &&
+				this._needsReports(server, now))
+		);
+	}
+
+	/**
+	 * Whether the agent has to send its reports to this entry: it relays them to its zone, waits for a load, or the zone's
+	 * relay does not pass them on.
+	 */
+	private _needsReports(server: ServerState, now: number): boolean {
+		const {id} = server.record;
+		return (
+			this._options.isRelay(id) ||
+			server.wants(now).length > 0 ||
+			now - (this._silentSince.get(id) ?? now) > relayTimeoutMs
 		);
 	}
 
@@ -177,6 +202,7 @@
 			{
 				type: 'demand',
 				server: id,
+				isSubscribing: this._needsReports(server, clock()),
 				demand: {
 					wants: server.wants(clock()).map(want => ({
 						...want,
--- a/packages/daemon/src/direct/agent-runtime.ts
+++ b/packages/daemon/src/direct/agent-runtime.ts
@@ -99,8 +99,12 @@
 
 	private _onDemand(message: DemandMessage, from: Endpoint, now: number): void {
 		const id = `${from.host}:${from.port}`;
-		const isNew = !this._subscribers.has(id);
-		this._subscribers.set(id, {endpoint: from, lastDemandAt: now});
+		const isSubscribing = message.isSubscribing !== false;
+		const isNew = isSubscribing && !this._subscribers.has(id);
+		if (isSubscribing) {
+			this._subscribers.set(id, {endpoint: from, lastDemandAt: now});
+		}
+
 		this._server = message.server;
 		this._planner.noteDemand(message.demand, id, now);
 		if (isNew) {
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -1,6 +1,30 @@
-/** Interval of heartbeats to the other entries, in milliseconds. */
+/** Interval of heartbeats to the linked entries, in milliseconds. */
 export const heartbeatIntervalMs = 200;
 
+/** Heartbeat intervals between two heartbeats to a lost entry that this one would be linked with. */
+export const lostLinkIntervals = 5;
+
+/** Time after which a lost entry that gets no heartbeats is no longer considered lost, in milliseconds. */
+export const forgetLossMs = 5000;
+
+/** Time for which quota queries go to the next candidate after an owner did not reply, in milliseconds. */
+export const unresponsiveOwnerMs = 2000;
+
+/** Maximum number of crash reports whose identifiers are kept, to pass each on only once. */
+export const maxSeenReports = 1024;
+
+/** Age of the server list from which it is fetched from any entry that has a newer one, in milliseconds. */
+export const staleServersAgeMs = 1000;
+
+/** Age of the members table from which it is fetched from any entry that has a newer one, in milliseconds. */
+export const staleMembersAgeMs = 15_000;
+
+/** Maximum time between two checks whether this entry has to read a table itself, in milliseconds. */
+export const readDutyCheckMs = 250;
+
+/** Time without a report after which an entry asks the agent itself, since its zone's relay may be lost, in milliseconds. */
+export const relayTimeoutMs = 450;
+
 /** Time without a heartbeat after which an entry is lost, in milliseconds: three intervals and the network delay. */
 export const peerTimeoutMs = 700;
 
--- /dev/null
+++ b/packages/daemon/src/direct/entry-fleet.test.ts
@@ -0,0 +1,178 @@
+import assert from 'node:assert/strict';
+import {describe, it, type TestContext} from 'node:test';
+import {maxRelayedProofAgeMs, type CustomerRule} from '@balsamtray/core';
+import {peerTimeoutMs} from './constants.js';
+import {EntryFleet} from './entry-fleet.testing.js';
+
+/** Bound of the users on the traffic of control of one node, in bytes per second. */
+const maxBytesPerSecond = 25_000;
+
+const customers: readonly CustomerRule[] = Array.from({length: 19}, (_, i) => ({
+	name: `customer-${i}`,
+	keys: [],
+	isMeteredInTokens: true,
+	plainTokens: 1,
+	unitsPerSecond: 10_000,
+	burstUnits: 10_000,
+	priority: 0,
+}));
+
+describe('a fleet of entries', () => {
+	for (const {count, zones} of [
+		{count: 5, zones: 3},
+		{count: 30, zones: 3},
+		{count: 68, zones: 5},
+		{count: 300, zones: 7},
+	]) {
+		describe(`of ${count} in ${zones} zones`, () => {
+			it('renews the proofs of all entries by one reader a zone, within the bound on the traffic', (t: TestContext) => {
+				const fleet = EntryFleet.create({count, zones, seed: 1, customers});
+				fleet.run(4000);
+				const before = {...fleet.sent};
+				let oldestMs = 0;
+				fleet.run(5000, () => {
+					oldestMs = Math.max(oldestMs, fleet.oldestProofMs);
+				});
+				const seconds = 5 * count;
+				const bytes = (fleet.sent.bytes - before.bytes) / seconds;
+				const datagrams = (fleet.sent.datagrams - before.datagrams) / seconds;
+				t.diagnostic(
+					`${count} entries: ${datagrams.toFixed(1)} datagrams/s, ${Math.round(bytes)} bytes/s an entry, oldest proof ${oldestMs} ms`,
+				);
+				assert.equal(fleet.roots.length, zones);
+				assert.ok(oldestMs < maxRelayedProofAgeMs);
+				assert.ok(bytes < maxBytesPerSecond);
+			});
+		});
+	}
+
+	describe('with losses of datagrams', () => {
+		it('considers no entry lost, and proofs stay fresh', () => {
+			for (let seed = 1; seed <= 5; seed++) {
+				const fleet = EntryFleet.create({
+					count: 40,
+					zones: 4,
+					seed,
+					lossRate: 0.02,
+					customers,
+				});
+				fleet.run(3000);
+				let oldestMs = 0;
+				fleet.run(10_000, () => {
+					oldestMs = Math.max(oldestMs, fleet.oldestProofMs);
+				});
+				assert.equal(fleet.roots.length, 4, `seed ${seed}`);
+				assert.ok(oldestMs < maxRelayedProofAgeMs + 500, `seed ${seed}`);
+			}
+		});
+	});
+
+	describe('whose reader of a zone is killed', () => {
+		it('has another reader there within the timeout of heartbeats, and one again after the return', () => {
+			const fleet = EntryFleet.create({count: 68, zones: 5, seed: 2});
+			fleet.run(3000);
+			const killed = fleet.roots.find(({zone}) => zone === 'zone-0')!;
+			killed.isDown = true;
+			fleet.run(peerTimeoutMs + 500);
+			assert.ok(
+				fleet.roots.some(({zone, id}) => zone === 'zone-0' && id !== killed.id),
+			);
+			fleet.run(5000, () => {
+				assert.ok(fleet.oldestProofMs < maxRelayedProofAgeMs + 1500);
+			});
+			killed.isDown = false;
+			fleet.run(4000);
+			assert.deepEqual(
+				fleet.roots.filter(({zone}) => zone === 'zone-0').map(({id}) => id),
+				[killed.id],
+			);
+		});
+	});
+
+	describe('with a zone that is cut from the store', () => {
+		it('gets its proofs from the readers of the other zones', () => {
+			const fleet = EntryFleet.create({count: 68, zones: 5, seed: 3});
+			fleet.run(3000);
+			for (const entry of fleet.entries.values()) {
+				entry.isCutFromStore = entry.zone === 'zone-1';
+			}
+
+			fleet.run(3000);
+			fleet.run(6000, () => {
+				assert.ok(fleet.oldestProofMs < maxRelayedProofAgeMs + 500);
+			});
+		});
+	});
+
+	describe('with a zone that is cut from the others', () => {
+		it('accepts no proof there that is not from its own reader', () => {
+			const fleet = EntryFleet.create({count: 30, zones: 3, seed: 4});
+			fleet.run(3000);
+			fleet.canPass = (from, to) => from.zone === to.zone;
+			for (const entry of fleet.entries.values()) {
+				entry.isCutFromStore = entry.zone === 'zone-2';
+			}
+
+			const cutAt = fleet.now;
+			fleet.run(8000);
+			for (const {zone, provenAt} of fleet.entries.values()) {
+				assert.ok(
+					zone === 'zone-2' ? provenAt <= cutAt : provenAt > fleet.now - 4000,
+				);
+			}
+		});
+	});
+
+	describe('with links that pass one way only', () => {
+		it('has proofs in the direction that passes, dated by the last echo', () => {
+			const fleet = EntryFleet.create({count: 2, zones: 2, seed: 5});
+			fleet.run(2000);
+			fleet.entries.get('entry-0')!.isCutFromStore = true;
+			fleet.canPass = from => from.id !== 'entry-0';
+			fleet.run(6000, () => {
+				assert.ok(fleet.oldestProofMs < maxRelayedProofAgeMs);
+			});
+		});
+	});
+
+	describe('when an owner of a rate is killed', () => {
+		it('has exactly one owner of each rate again, which continues from its level', () => {
+			const fleet = EntryFleet.create({
+				count: 30,
+				zones: 3,
+				seed: 6,
+				customers,
+			});
+			fleet.run(2000);
+			for (const customer of customers) {
+				const owners = fleet.live.filter(({peers}) =>
+					peers.isOwner(customer.name),
+				);
+				assert.equal(owners.length, 1);
+				const [owner] = owners;
+				owner!.ledger.take(customer, 9000, fleet.now);
+			}
+
+			fleet.run(heartbeats(2));
+			const customer = customers[0]!;
+			const owner = fleet.live.find(({peers}) => peers.isOwner(customer.name))!;
+			owner.isDown = true;
+			fleet.run(peerTimeoutMs + 500);
+			const successor = fleet.live.find(({peers}) =>
+				peers.isOwner(customer.name),
+			);
+			assert.ok(successor !== undefined);
+			// 1,000 units were left, and 1.6 s at most have accrued.
+			const grant = successor.ledger.take(customer, 10_000, fleet.now);
+			assert.equal(grant.kind, 'granted');
+			assert.equal(
+				successor.ledger.take(customer, 9000, fleet.now).kind,
+				'refused',
+			);
+		});
+	});
+});
+
+function heartbeats(count: number): number {
+	return count * 200 + 100;
+}
--- /dev/null
+++ b/packages/daemon/src/direct/entry-fleet.testing.ts
@@ -0,0 +1,227 @@
+import {
+	QuotaLedger,
+	createRandom,
+	type CustomerRule,
+	type QuotaGrant,
+	type Random,
+} from '@balsamtray/core';
+import type {GossipMessage} from '@balsamtray/protocol';
+import {heartbeatIntervalMs} from './constants.js';
+import {EntryPeers} from './entry-peers.js';
+import type {Endpoint} from './types.js';
+
+/** Interval at which the root of a zone proves that its statements are the newest, in milliseconds. */
+const proofIntervalMs = 1200;
+
+const stepMs = 10;
+
+export type EntryFleetOptions = {
+	readonly count: number;
+	readonly zones: number;
+	readonly seed: number;
+	/** Share of the datagrams that are lost. */
+	readonly lossRate?: number;
+	readonly customers?: readonly CustomerRule[];
+};
+
+/** An entry of the simulated fleet. */
+export type SimulatedEntry = {
+	readonly id: string;
+	readonly zone: string;
+	readonly peers: EntryPeers;
+	readonly ledger: QuotaLedger;
+	readonly nextTickAt: {value: number};
+	provenAt: number;
+	lastReadAt: number;
+	isDown: boolean;
+	/** Whether the entry can't reach the store. */
+	isCutFromStore: boolean;
+};
+
+type Datagram = {
+	readonly at: number;
+	readonly message: GossipMessage;
+	readonly from: string;
+	readonly to: string;
+};
+
+/** Many `EntryPeers` in virtual time over a network that delays and loses datagrams. */
+export class EntryFleet {
+	static create(options: EntryFleetOptions): EntryFleet {
+		return new EntryFleet(options);
+	}
+
+	now = 0;
+	readonly entries = new Map<string, SimulatedEntry>();
+	/** Sent datagrams and bytes. */
+	readonly sent = {datagrams: 0, bytes: 0, bytesBetweenZones: 0};
+	/** Whether datagrams pass from one entry to another. */
+	canPass: (from: SimulatedEntry, to: SimulatedEntry) => boolean = () => true;
+	private _inFlight: Datagram[] = [];
+	private readonly _random: Random;
+
+	private constructor(private readonly _options: EntryFleetOptions) {
+		this._random = createRandom(_options.seed);
+		const {count, zones} = _options;
+		for (let i = 0; i < count; i++) {
+			this._add(`entry-${i}`, `zone-${i % zones}`);
+		}
+
+		const rows = [...this.entries.values()].map(({id, zone}) => ({
+			id,
+			zone,
+			endpoint: endpointOf(id),
+		}));
+		for (const {peers} of this.entries.values()) {
+			peers.noteListed();
+			peers.setMembers(rows, true);
+		}
+	}
+
+	get live(): readonly SimulatedEntry[] {
+		return [...this.entries.values()].filter(({isDown}) => !isDown);
+	}
+
+	/** Live entries that read the store for their zone. */
+	get roots(): readonly SimulatedEntry[] {
+		return this.live.filter(({peers}) => peers.isRoot);
+	}
+
+	/** Largest age of a proof among the live entries, in milliseconds. */
+	get oldestProofMs(): number {
+		return Math.max(...this.live.map(({provenAt}) => this.now - provenAt));
+	}
+
+	run(milliseconds: number, onStep?: () => void): void {
+		const end = this.now + milliseconds;
+		while (this.now < end) {
+			this.now += stepMs;
+			this._deliver();
+			for (const entry of this.live) {
+				this._step(entry);
+			}
+
+			onStep?.();
+		}
+	}
+
+	/** Lets an entry take units of a customer's rate. Resolves within the next calls of `run`. */
+	async reserve(
+		entryId: string,
+		customer: CustomerRule,
+		units: number,
+	): Promise<QuotaGrant> {
+		const {grant} = await this.entries
+			.get(entryId)!
+			.peers.reserve(customer, units);
+		return grant;
+	}
+
+	private _step(entry: SimulatedEntry): void {
+		if (
+			entry.peers.isRoot &&
+			!entry.isCutFromStore &&
+			this.now - entry.lastReadAt >= proofIntervalMs
+		) {
+			// A read proves the time at which it began, and the next one begins when it ends.
+			entry.provenAt = Math.max(entry.provenAt, entry.lastReadAt);
+			entry.lastReadAt = this.now;
+		}
+
+		if (this.now >= entry.nextTickAt.value) {
+			entry.nextTickAt.value += heartbeatIntervalMs;
+			entry.peers.sendHeartbeats();
+		}
+	}
+
+	private _deliver(): void {
+		const due = this._inFlight.filter(({at}) => at <= this.now);
+		this._inFlight = this._inFlight.filter(({at}) => at > this.now);
+		for (const {message, from, to} of due) {
+			const receiver = this.entries.get(to)!;
+			if (!receiver.isDown) {
+				receive(receiver, message, endpointOf(from));
+			}
+		}
+	}
+
+	private _send(from: SimulatedEntry, message: GossipMessage, to: string) {
+		const receiver = this.entries.get(to)!;
+		const bytes = JSON.stringify(message).length;
+		this.sent.datagrams++;
+		this.sent.bytes += bytes;
+		this.sent.bytesBetweenZones += from.zone === receiver.zone ? 0 : bytes;
+		const isLost = this._random() < (this._options.lossRate ?? 0);
+		if (!isLost && this.canPass(from, receiver)) {
+			this._inFlight.push({at: this.now + stepMs, message, from: from.id, to});
+		}
+	}
+
+	private _add(id: string, zone: string): void {
+		const customers = this._options.customers ?? [];
+		const ledger = QuotaLedger.create({
+			isFirstStart: true,
+			slackUnits: () => 0,
+			now: 0,
+		});
+		const entry: SimulatedEntry = {
+			id,
+			zone,
+			ledger,
+			nextTickAt: {
+				value: Math.floor(this._random() * heartbeatIntervalMs),
+			},
+			provenAt: 0,
+			lastReadAt: 0,
+			isDown: false,
+			isCutFromStore: false,
+			peers: EntryPeers.create({
+				hostId: id,
+				zone,
+				endpoint: endpointOf(id),
+				clock: () => this.now,
+				epoch: () => 0,
+				ledger,
+				send: (message, {host}) => {
+					this._send(entry, message, host);
+				},
+				authorityVersion: () => 1,
+				isServing: () => true,
+				provenAt: () => entry.provenAt,
+				customers: () => customers.map(({name}) => name),
+				tables: () => ({
+					servers: {revision: 1, ageMs: 100},
+					members: {revision: 1, ageMs: 100},
+				}),
+				onTables: () => undefined,
+				onProof(provenAt) {
+					entry.provenAt = Math.max(entry.provenAt, provenAt);
+				},
+				fetchStatements: async () => [],
+				onStatements: () => undefined,
+				onRootChanged: () => undefined,
+				onQueryEnded: () => undefined,
+				onLost: () => undefined,
+				onRegained: () => undefined,
+				onError: () => undefined,
+			}),
+		};
+		this.entries.set(id, entry);
+	}
+}
+
+function receive(
+	{peers}: SimulatedEntry,
+	message: GossipMessage,
+	from: Endpoint,
+): void {
+	if (message.type === 'entry') {
+		peers.onHeartbeat(message, from);
+	} else if (message.type === 'suspect') {
+		peers.passOnSuspect(message);
+	}
+}
+
+function endpointOf(id: string): Endpoint {
+	return {host: id, port: 1};
+}
--- a/packages/daemon/src/direct/entry-peers.test.ts
+++ b/packages/daemon/src/direct/entry-peers.test.ts
@@ -33,6 +33,8 @@
 function createPeers(hostId: string): EntryPeers {
 	return EntryPeers.create({
 		hostId,
+		zone: '',
+		endpoint: endpointOf(hostId),
 		clock: () => now,
 		epoch: () => 0,
 		ledger: QuotaLedger.create({
@@ -46,6 +48,10 @@
 		authorityVersion: () => 0,
 		isServing: () => true,
 		provenAt: () => 0,
+		customers: () => customers.map(({name}) => name),
+		tables: () => ({}),
+		onTables: () => undefined,
+		onRootChanged: () => undefined,
 		onProof: () => undefined,
 		fetchStatements: async () => [],
 		onStatements: () => undefined,
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -1,22 +1,35 @@
 import {
-	topByRendezvous,
+	EntryTopology,
 	type AuthorityRow,
 	type CustomerRule,
 	type QuotaGrant,
 	type QuotaLedger,
 } from '@balsamtray/core';
-import type {EntryHeartbeat, GossipMessage} from '@balsamtray/protocol';
+import type {
+	EntryHeartbeat,
+	GossipMessage,
+	GossipTable,
+	QuotaQuery,
+	SuspectMessage,
+} from '@balsamtray/protocol';
 import {
+	forgetLossMs,
 	heartbeatIntervalMs,
+	lostLinkIntervals,
 	maxQuotaAttempts,
+	maxSeenReports,
 	peerTimeoutMs,
 	quotaTimeoutMs,
+	unresponsiveOwnerMs,
 } from './constants.js';
 import {PendingQueries, type PendingQueriesOptions} from './pending-queries.js';
 import type {Endpoint, MemberRow} from './types.js';
 
 export type EntryPeersOptions = {
 	readonly hostId: string;
+	readonly zone: string;
+	/** Address at which other entries reach this one. */
+	readonly endpoint: Endpoint;
 	readonly clock: () => number;
 	readonly epoch: () => number;
 	readonly ledger: QuotaLedger;
@@ -25,12 +38,27 @@
 	readonly provenAt: () => number;
 	/** Whether this entry accepts requests and is not stopping. */
 	readonly isServing: () => boolean;
+	/** Names of the customers with a rate limit. */
+	readonly customers: () => readonly string[];
+	/** This entry's copies of the server list and of the members table. */
+	readonly tables: () => {
+		readonly servers?: GossipTable;
+		readonly members?: GossipTable;
+	};
+	/** Called when a peer announces its copies of tables. */
+	readonly onTables: (
+		peer: {readonly id: string; readonly endpoint: Endpoint},
+		heartbeat: EntryHeartbeat,
+		isParent: boolean,
+	) => void;
 	/** Called when a peer proves that this entry's authority statements were the newest at `provenAt`. */
 	readonly onProof: (provenAt: number, epoch: number) => void;
 	readonly fetchStatements: (
 		from: Endpoint,
 	) => Promise<readonly AuthorityRow[]>;
 	readonly onStatements: (rows: readonly AuthorityRow[], from: string) => void;
+	/** Called when this entry begins or stops to read the store for its zone. */
+	readonly onRootChanged: (isRoot: boolean, parent: string | undefined) => void;
 	/** Called when a quota query to another entry ends. */
 	readonly onQueryEnded: PendingQueriesOptions['onEnded'];
 	readonly onLost: (peer: string, err: unknown) => void;
@@ -47,33 +75,56 @@
 
 type Peer = {
 	readonly endpoint: Endpoint;
+	readonly zone: string;
 	/** Whether the members table lists the peer. A peer known only by heartbeat is removed when it is lost. */
 	isListed: boolean;
+	/** Whether this entry sends heartbeats to the peer on its own account. */
+	isLinked: boolean;
+	/** Time since which the peer is expected to send heartbeats. */
+	expectedSince: number;
+	/** Time of the last heartbeat in which the peer asked for heartbeats. */
+	linkedByPeerAt: number;
 	lastHeardAt: number;
 	isLost: boolean;
+	lostAt: number;
+	/** Time until which quota queries go to the next candidate, because the peer did not reply to one. */
+	unresponsiveUntil: number;
 	/** Whether the peer accepts requests, by its last heartbeat. */
 	isServing: boolean;
+	/** Entries of the peer's zone that the peer considers lost. */
+	zoneLost: readonly string[];
 	/** The peer's last heartbeat: `sentAt` on the peer's clock, `receivedAt` on this entry's clock. */
 	lastHeartbeat?: {readonly sentAt: number; readonly receivedAt: number};
 };
 
-/** Tracks the other entries by heartbeat, takes freshness proofs from them, and reserves units of customers' quotas. */
+/**
+ * Keeps in touch with the entries that the topology links this one with: tracks them by heartbeat, takes freshness
+ * proofs from them, and reserves units of customers' quotas.
+ */
 export class EntryPeers {
 	static create(options: EntryPeersOptions): EntryPeers {
 		return new EntryPeers(options);
 	}
 
 	private readonly _peers = new Map<string, Peer>();
+	private readonly _topology: EntryTopology;
 	private readonly _quotaQueries: PendingQueries<QuotaGrant>;
+	/** Identifiers of the crash reports that were passed on, oldest first. */
+	private readonly _seenReports = new Set<string>();
+	private _reportCount = 0;
 	private _heartbeatEpoch = -1;
 	/** Time of the first heartbeat in the current clock epoch. Echoes of earlier heartbeats prove nothing. */
 	private _epochStartedAt = 0;
+	private _tickCount = 0;
 	private _isFetching = false;
 	private _isListed = false;
+	private _parent: string | undefined;
+	private _wasRoot: boolean | undefined;
 	private _timer: NodeJS.Timeout | undefined;
 
 	private constructor(private readonly _options: EntryPeersOptions) {
-		const {clock, onQueryEnded} = _options;
+		const {clock, onQueryEnded, hostId, zone} = _options;
+		this._topology = EntryTopology.create({id: hostId, zone});
 		this._quotaQueries = PendingQueries.create({
 			timeoutMs: quotaTimeoutMs,
 			clock,
@@ -88,11 +139,23 @@
 
 	/** Whether another entry accepts requests, by the last heartbeats. */
 	get hasServingPeer(): boolean {
+		const now = this._options.clock();
 		return [...this._peers.values()].some(
-			({isLost, isServing}) => isServing && !isLost,
+			({isLost, isServing, lastHeardAt}) =>
+				isServing && !isLost && now - lastHeardAt <= 2 * peerTimeoutMs,
 		);
 	}
 
+	/** Whether this entry reads the store for its zone. */
+	get isRoot(): boolean {
+		return this._topology.isRoot(this._isLost);
+	}
+
+	/** Delay by which this entry's own reads are shifted against those of other entries, in milliseconds. */
+	get readShiftMs(): number {
+		return this._topology.readShiftMs;
+	}
+
 	start(): void {
 		this._timer = setInterval(() => {
 			this.sendHeartbeats();
@@ -108,43 +171,50 @@
 		this._isListed = true;
 	}
 
+	/** Rows of the listed entries, for sending them to another entry. */
+	memberRows(): readonly MemberRow[] {
+		const {hostId, endpoint: ownEndpoint, zone: ownZone} = this._options;
+		const own = {id: hostId, endpoint: ownEndpoint, zone: ownZone};
+		const others = [...this._peers]
+			.filter(([, {isListed}]) => isListed)
+			.map(([id, {endpoint, zone}]) => ({id, endpoint, zone}));
+		return this._isListed ? [own, ...others] : others;
+	}
+
 	/**
-	 * Applies rows of the members table.
+	 * Applies rows of the members table. Returns whether an entry was added, changed or removed.
 	 *
 	 * @param isSnapshot whether the rows are the whole table, in which case listed peers without a row are removed
 	 */
-	setMembers(rows: readonly MemberRow[], isSnapshot: boolean): void {
+	setMembers(rows: readonly MemberRow[], isSnapshot: boolean): boolean {
+		let hasChanged = false;
 		if (isSnapshot) {
 			const listed = new Set(rows.map(({id}) => id));
-			for (const id of this._peers.keys()) {
-				if (!listed.has(id) && this._peers.get(id)!.isListed) {
+			for (const [id, peer] of this._peers) {
+				if (!listed.has(id) && peer.isListed) {
 					this._peers.delete(id);
+					hasChanged = true;
 				}
 			}
 		}
 
-		for (const {id, endpoint} of rows) {
-			if (id === this._options.hostId) {
-				continue;
+		for (const row of rows) {
+			if (row.id !== this._options.hostId) {
+				hasChanged = this._setMember(row) || hasChanged;
 			}
+		}
 
-			const known = this._peers.get(id);
-			if (endpoint === undefined) {
-				this._peers.delete(id);
-			} else if (
-				known !== undefined &&
-				isSameEndpoint(known.endpoint, endpoint)
-			) {
-				known.isListed = true;
-			} else {
-				this._add(id, endpoint, true);
-			}
+		if (hasChanged) {
+			this._updateTopology();
 		}
+
+		return hasChanged;
 	}
 
 	/**
-	 * Takes units of a customer's rate from the entry that owns its quota. If no owner replies, takes them from this
-	 * entry's share of the units that the ledger keeps for this case.
+	 * Takes units of a customer's rate from the entry that owns its quota. If the owner does not reply, the next candidate
+	 * is asked, which decides in its place if it has lost the owner, and otherwise passes the query on. If nobody replies,
+	 * takes the units from this entry's share of those that the ledger keeps for this case.
 	 */
 	async reserve(customer: CustomerRule, units: number): Promise<Reservation> {
 		const {ledger, clock, hostId} = this._options;
@@ -153,11 +223,15 @@
 		}
 
 		for (let i = 0; i < maxQuotaAttempts; i++) {
-			const owner = this._ownerOf(customer.name);
+			const owner = this._entryToAsk(customer.name);
 			if (owner === hostId) {
 				return {grant: ledger.take(customer, units, clock()), owner};
 			}
 
+			if (owner === undefined) {
+				break;
+			}
+
 			// Each attempt starts after the previous one timed out.
 			// eslint-disable-next-line no-await-in-loop
 			const grant = await this._queryOwner(owner, customer.name, units);
@@ -180,36 +254,103 @@
 			return;
 		}
 
-		const peer = this._peers.get(owner);
+		const peer = this._peerOf(owner);
 		if (peer !== undefined) {
 			send({type: 'quotaReturn', customer, units}, peer.endpoint);
 		}
 	}
 
-	/** Sends a message to all other known entries. */
-	broadcast(message: GossipMessage): void {
-		for (const {endpoint} of this._peers.values()) {
-			this._options.send(message, endpoint);
+	/** Passes a query for units that this entry does not own on to the owner, once. */
+	forwardQuery(query: QuotaQuery, from: Endpoint): void {
+		const owner = this._peerOf(this._ownerOf(query.customer));
+		if (query.replyTo === undefined && owner !== undefined) {
+			this._options.send({...query, replyTo: from}, owner.endpoint);
+		}
+	}
+
+	/** Tells all entries that a request was running on a server that broke. */
+	spreadSuspect(fingerprint: string, server: string): void {
+		const reportId = `${this._options.hostId}/${this._reportCount++}`;
+		this.passOnSuspect({type: 'suspect', fingerprint, server, reportId});
+	}
+
+	/** Passes a crash report on to the linked entries. Returns false if it was already passed on. */
+	passOnSuspect(message: SuspectMessage): boolean {
+		const {reportId} = message;
+		if (reportId !== undefined) {
+			if (this._seenReports.has(reportId)) {
+				return false;
+			}
+
+			this._seenReports.add(reportId);
+			for (const oldest of this._seenReports) {
+				if (this._seenReports.size <= maxSeenReports) {
+					break;
+				}
+
+				this._seenReports.delete(oldest);
+			}
+		}
+
+		const now = this._options.clock();
+		for (const peer of this._peers.values()) {
+			if (isInTouch(peer, now)) {
+				this._options.send(message, peer.endpoint);
+			}
+		}
+
+		return true;
+	}
+
+	/** Whether this entry relays the reports of the server's agent to its zone. */
+	isRelay(server: string): boolean {
+		return this._topology.isRelay(server, this._isLostInZone);
+	}
+
+	/** Sends a message to the other entries of this entry's zone. */
+	sendToZone(message: GossipMessage): void {
+		for (const id of this._topology.zonePeers(this._isLostInZone)) {
+			const peer = this._peers.get(id);
+			if (peer !== undefined) {
+				this._options.send(message, peer.endpoint);
+			}
 		}
 	}
 
 	/** Applies a heartbeat. Its sender is added if it joined after the members table was last read. */
 	onHeartbeat(heartbeat: EntryHeartbeat, from: Endpoint): void {
 		const now = this._options.clock();
-		const peer =
-			this._peers.get(heartbeat.from) ?? this._add(heartbeat.from, from, false);
+		const id = heartbeat.from;
+		if (!this._peers.has(id)) {
+			this._add(id, from, heartbeat.zone ?? '', false);
+			this._updateTopology();
+		}
+
+		const peer = this._peers.get(id)!;
 		if (peer.isLost) {
 			peer.isLost = false;
 			if (Number.isFinite(peer.lastHeardAt)) {
-				this._options.onRegained(heartbeat.from, now - peer.lastHeardAt);
+				this._options.onRegained(id, now - peer.lastHeardAt);
 			}
 		}
 
 		peer.lastHeardAt = now;
 		peer.isServing = heartbeat.isServing;
+		peer.zoneLost = heartbeat.zoneLost ?? [];
 		peer.lastHeartbeat = {sentAt: heartbeat.sentAt, receivedAt: now};
+		const isNewLink = now - peer.linkedByPeerAt > peerTimeoutMs;
+		if (heartbeat.isLink !== false) {
+			peer.linkedByPeerAt = now;
+			if (isNewLink && !peer.isLinked) {
+				// The echo lets the new link take proofs at once.
+				this._sendHeartbeat(id, peer, now);
+			}
+		}
+
 		this._options.ledger.recordPeerLevels(heartbeat.levels, now);
 		this._applyProof(heartbeat, peer);
+		const isParent = id === this._parent;
+		this._options.onTables({id, endpoint: peer.endpoint}, heartbeat, isParent);
 	}
 
 	onQuotaReply(askId: number, grant: QuotaGrant): void {
@@ -221,63 +362,202 @@
 		return this._ownerOf(customer) === this._options.hostId;
 	}
 
-	/** Detects lost peers and sends a heartbeat to each peer. Runs every `heartbeatIntervalMs` once started. */
+	/** Detects lost peers and sends heartbeats to the links. Runs every `heartbeatIntervalMs` once started. */
 	sendHeartbeats(): void {
 		const {clock, epoch} = this._options;
 		const now = clock();
+		this._tickCount++;
 		if (epoch() !== this._heartbeatEpoch) {
 			this._heartbeatEpoch = epoch();
 			this._epochStartedAt = now;
 		}
 
+		this._detectLosses(now);
+		this._updateLinks(now);
+		for (const [id, peer] of this._peers) {
+			if (isInTouch(peer, now)) {
+				this._sendHeartbeat(id, peer, now);
+			}
+		}
+
+		if (this._tickCount % lostLinkIntervals === 0) {
+			for (const id of this._topology.lostLinks(this._isLost)) {
+				const peer = this._peers.get(id);
+				if (peer !== undefined && !peer.isLinked) {
+					this._sendHeartbeat(id, peer, now, true);
+				}
+			}
+		}
+	}
+
+	/** Sends heartbeats to the links at once, so that they hear of a change. */
+	announce(): void {
+		const now = this._options.clock();
+		for (const [id, peer] of this._peers) {
+			if (isInTouch(peer, now) && !peer.isLost) {
+				this._sendHeartbeat(id, peer, now);
+			}
+		}
+	}
+
+	private readonly _isLost = (id: string): boolean =>
+		this._peers.get(id)?.isLost ?? false;
+
+	/** Like `_isLost`, with what the parent sees, which hears from more entries of the zone. */
+	private readonly _isLostInZone = (id: string): boolean =>
+		this._isLost(id) ||
+		this._peerOf(this._parent)?.zoneLost.includes(id) === true;
+
+	private _setMember({id, endpoint, zone = ''}: MemberRow): boolean {
+		const known = this._peers.get(id);
+		if (endpoint === undefined) {
+			return this._peers.delete(id);
+		}
+
+		if (
+			known !== undefined &&
+			known.zone === zone &&
+			isSameEndpoint(known.endpoint, endpoint)
+		) {
+			const hasChanged = !known.isListed;
+			known.isListed = true;
+			return hasChanged;
+		}
+
+		this._add(id, endpoint, zone, true);
+		return true;
+	}
+
+	private _add(
+		id: string,
+		endpoint: Endpoint,
+		zone: string,
+		isListed: boolean,
+	): void {
+		this._peers.set(id, {
+			endpoint,
+			zone,
+			isListed,
+			isLinked: false,
+			expectedSince: 0,
+			linkedByPeerAt: Number.NEGATIVE_INFINITY,
+			lastHeardAt: Number.NEGATIVE_INFINITY,
+			isLost: false,
+			lostAt: 0,
+			unresponsiveUntil: 0,
+			isServing: false,
+			zoneLost: [],
+		});
+	}
+
+	private _updateTopology(): void {
+		this._topology.setMembers(
+			[...this._peers].map(([id, {zone}]) => ({id, zone})),
+		);
+		this._updateLinks(this._options.clock());
+	}
+
+	/** Sends a heartbeat to each new link at once. */
+	private _updateLinks(now: number): void {
+		const {customers, onRootChanged} = this._options;
+		const links = this._topology.links(customers(), this._isLost);
+		for (const [id, peer] of this._peers) {
+			const isLinked = links.has(id);
+			if (isLinked && !peer.isLinked) {
+				peer.isLinked = true;
+				peer.expectedSince = now;
+				this._sendHeartbeat(id, peer, now);
+			} else {
+				peer.isLinked = isLinked;
+			}
+		}
+
+		const parent = this._topology.parent(this._isLost);
+		const isRoot = parent === undefined;
+		if (isRoot !== this._wasRoot || parent !== this._parent) {
+			this._wasRoot = isRoot;
+			this._parent = parent;
+			onRootChanged(isRoot, parent);
+		}
+	}
+
+	private _detectLosses(now: number): void {
+		const probed = new Set(this._topology.lostLinks(this._isLost));
+		let hasRemoved = false;
 		for (const [id, peer] of this._peers) {
-			if (!peer.isLost && now - peer.lastHeardAt > peerTimeoutMs) {
+			const isExpected = peer.isLinked || Number.isFinite(peer.linkedByPeerAt);
+			const heardAt = Math.max(peer.lastHeardAt, peer.expectedSince);
+			if (peer.isLost) {
+				if (
+					!peer.isLinked &&
+					!probed.has(id) &&
+					now - peer.lostAt > forgetLossMs
+				) {
+					// Nobody would notice the return of a peer that is neither linked nor probed.
+					peer.isLost = false;
+					peer.linkedByPeerAt = Number.NEGATIVE_INFINITY;
+				}
+			} else if (isExpected && now - heardAt > peerTimeoutMs) {
 				peer.isLost = true;
+				peer.lostAt = now;
 				this._options.onLost(
 					id,
-					`no heartbeat for ${Math.round(now - peer.lastHeardAt)} ms`,
+					`no heartbeat for ${Math.round(now - heardAt)} ms`,
 				);
 			}
 
 			if (peer.isLost && !peer.isListed) {
 				this._peers.delete(id);
-			} else {
-				this._sendHeartbeat(peer, now);
+				hasRemoved = true;
 			}
 		}
-	}
 
-	/** Adds a peer and sends it a heartbeat at once. */
-	private _add(id: string, endpoint: Endpoint, isListed: boolean): Peer {
-		const peer: Peer = {
-			endpoint,
-			isListed,
-			lastHeardAt: Number.NEGATIVE_INFINITY,
-			isLost: true,
-			isServing: false,
-		};
-		this._peers.set(id, peer);
-		this._sendHeartbeat(peer, this._options.clock());
-		return peer;
+		if (hasRemoved) {
+			this._updateTopology();
+		}
 	}
 
-	private _sendHeartbeat({lastHeartbeat, endpoint}: Peer, now: number): void {
-		const {ledger, send, hostId, authorityVersion, provenAt, isServing} =
+	/** @param isLink whether the peer is asked for heartbeats */
+	private _sendHeartbeat(
+		id: string,
+		peer: Peer,
+		now: number,
+		isLink = peer.isLinked,
+	): void {
+		const {ledger, send, hostId, zone, authorityVersion, provenAt} =
 			this._options;
+		const {lastHeartbeat, endpoint} = peer;
 		const proofAgeMs = now - provenAt();
+		const zoneLost =
+			peer.zone === zone
+				? [...this._peers]
+						.filter(([, other]) => other.isLost && other.zone === zone)
+						.map(([lostId]) => lostId)
+				: [];
 		send(
 			{
 				type: 'entry',
 				from: hostId,
-				sentAt: now,
+				zone,
+				isLink,
+				sentAt: roundMs(now),
 				authorityVersion: authorityVersion(),
-				isServing: isServing(),
-				levels: ledger.levels(now),
-				...(Number.isFinite(proofAgeMs) && {proofAgeMs}),
+				isServing: this._options.isServing(),
+				levels: ledger
+					.levels(now)
+					.filter(({customer}) =>
+						this._topology.ownerCandidates(customer).includes(id),
+					)
+					.map(({customer, level}) => ({customer, level: roundMs(level)})),
+				...this._options.tables(),
+				...(zoneLost.length > 0 && {zoneLost}),
+				...(Number.isFinite(proofAgeMs) && {
+					proofAgeMs: Math.ceil(proofAgeMs),
+				}),
 				...(lastHeartbeat !== undefined && {
 					echo: {
 						sentAt: lastHeartbeat.sentAt,
-						heldForMs: now - lastHeartbeat.receivedAt,
+						heldForMs: roundMs(now - lastHeartbeat.receivedAt),
 					},
 				}),
 			},
@@ -326,17 +606,36 @@
 		}
 	}
 
-	private _ownerOf(customer: string): string {
+	private _peerOf(id: string | undefined): Peer | undefined {
+		return id === undefined ? undefined : this._peers.get(id);
+	}
+
+	/** The entry that owns the customer's quota: the first candidate that is not lost. Undefined if all are lost. */
+	private _ownerOf(customer: string): string | undefined {
 		const {hostId} = this._options;
-		const reachable = [...this._peers]
-			.filter(([, peer]) => !peer.isLost)
-			.map(([id]) => id);
+		const candidates = this._topology.ownerCandidates(customer);
+		const live = candidates.filter(id => id === hostId || !this._isLost(id));
 		// Other entries send no quota queries to an entry that the table does not list.
-		const owners =
-			this._isListed || reachable.length === 0
-				? [hostId, ...reachable]
-				: reachable;
-		return topByRendezvous(customer, owners, 1)[0] ?? hostId;
+		const owners = this._isListed ? live : live.filter(id => id !== hostId);
+		return owners[0] ?? (this._peers.size === 0 ? hostId : undefined);
+	}
+
+	/**
+	 * The entry to ask for units of the customer's quota: the owner, or the next candidate while the owner does not reply
+	 * to queries. This entry decides by itself only if it has lost the candidates before it.
+	 */
+	private _entryToAsk(customer: string): string | undefined {
+		const {hostId, clock} = this._options;
+		const owner = this._ownerOf(customer);
+		if (owner === hostId) {
+			return owner;
+		}
+
+		const now = clock();
+		return this._topology.ownerCandidates(customer).find(id => {
+			const peer = this._peers.get(id);
+			return peer?.isLost === false && now >= peer.unresponsiveUntil;
+		});
 	}
 
 	private async _queryOwner(
@@ -349,15 +648,30 @@
 			return undefined;
 		}
 
-		return this._quotaQueries.query(askId => {
+		const grant = await this._quotaQueries.query(askId => {
 			this._options.send(
 				{type: 'quotaAsk', from: this._options.hostId, askId, customer, units},
 				peer.endpoint,
 			);
 		});
+		if (grant === undefined) {
+			peer.unresponsiveUntil = this._options.clock() + unresponsiveOwnerMs;
+		}
+
+		return grant;
 	}
 }
 
 function isSameEndpoint(a: Endpoint, b: Endpoint): boolean {
 	return a.host === b.host && a.port === b.port;
 }
+
+/** Whether heartbeats and changes are sent to the peer: either side has chosen the link. */
+function isInTouch(peer: Peer, now: number): boolean {
+	return peer.isLinked || now - peer.linkedByPeerAt <= 2 * peerTimeoutMs;
+}
+
+/** Rounds down to tenths, which keeps datagrams short. */
+function roundMs(value: number): number {
+	return Math.floor(value * 10) / 10;
+}
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -5,6 +5,10 @@
 	AuthorityView,
 	FleetView,
 	maxProofWaitMs,
+	maxRelayedMembersAgeMs,
+	maxRelayedProofAgeMs,
+	maxRelayedServersAgeMs,
+	msUntilRead,
 	QuotaLedger,
 	RetryAllowance,
 	SuspectRegistry,
@@ -22,6 +26,8 @@
 	membersIntervalMs,
 	membersWaitMs,
 	serversIntervalMs,
+	staleMembersAgeMs,
+	staleServersAgeMs,
 	storeBackoffMs,
 	storeTimeoutMs,
 } from './constants.js';
@@ -34,8 +40,9 @@
 import {FreshnessMonitor} from './freshness-monitor.js';
 import {Ingress} from './ingress.js';
 import {KeyCounts} from './key-counts.js';
+import {RelayedTable} from './relayed-table.js';
 import {ServerLog} from './server-log.js';
-import {StatementExchange} from './statement-exchange.js';
+import {TableExchange} from './table-exchange.js';
 import {TableWatch, type TableWatchOptions} from './table-watch.js';
 import {TextServer, type TextResponse} from './text-server.js';
 import type {
@@ -44,6 +51,7 @@
 	EntryBounds,
 	EntrySettings,
 	EntryStore,
+	MemberRow,
 	TableRead,
 } from './types.js';
 import {Upstream} from './upstream.js';
@@ -87,13 +95,19 @@
 	private readonly _waitQueue = WaitQueue.create();
 	private readonly _prefillWaiting = KeyCounts.create();
 	private readonly _suspects = SuspectRegistry.create();
-	private readonly _exchange = StatementExchange.create(this._authority);
+	private readonly _exchange: TableExchange;
+	private readonly _servers: RelayedTable<ServerChange>;
+	private readonly _members: RelayedTable<MemberRow>;
 	private readonly _shutdown: EntryShutdown;
 	private readonly _serverLog: ServerLog;
 	private readonly _metrics = DirectMetrics.create(() => this._waitQueue.size);
 	private readonly _retryAllowances = new Map<string, RetryAllowance>();
 	private readonly _ingress: Ingress;
 	private readonly _watches: Disposable[] = [];
+	private _serversWatch: TableWatch<ServerChange> | undefined;
+	private _membersWatch: TableWatch<MemberRow> | undefined;
+	/** What peers are told of the server list; a change makes a new revision. */
+	private _serversDigest = '';
 	private _socket: DatagramSocket | undefined;
 	private _bounds: EntryBounds;
 	private _hasServerList = false;
@@ -122,6 +136,13 @@
 			hasOthers: () => this._peers.hasServingPeer,
 		});
 		this._serverLog = ServerLog.create(log);
+		this._servers = this._createServersTable();
+		this._members = this._createMembersTable();
+		this._exchange = TableExchange.create({
+			authority: this._authority,
+			servers: () => this._servers.copy(clock()),
+			members: () => this._members.copy(clock()),
+		});
 		this._peers = this._createPeers();
 		this._fleet = this._createFleet();
 		this._agentClient = AgentClient.create({
@@ -129,6 +150,7 @@
 			clock,
 			serviceOf: name => this._serviceOf(name),
 			agentPort: settings.agentPort,
+			isRelay: server => this._peers.isRelay(server),
 			waitingCount: adapter =>
 				this._waitQueue.countFor(adapter) + this._prefillWaiting.count(adapter),
 			send: (message, to) => {
@@ -259,6 +281,8 @@
 		const {settings} = this._options;
 		return EntryPeers.create({
 			hostId: settings.hostId,
+			zone: settings.zone,
+			endpoint: settings.peer,
 			clock,
 			epoch: () => this._freshness.epoch,
 			ledger: this._ledger,
@@ -268,13 +292,33 @@
 			authorityVersion: () => this._authority.version,
 			isServing: () => this._notReadyReason() === undefined,
 			provenAt: () => this._freshness.provenAt,
+			customers: () => this._limitedCustomers(),
+			tables: () => this._announcedTables(),
+			onTables: (peer, heartbeat, isParent) => {
+				const {servers, members} = heartbeat;
+				if (servers !== undefined) {
+					this._servers.onAnnouncement(peer, servers, isParent);
+				}
+
+				if (members !== undefined) {
+					this._members.onAnnouncement(peer, members, isParent);
+				}
+			},
 			onProof: (provenAt, epoch) => {
 				this._freshness.prove(provenAt, epoch);
 			},
-			fetchStatements: async endpoint => this._exchange.fetch(endpoint),
+			fetchStatements: async endpoint =>
+				this._exchange.fetchStatements(endpoint),
 			onStatements: (rows, from) => {
 				this._onAuthorityChange(this._authority.apply(rows, clock()), from);
 			},
+			onRootChanged: (isRoot, parent) => {
+				this._options.log.write({
+					event: 'readerChanged',
+					isReader: isRoot,
+					reader: parent ?? settings.hostId,
+				});
+			},
 			onQueryEnded: (outcome, durationMs) => {
 				this._metrics.noteQuery('rate', outcome, durationMs);
 			},
@@ -290,6 +334,67 @@
 		});
 	}
 
+	private _createServersTable(): RelayedTable<ServerChange> {
+		return RelayedTable.create<ServerChange>({
+			name: 'servers',
+			clock,
+			rows: () => this._fleet.listedRows(),
+			apply: (copy, now) => {
+				if (copy.outageEndedMsAgo !== undefined) {
+					this._fleet.noteOutageEnd(now - copy.outageEndedMsAgo);
+				}
+
+				this._serversWatch?.noteVersion(copy.version);
+				this._fleet.applyAll(copy.rows, copy.version, now);
+				return this._onServersChanged();
+			},
+			fetch: async from => this._exchange.fetchServers(from),
+			staleAgeMs: staleServersAgeMs,
+			onChanged: () => {
+				this._peers.announce();
+			},
+			onError: (step, error) => {
+				this._logError(step, error);
+			},
+		});
+	}
+
+	private _createMembersTable(): RelayedTable<MemberRow> {
+		return RelayedTable.create<MemberRow>({
+			name: 'members',
+			clock,
+			rows: () => this._peers.memberRows(),
+			apply: copy => {
+				this._membersWatch?.noteVersion(copy.version);
+				return this._peers.setMembers(copy.rows, true);
+			},
+			fetch: async from => this._exchange.fetchMembers(from),
+			staleAgeMs: staleMembersAgeMs,
+			onChanged: () => {
+				this._peers.announce();
+			},
+			onError: (step, error) => {
+				this._logError(step, error);
+			},
+		});
+	}
+
+	private _announcedTables() {
+		const now = clock();
+		const servers = this._servers.announcement(now);
+		const members = this._members.announcement(now);
+		return {
+			...(servers !== undefined && {servers}),
+			...(members !== undefined && {members}),
+		};
+	}
+
+	private _limitedCustomers(): readonly string[] {
+		return (this._authority.inForce?.config.customers ?? [])
+			.filter(({unitsPerSecond}) => unitsPerSecond > 0)
+			.map(({name}) => name);
+	}
+
 	private _watchTables(): void {
 		const {store} = this._options;
 		this._watch({
@@ -297,21 +402,31 @@
 			source: store.authority,
 			waitMs: () => this._authorityWaitMs,
 			intervalMs: 0,
+			untilDueMs: () =>
+				this._msUntilRead(this._freshness.provenAt, maxRelayedProofAgeMs),
 			onRead: (...read) => {
 				this._onAuthorityRead(...read);
 			},
 		});
-		this._watch({
+		this._serversWatch = this._watch({
 			name: 'servers',
 			source: store.servers,
 			waitMs: () => 0,
 			intervalMs: serversIntervalMs,
-			onRead: read => {
-				this._onServersRead(read);
+			untilDueMs: () =>
+				this._msUntilRead(this._servers.confirmedAt, maxRelayedServersAgeMs),
+			onRead: (read, isSnapshot, startedAt) => {
+				this._onServersRead(read, isSnapshot, startedAt);
 			},
 		});
 	}
 
+	/** Time until this entry has to read a table itself, in milliseconds. */
+	private _msUntilRead(confirmedAt: number, maxAgeMs: number): number {
+		const {isRoot, readShiftMs: shiftMs} = this._peers;
+		return msUntilRead({isRoot, confirmedAt, maxAgeMs, shiftMs}, clock());
+	}
+
 	/** Maximum long-poll wait for a change of the authority statements, in milliseconds. */
 	private get _authorityWaitMs(): number {
 		const {min, max} = authorityWaitMs;
@@ -320,13 +435,16 @@
 	}
 
 	private _watchMembers(): void {
-		this._watch({
+		this._membersWatch = this._watch({
 			name: 'members',
 			source: this._options.store.members,
 			waitMs: () => membersWaitMs,
 			intervalMs: membersIntervalMs,
-			onRead: ({rows}, isSnapshot) => {
-				this._peers.setMembers(rows, isSnapshot);
+			untilDueMs: () =>
+				this._msUntilRead(this._members.confirmedAt, maxRelayedMembersAgeMs),
+			onRead: ({rows, version}, isSnapshot, startedAt) => {
+				const hasChanged = this._peers.setMembers(rows, isSnapshot);
+				this._members.noteRead(version, startedAt, hasChanged);
 			},
 		});
 	}
@@ -334,9 +452,9 @@
 	private _watch<Row>(
 		tableOptions: Pick<
 			TableWatchOptions<Row>,
-			'name' | 'source' | 'waitMs' | 'intervalMs' | 'onRead'
+			'name' | 'source' | 'waitMs' | 'intervalMs' | 'untilDueMs' | 'onRead'
 		>,
-	): void {
+	): TableWatch<Row> {
 		const watch = TableWatch.create<Row>({
 			...tableOptions,
 			clock,
@@ -354,10 +472,12 @@
 			onRegained: (table, lostForMs) => {
 				this._logDependencyRegained(table, lostForMs);
 				this._fleet.noteOutageEnd(clock());
+				this._servers.noteOutageEnd(clock());
 			},
 		});
 		this._watches.push(watch);
 		void watch.run();
+		return watch;
 	}
 
 	private _onAuthorityRead(
@@ -390,23 +510,41 @@
 
 		if (change.hasChanged) {
 			this._waitQueue.wake();
+			this._peers.announce();
 		}
 	}
 
-	private _onServersRead(read: TableRead<ServerChange>): void {
+	private _onServersRead(
+		{rows, version}: TableRead<ServerChange>,
+		isSnapshot: boolean,
+		startedAt: number,
+	): void {
 		const now = clock();
-		if (this._hasServerList) {
-			this._fleet.apply(read.rows, now);
+		if (isSnapshot) {
+			this._fleet.applyAll(rows, version, now);
 		} else {
-			this._fleet.applyAll(read.rows, read.version, now);
-			this._hasServerList = true;
+			this._fleet.apply(rows, now);
 		}
 
+		this._servers.noteRead(version, startedAt, this._onServersChanged());
+	}
+
+	/** Returns whether the server list differs in something that other entries have to know. */
+	private _onServersChanged(): boolean {
+		this._hasServerList = true;
 		this._serverLog.update(this._fleet.servers());
 		this._upstream.keepOnly(
 			new Set([...this._fleet.servers()].map(({record}) => record.id)),
 		);
 		this._waitQueue.wake();
+		const digest = JSON.stringify(
+			this._fleet
+				.listedRows()
+				.map(({record}) => ({...record!, models: [], coldLeftMs: 0})),
+		);
+		const hasChanged = digest !== this._serversDigest;
+		this._serversDigest = digest;
+		return hasChanged;
 	}
 
 	/** Writes this entry's row before reading the others, so if two entries start at once, the later one sees the other. */
@@ -425,7 +563,11 @@
 	private async _tryJoin(): Promise<boolean> {
 		const {store, settings} = this._options;
 		try {
-			await store.join({id: settings.hostId, endpoint: settings.peer});
+			await store.join({
+				id: settings.hostId,
+				endpoint: settings.peer,
+				zone: settings.zone,
+			});
 			this._peers.noteListed();
 			return true;
 		} catch (error) {
@@ -459,12 +601,15 @@
 
 			case 'suspect': {
 				const {fingerprint, server} = message;
-				this._suspects.noteCrash([fingerprint], server, clock());
+				if (this._peers.passOnSuspect(message)) {
+					this._suspects.noteCrash([fingerprint], server, clock());
+				}
+
 				break;
 			}
 
 			case 'report': {
-				this._agentClient.onReport(message.server, message.report);
+				this._onReport(message);
 				break;
 			}
 
@@ -482,16 +627,30 @@
 		}
 	}
 
+	private _onReport(message: Extract<GossipMessage, {type: 'report'}>): void {
+		this._agentClient.onReport(message.server, message.report);
+		if (message.isRelayed !== true && this._peers.isRelay(message.server)) {
+			this._peers.sendToZone({...message, isRelayed: true});
+		}
+	}
+
 	private _onQuotaQuery(
-		{askId, customer, units}: Extract<GossipMessage, {type: 'quotaAsk'}>,
+		query: Extract<GossipMessage, {type: 'quotaAsk'}>,
 		from: Endpoint,
 	): void {
+		const {askId, customer, units, replyTo = from} = query;
 		const rule = this._authority.inForce?.config.customers?.find(
 			({name}) => name === customer,
 		);
-		if (rule !== undefined && this._peers.isOwner(customer)) {
+		if (rule === undefined) {
+			return;
+		}
+
+		if (this._peers.isOwner(customer)) {
 			const grant = this._ledger.take(rule, units, clock());
-			this._send({type: 'quotaAnswer', askId, grant}, from);
+			this._send({type: 'quotaAnswer', askId, grant}, replyTo);
+		} else {
+			this._peers.forwardQuery(query, from);
 		}
 	}
 
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -36,6 +36,12 @@
 			readonly rowVersion: number;
 			readonly source: string;
 	  }
+	/** This entry began to read the store for its zone, or follows another entry (`reader`) that does. */
+	| {
+			readonly event: 'readerChanged';
+			readonly isReader: boolean;
+			readonly reader: string;
+	  }
 	/** The readiness reported to the load balancer changed. */
 	| {
 			readonly event: 'readiness';
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -697,7 +697,7 @@
 		const {suspects, peers, clock} = this._context;
 		const fingerprint = this._fingerprint;
 		suspects.noteCrash([fingerprint], server, clock());
-		peers.broadcast({type: 'suspect', fingerprint, server});
+		peers.spreadSuspect(fingerprint, server);
 	}
 
 	/** Retries on another server if that is allowed and attempts and time are left; otherwise fails the request. */
--- /dev/null
+++ b/packages/daemon/src/direct/relayed-table.ts
@@ -0,0 +1,161 @@
+import type {Endpoint} from './types.js';
+
+/** What an entry tells its peers about its copy of a table. */
+export type TableAnnouncement = {
+	/** Changes with each change of the copy, and differs between processes. */
+	readonly revision: number;
+	/** Time since the copy was last known to be the newest, in milliseconds. */
+	readonly ageMs: number;
+};
+
+/** A copy of a table as entries send it to each other. */
+export type TableCopy<Row> = TableAnnouncement & {
+	readonly rows: readonly Row[];
+	/** Store version that the rows are as of. */
+	readonly version: number;
+	/** Time since the last outage of the store ended, in milliseconds. Absent without an outage. */
+	readonly outageEndedMsAgo?: number;
+};
+
+export type RelayedTableOptions<Row> = {
+	readonly name: string;
+	readonly clock: () => number;
+	readonly rows: () => readonly Row[];
+	/** Replaces the table. Returns whether it has changed. */
+	readonly apply: (copy: TableCopy<Row>, now: number) => boolean;
+	readonly fetch: (from: Endpoint) => Promise<TableCopy<Row>>;
+	/** Age of the copy from which it is fetched from any entry that has a newer one, in milliseconds. */
+	readonly staleAgeMs: number;
+	/** Called when the table has changed, so that peers should hear of it. */
+	readonly onChanged: () => void;
+	readonly onError: (step: string, err: unknown) => void;
+};
+
+/**
+ * A table of the store that entries pass on to each other, so that only few of them read it. Fetches the copy of a peer
+ * when the peer announces a revision that was not fetched yet.
+ */
+export class RelayedTable<Row> {
+	static create<Row>(options: RelayedTableOptions<Row>): RelayedTable<Row> {
+		return new RelayedTable(options);
+	}
+
+	/** Last revision that was fetched from each peer. */
+	private readonly _fetched = new Map<string, number>();
+	private _revision = Date.now();
+	private _version = -1;
+	private _confirmedAt = Number.NEGATIVE_INFINITY;
+	private _outageEndedAt: number | undefined;
+	private _isFetching = false;
+
+	private constructor(private readonly _options: RelayedTableOptions<Row>) {}
+
+	/** Time at which the copy was last known to be the newest; negative infinity if never. */
+	get confirmedAt(): number {
+		return this._confirmedAt;
+	}
+
+	/** Store version of the copy; negative before the first. */
+	get version(): number {
+		return this._version;
+	}
+
+	/** Records a read of the store that began at `startedAt`. The rows are already applied. */
+	noteRead(version: number, startedAt: number, hasChanged: boolean): void {
+		this._version = Math.max(this._version, version);
+		this._confirm(startedAt);
+		if (hasChanged) {
+			this._noteChange();
+		}
+	}
+
+	noteOutageEnd(now: number): void {
+		this._outageEndedAt = now;
+	}
+
+	/** What to tell peers; undefined before the first read. */
+	announcement(now: number): TableAnnouncement | undefined {
+		return Number.isFinite(this._confirmedAt)
+			? {
+					revision: this._revision,
+					ageMs: Math.round(now - this._confirmedAt),
+				}
+			: undefined;
+	}
+
+	/** The copy for a peer; undefined before the first read. */
+	copy(now: number): TableCopy<Row> | undefined {
+		const announcement = this.announcement(now);
+		return (
+			announcement && {
+				...announcement,
+				rows: this._options.rows(),
+				version: this._version,
+				...(this._outageEndedAt !== undefined && {
+					outageEndedMsAgo: Math.round(now - this._outageEndedAt),
+				}),
+			}
+		);
+	}
+
+	/** @param isParent whether this entry relies on the peer for changes; other peers only help when the copy is stale */
+	onAnnouncement(
+		peer: {readonly id: string; readonly endpoint: Endpoint},
+		{revision, ageMs}: TableAnnouncement,
+		isParent: boolean,
+	): void {
+		const now = this._options.clock();
+		if (this._fetched.get(peer.id) === revision) {
+			this._confirm(now - ageMs);
+			return;
+		}
+
+		const isStale = now - this._confirmedAt > this._options.staleAgeMs;
+		if (isParent || (isStale && now - ageMs > this._confirmedAt)) {
+			void this._fetch(peer);
+		}
+	}
+
+	private async _fetch(peer: {
+		readonly id: string;
+		readonly endpoint: Endpoint;
+	}): Promise<void> {
+		if (this._isFetching) {
+			return;
+		}
+
+		const {fetch, clock, apply, name, onError} = this._options;
+		this._isFetching = true;
+		try {
+			const startedAt = clock();
+			const copy = await fetch(peer.endpoint);
+			const now = clock();
+			this._fetched.set(peer.id, copy.revision);
+			if (copy.outageEndedMsAgo !== undefined) {
+				this._outageEndedAt = now - copy.outageEndedMsAgo;
+			}
+
+			if (copy.version >= this._version) {
+				this._version = copy.version;
+				const hasChanged = apply(copy, now);
+				this._confirm(startedAt - copy.ageMs);
+				if (hasChanged) {
+					this._noteChange();
+				}
+			}
+		} catch (error) {
+			onError(`${name} of ${peer.id}`, error);
+		} finally {
+			this._isFetching = false;
+		}
+	}
+
+	private _confirm(at: number): void {
+		this._confirmedAt = Math.max(this._confirmedAt, at);
+	}
+
+	private _noteChange(): void {
+		this._revision++;
+		this._options.onChanged();
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/direct/table-exchange.ts
@@ -0,0 +1,121 @@
+import type {AuthorityRow, AuthorityView, ServerChange} from '@balsamtray/core';
+import {storeTimeoutMs} from './constants.js';
+import {HttpClient} from './http-client.js';
+import type {TableCopy} from './relayed-table.js';
+import type {TextResponse} from './text-server.js';
+import type {Endpoint, MemberRow} from './types.js';
+
+/** Paths on which entries serve their copies of tables to each other. */
+const paths = {
+	statements: '/statements',
+	servers: '/servers',
+	members: '/members',
+} as const;
+
+export type TableExchangeOptions = {
+	readonly authority: AuthorityView;
+	readonly servers: () => TableCopy<ServerChange> | undefined;
+	readonly members: () => TableCopy<MemberRow> | undefined;
+};
+
+/** Serves this entry's copies of the store's tables to other entries and fetches theirs. */
+export class TableExchange {
+	static create(options: TableExchangeOptions): TableExchange {
+		return new TableExchange(options);
+	}
+
+	private readonly _client = HttpClient.create(1);
+
+	private constructor(private readonly _options: TableExchangeOptions) {}
+
+	responseFor(path: string): TextResponse {
+		const {authority, servers, members} = this._options;
+		switch (path) {
+			case paths.statements: {
+				return jsonResponse(authority.rows());
+			}
+
+			case paths.servers: {
+				return jsonResponse(servers());
+			}
+
+			case paths.members: {
+				return jsonResponse(members());
+			}
+
+			default: {
+				return {status: 404, contentType: 'text/plain', body: 'not found'};
+			}
+		}
+	}
+
+	async fetchStatements(from: Endpoint): Promise<readonly AuthorityRow[]> {
+		const rows = await this._fetch(from, paths.statements);
+		if (!Array.isArray(rows)) {
+			throw new TypeError(`statements from ${from.host}: expected an array`);
+		}
+
+		return rows as readonly AuthorityRow[];
+	}
+
+	async fetchServers(from: Endpoint): Promise<TableCopy<ServerChange>> {
+		return asTableCopy<ServerChange>(
+			await this._fetch(from, paths.servers),
+			from,
+		);
+	}
+
+	async fetchMembers(from: Endpoint): Promise<TableCopy<MemberRow>> {
+		return asTableCopy<MemberRow>(await this._fetch(from, paths.members), from);
+	}
+
+	private async _fetch(endpoint: Endpoint, path: string): Promise<unknown> {
+		const {status, body} = await this._client.call({
+			endpoint,
+			method: 'GET',
+			path,
+			timeoutMs: storeTimeoutMs,
+		});
+		if (status !== 200) {
+			throw new Error(
+				`${path} from ${endpoint.host}: unexpected status ${status}`,
+			);
+		}
+
+		return JSON.parse(body) as unknown;
+	}
+}
+
+function jsonResponse(value: unknown): TextResponse {
+	return value === undefined
+		? {status: 503, contentType: 'text/plain', body: 'not read yet'}
+		: {
+				status: 200,
+				contentType: 'application/json',
+				body: JSON.stringify(value),
+			};
+}
+
+function asTableCopy<Row>(value: unknown, from: Endpoint): TableCopy<Row> {
+	if (!isTableCopy<Row>(value)) {
+		throw new TypeError(`copy of a table from ${from.host}: malformed`);
+	}
+
+	return value;
+}
+
+/** Checks the form of a copy, but not its rows, which the sender has decoded. */
+function isTableCopy<Row>(value: unknown): value is TableCopy<Row> {
+	return (
+		typeof value === 'object' &&
+		value !== null &&
+		'rows' in value &&
+		Array.isArray(value.rows) &&
+		'revision' in value &&
+		typeof value.revision === 'number' &&
+		'ageMs' in value &&
+		typeof value.ageMs === 'number' &&
+		'version' in value &&
+		typeof value.version === 'number'
+	);
+}
--- a/packages/daemon/src/direct/table-watch.ts
+++ b/packages/daemon/src/direct/table-watch.ts
@@ -1,5 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {storeBackoffMs, storeTimeoutMs} from './constants.js';
+import {readDutyCheckMs, storeBackoffMs, storeTimeoutMs} from './constants.js';
 import type {TableRead, TableSource} from './types.js';
 
 export type TableWatchOptions<Row> = {
@@ -9,6 +9,8 @@
 	readonly waitMs: () => number;
 	/** Minimum time between the starts of two reads, in milliseconds. */
 	readonly intervalMs: number;
+	/** Time until this process has to read the table itself, in milliseconds. The first read is due at once. */
+	readonly untilDueMs: () => number;
 	readonly clock: () => number;
 	/**
 	 * Called after each successful read.
@@ -53,6 +55,8 @@
 		const {clock, intervalMs} = this._options;
 		let backoffMs: number = storeBackoffMs.initial;
 		while (!this._isStopped) {
+			// eslint-disable-next-line no-await-in-loop
+			await this._untilDue();
 			const startedAt = clock();
 			let pauseMs;
 			// Each read continues from the version of the previous read.
@@ -76,6 +80,26 @@
 		this._isStopped = true;
 	}
 
+	/** Skips changes up to a version, because this process got them from elsewhere. */
+	noteVersion(version: number): void {
+		if (this._version !== undefined && version > this._version) {
+			this._version = version;
+		}
+	}
+
+	private async _untilDue(): Promise<void> {
+		while (!this._isStopped && this._version !== undefined) {
+			const untilDueMs = this._options.untilDueMs();
+			if (untilDueMs <= 0) {
+				return;
+			}
+
+			// The time until the read changes with each heartbeat.
+			// eslint-disable-next-line no-await-in-loop
+			await delay(Math.min(untilDueMs, readDutyCheckMs));
+		}
+	}
+
 	/** Reads once and returns whether the store gave a usable response. */
 	private async _read(startedAt: number): Promise<boolean> {
 		const {source, waitMs, epoch, clock, onRead, onTimed} = this._options;
--- a/packages/daemon/src/direct/types.ts
+++ b/packages/daemon/src/direct/types.ts
@@ -36,6 +36,8 @@
 export type MemberRow = {
 	readonly id: string;
 	readonly endpoint: Endpoint | undefined;
+	/** Availability zone of the entry. Absent in rows of older versions. */
+	readonly zone?: string;
 };
 
 /** Store access of an entry: the tables that it watches, and its own members row. */
--- a/packages/protocol/src/gossip/messages.ts
+++ b/packages/protocol/src/gossip/messages.ts
@@ -6,11 +6,26 @@
 	QuotaLevel,
 } from '@balsamtray/core';
 
-/** Heartbeat that an entry sends to the other entries several times per second. */
+/** An entry's copy of a table: its revision, and the time since it was known to be the newest, in milliseconds. */
+export type GossipTable = {
+	readonly revision: number;
+	readonly ageMs: number;
+};
+
+/** Heartbeat that an entry sends several times per second to the entries that it is linked with. */
 export type EntryHeartbeat = {
 	readonly type: 'entry';
 	/** Identifier of the sending host. */
 	readonly from: string;
+	/** Availability zone of the sender. */
+	readonly zone?: string;
+	/** Whether the sender wants heartbeats from the receiver. Otherwise this one is only a reply. True if absent. */
+	readonly isLink?: boolean;
+	/** Entries of the sender's zone that the sender considers lost. */
+	readonly zoneLost?: readonly string[];
+	/** The sender's copies of the server list and of the members table. */
+	readonly servers?: GossipTable;
+	readonly members?: GossipTable;
 	/** Time of sending, in milliseconds on the sender's monotonic clock. */
 	readonly sentAt: number;
 	/**
@@ -24,7 +39,7 @@
 	readonly proofAgeMs?: number;
 	/** Whether the sender accepts requests and is not shutting down. */
 	readonly isServing: boolean;
-	/** Remaining units of the customers whose rate the sender owns. */
+	/** Remaining units of the customers whose rate the sender owns and the receiver may take over. */
 	readonly levels: readonly QuotaLevel[];
 };
 
@@ -35,6 +50,8 @@
 	readonly askId: number;
 	readonly customer: string;
 	readonly units: number;
+	/** Where to send the reply if another entry forwarded the query. Otherwise the reply goes to the sender. */
+	readonly replyTo?: {readonly host: string; readonly port: number};
 };
 
 /** Reply to the `QuotaQuery` with the same `askId`. */
@@ -57,6 +74,8 @@
 	/** Identifier of the backend server. */
 	readonly server: string;
 	readonly demand: EngineDemand;
+	/** Whether the sender wants the engine's reports. True if absent. */
+	readonly isSubscribing?: boolean;
 };
 
 /**
@@ -88,14 +107,21 @@
 	readonly type: 'report';
 	readonly server: string;
 	readonly report: EngineReport;
+	/** Whether an entry passes the report on to the other entries of its zone. */
+	readonly isRelayed?: boolean;
 };
 
-/** Reports a request that was running on a server when the connection broke. The request may have crashed the server. */
+/**
+ * Reports a request that was running on a server when the connection broke. The request may have crashed the server.
+ * Entries pass it on to the entries that they are linked with.
+ */
 export type SuspectMessage = {
 	readonly type: 'suspect';
 	/** Digest of the request and its customer. */
 	readonly fingerprint: string;
 	readonly server: string;
+	/** Identifies the report, so that entries pass it on only once. */
+	readonly reportId?: string;
 };
 
 /** A datagram between entries, or between an entry and an agent. */
