Estimate prefill rate and weight store limit instead of constants of one deployment

Cause: prompts were paced at 16 tokens/ms with a backlog of 1,800 tokens and loads throttled at 0.6 an engine, the figures of the first sites' engines. The further engines prefill 38.7 tokens/ms and their store serves 1.3 loads an engine at full speed, the large one 0.48. Change: entries report the time to the first event of their prompts with their demands; an agent takes the 0.6 quantile of the last 48 samples of 20 s (prompts of 400 tokens and more that were not behind others), starting from 16, and tells its estimate in reports. The backlog is 112 ms of prefill. An agent estimates the store's limit from the durations of its loads against the loads under way. The cache of an engine is taken as 5 adapters a place. Both estimates are gauges on the metrics address. Ruled out: a mean of the times (prompts that share a step make it follow the load).

--- a/packages/core/src/orders/constants.ts
+++ b/packages/core/src/orders/constants.ts
@@ -17,11 +17,22 @@
 export const waitingRequestCreditMs = 150;
 
 /**
- * Number of concurrent loads per engine, over all engines, from which the weight store is busy. Beyond it every load
- * slows down, so each engine loads one adapter at a time. The system's data sheets give 8 loads for 13 engines, 24 for
- * 34 and 32 for 38.
+ * Concurrent loads per engine, over all engines, that the weight store is assumed to serve at full speed until loads have
+ * shown more. Beyond its number every load slows down, so each engine then loads one adapter at a time.
  */
-export const storeBusyLoadsPerEngine = 0.6;
+export const initialLoadsPerEngine = 0.6;
 
-/** Number of evicted adapters that an engine caches. It loads them ten times as fast. The system's data sheet gives 102. */
-export const engineCachedAdapters = 80;
+/** Minimum of the estimated loads per engine, so that the estimate can rise again. */
+export const minLoadLimitPerEngine = 0.1;
+
+/** Duration of a load against the shortest one from which the weight store was beyond its limit. */
+export const slowedLoadRatio = 1.25;
+
+/** Share by which the estimate moves towards what one load shows. */
+export const loadLimitGain = 0.15;
+
+/** Number of the last loads among which the shortest is taken for one at full speed. */
+export const maxLoadDurations = 32;
+
+/** Number of adapters that an engine caches for each of its places. It loads them ten times as fast. */
+export const cachedAdaptersPerPlace = 5;
--- a/packages/core/src/orders/order-planner.ts
+++ b/packages/core/src/orders/order-planner.ts
@@ -1,13 +1,17 @@
 import {adapterKey} from '../authority/authority-view.js';
 import {maxPendingAdapters} from '../placement/constants.js';
-import type {AdapterWant, EngineReport} from '../placement/types.js';
+import type {
+	AdapterWant,
+	EngineReport,
+	PrefillSample,
+} from '../placement/types.js';
 import {
 	acceptedLoadTimeoutMs,
-	storeBusyLoadsPerEngine,
 	unresolvedOrderLifetimeMs,
 	minEvictionIdleMs,
-	engineCachedAdapters,
+	cachedAdaptersPerPlace,
 } from './constants.js';
+import {LoadLimit} from './load-limit.js';
 import {WantQueue} from './want-queue.js';
 
 /** An order to an engine. The engine accepts it only while its count of accepted orders matches. */
@@ -43,6 +47,8 @@
 	readonly loads?: number;
 	/** Number of engines, as known to the entry. */
 	readonly engines?: number;
+	/** Times to the first event since the entry's last demand. */
+	readonly prefills?: readonly PrefillSample[];
 };
 
 /** A load that the engine accepted but does not report yet. */
@@ -50,6 +56,11 @@
 	readonly at: number;
 	/** Ordered version; undefined for the newest. */
 	readonly version: number | undefined;
+	/**
+	 * Concurrent loads over all engines. Undefined if the engine loads the adapter from its cache, or replaces a version,
+	 * which waits for the requests on it.
+	 */
+	readonly loads: number | undefined;
 };
 
 /** An order without an answer, which may still take effect. */
@@ -69,7 +80,10 @@
 	/** Adapters in the engine's cache, least recently resident first. */
 	private readonly _cached = new Map<string, true>();
 	private _cacheBorn = 0;
-	private _isStoreBusy = false;
+	private readonly _loadLimit = LoadLimit.create();
+	/** Concurrent loads over all engines and number of engines, by the last demand. */
+	private _loads = 0;
+	private _engines = 1;
 	/** Time of the last reported use or accepted load of each adapter, by adapter key. */
 	private readonly _usedAt = new Map<string, number>();
 	private _models: readonly string[] = [];
@@ -94,7 +108,8 @@
 		const {models, adapterPlaces, wants, used, loads = 0, engines = 1} = demand;
 		this._models = models;
 		this._adapterCapacity = adapterPlaces;
-		this._isStoreBusy = loads >= engines * storeBusyLoadsPerEngine;
+		this._loads = loads;
+		this._engines = engines;
 		for (const want of wants) {
 			this._wants.note(want, from, now);
 		}
@@ -125,7 +140,15 @@
 
 		if (outcome === 'accepted' && order.operation === 'load') {
 			this._usedAt.set(orderKey(order), now);
-			this._accepted.set(orderKey(order), {at: now, version: order.version});
+			const key = orderKey(order);
+			this._accepted.set(key, {
+				at: now,
+				version: order.version,
+				loads:
+					this._cached.has(key) || order.version !== undefined
+						? undefined
+						: this._loads + 1,
+			});
 		}
 	}
 
@@ -149,6 +172,15 @@
 		return undefined;
 	}
 
+	/** Estimated number of concurrent loads over all engines that the weight store serves at full speed. */
+	get loadLimit(): number {
+		return this._loadLimit.limit(this._engines);
+	}
+
+	private get _isStoreBusy(): boolean {
+		return this._loads >= this.loadLimit;
+	}
+
 	private _missingModel(report: EngineReport): string | undefined {
 		return this._models.find(
 			model => !report.models.some(({name}) => name === model),
@@ -232,7 +264,7 @@
 		}
 
 		for (const key of this._cached.keys()) {
-			if (this._cached.size <= engineCachedAdapters) {
+			if (this._cached.size <= this._adapterCapacity * cachedAdaptersPerPlace) {
 				return;
 			}
 
@@ -252,9 +284,14 @@
 	private _prune(report: EngineReport, now: number): void {
 		this._wants.prune(want => holds(report, want), now);
 		this._updateCached(report);
-		for (const [key, {at, version = 0}] of this._accepted) {
+		for (const [key, {at, version = 0, loads}] of this._accepted) {
 			const [model = '', adapter = ''] = key.split('/');
-			const isReported = holds(report, {model, adapter, version});
+			const want = {model, adapter, version};
+			const isReported = holds(report, want) && !isPending(report, want);
+			if (isReported && loads !== undefined && adapter !== '') {
+				this._loadLimit.note({durationMs: now - at, loads}, this._engines);
+			}
+
 			if (isReported || now - at >= acceptedLoadTimeoutMs) {
 				this._accepted.delete(key);
 			}
--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -10,14 +10,41 @@
 /** Maximum outstanding requests of one entry per slot of a plain server, which queues the requests beyond its slots. */
 export const maxPlainRequestsPerSlot = 2;
 
+/** Prefill rate that is assumed for an engine until enough prompts were timed, in tokens per millisecond. */
+export const initialPrefillTokensPerMs = 16;
+
+/** Bounds of the estimated prefill rate, in tokens per millisecond. */
+export const prefillRateBounds = {min: 4, max: 80} as const;
+
+/** Part of the time to the first event that is not prefill: the network, the end of the step under way, one decode step. */
+export const prefillOverheadMs = 12;
+
+/** Quantile of the sampled rates that is used. Samples are low where a prompt had to share its steps. */
+export const prefillRateQuantile = 0.6;
+
+/** Number of samples from which the estimate no longer depends on the initial rate. */
+export const minPrefillSamples = 16;
+
+/** Maximum number of samples, so that the estimate follows a change of the engine. */
+export const maxPrefillSamples = 48;
+
+/** Age at which a sample no longer counts, in milliseconds. */
+export const prefillSampleLifetimeMs = 20_000;
+
+/** Minimum length of a prompt that is sampled, in tokens. */
+export const minSampledPromptTokens = 400;
+
+/** Maximum tokens of prompts ahead of a sampled one, as a share of its own. */
+export const maxTokensAheadShare = 0.3;
+
+/** Maximum number of samples that an entry keeps for an agent until its next demand. */
+export const maxReportedPrefills = 8;
+
 /**
- * Rate at which prompts are sent to an engine, in tokens per millisecond. An idle engine prefills 20.4 (the system's
- * data sheet); the decode steps of running requests take the rest.
+ * Maximum backlog of prompts at an engine, in milliseconds of prefill. About one step's worth, so that running streams
+ * pause for hardly more than one step.
  */
-export const promptTokensPerMs = 16;
-
-/** Maximum backlog of prompt tokens at an engine: less than one chunk of 2,048 tokens, which it prefills in one step. */
-export const maxPromptBacklogTokens = 1800;
+export const maxPromptBacklogMs = 112;
 
 /** Length of a typical prompt in tokens, for comparing the prompt delays of engines. */
 export const typicalPromptTokens = 1000;
--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -6,7 +6,7 @@
 	postOutageWindowMs,
 	replicaDelayMs,
 	maxLoadTargetDelayMs,
-	promptTokensPerMs,
+	initialPrefillTokensPerMs,
 	silenceTimeoutMs,
 	vanishedGraceMs,
 	versionGraceMs,
@@ -148,7 +148,7 @@
 
 		it('are wanted on a second server when prompts wait at the first', () => {
 			list(record('x'), record('y'));
-			const promptDebt = (replicaDelayMs + 100) * promptTokensPerMs;
+			const promptDebt = (replicaDelayMs + 100) * initialPrefillTokensPerMs;
 			fleet.noteReport('x', report({a: 1}, {promptDebt}), 0);
 			fleet.noteReport('y', report({}), 0);
 			assert.equal(chosen(), 'x');
@@ -163,7 +163,8 @@
 
 			chosen();
 			const [first = ''] = wanted.splice(0);
-			const promptDebt = (maxLoadTargetDelayMs + 200) * promptTokensPerMs;
+			const promptDebt =
+				(maxLoadTargetDelayMs + 200) * initialPrefillTokensPerMs;
 			fleet.noteReport(first, report({}, {promptDebt}), 0);
 			chosen();
 			assert.deepEqual(wanted, [first === 'x' ? 'y' : 'x']);
@@ -187,7 +188,7 @@
 
 		it('sends no more prompts than an engine prefills in time and lets the others wait for another engine', () => {
 			list(record('x'), record('y'));
-			const promptDebt = 2000 * promptTokensPerMs;
+			const promptDebt = 2000 * initialPrefillTokensPerMs;
 			fleet.noteReport('x', report({a: 1}, {promptDebt}), 0);
 			const choice = fleet.choose({...need, maxPromptWaitMs: 500}, 0);
 			assert.equal(choice.kind, 'promptQueue');
--- a/packages/core/src/placement/prompt-pacer.test.ts
+++ b/packages/core/src/placement/prompt-pacer.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {createRandom} from '../common/random.js';
+import {initialPrefillTokensPerMs} from './constants.js';
 import {PromptPacer} from './prompt-pacer.js';
 
 /** Prompt tokens that an engine prefills in one step, its prefill rate and its step time, from the system's data sheet. */
@@ -28,13 +29,13 @@
 /** Simulates an engine that prefills prompts in chunks between the decode steps of its running requests. */
 function simulate(requestsPerSecond: number, isPaced: boolean): Outcome {
 	const random = createRandom(20_261_204);
-	const pacer = PromptPacer.create(0);
+	const pacer = PromptPacer.create(0, () => initialPrefillTokensPerMs);
 	const prompts: Prompt[] = [];
 	let at = 0;
 	while (at < 60_000) {
 		at -= (Math.log(1 - random()) * 1000) / requestsPerSecond;
 		const left = Math.min(4000, 300 + Math.exp(6.2 + 1.1 * random() * 1.6));
-		const delayMs = isPaced ? pacer.reserve(left, at) : 0;
+		const delayMs = isPaced ? pacer.reserve(left, at).delayMs : 0;
 		prompts.push({at, sentAt: at + delayMs, left});
 	}
 
@@ -118,22 +119,22 @@
 	});
 
 	it('admits a prompt without delay when the engine is idle', () => {
-		const pacer = PromptPacer.create(0);
-		assert.equal(pacer.reserve(4000, 0), 0);
+		const pacer = PromptPacer.create(0, () => initialPrefillTokensPerMs);
+		assert.equal(pacer.reserve(4000, 0).delayMs, 0);
 	});
 
 	it('delays a prompt that follows a large one', () => {
-		const pacer = PromptPacer.create(0);
+		const pacer = PromptPacer.create(0, () => initialPrefillTokensPerMs);
 		pacer.reserve(4000, 0);
-		const delayMs = pacer.reserve(1000, 0);
+		const {delayMs} = pacer.reserve(1000, 0);
 		assert.ok(delayMs > 150 && delayMs < 300, `${delayMs}`);
 	});
 
 	it('subtracts released and prefilled tokens from the debt', () => {
-		const pacer = PromptPacer.create(0);
+		const pacer = PromptPacer.create(0, () => initialPrefillTokensPerMs);
 		pacer.reserve(4000, 0);
 		pacer.release(4000, 0);
-		assert.equal(pacer.reserve(1500, 0), 0);
-		assert.equal(pacer.reserve(1500, 1000), 0);
+		assert.equal(pacer.reserve(1500, 0).delayMs, 0);
+		assert.equal(pacer.reserve(1500, 1000).delayMs, 0);
 	});
 });
--- a/packages/core/src/placement/prompt-pacer.ts
+++ b/packages/core/src/placement/prompt-pacer.ts
@@ -1,4 +1,12 @@
-import {maxPromptBacklogTokens, promptTokensPerMs} from './constants.js';
+import {maxPromptBacklogMs} from './constants.js';
+
+/** Turn of a prompt at an engine. */
+export type PromptTurn = {
+	/** Time until the prompt may be sent, in milliseconds. */
+	readonly delayMs: number;
+	/** Prompt tokens that the engine still has to prefill before this prompt when it is sent. */
+	readonly tokensAhead: number;
+};
 
 /**
  * Paces the prompts that are sent to one engine. An engine prefills prompts between the decode steps of its running
@@ -9,13 +17,17 @@
  * larger than the bucket waits until the debt is zero.
  */
 export class PromptPacer {
-	static create(now: number): PromptPacer {
-		return new PromptPacer(now);
+	/** @param tokensPerMs returns the engine's prefill rate */
+	static create(now: number, tokensPerMs: () => number): PromptPacer {
+		return new PromptPacer(now, tokensPerMs);
 	}
 
 	private _debt = 0;
 
-	private constructor(private _drainedAt: number) {}
+	private constructor(
+		private _drainedAt: number,
+		private readonly _tokensPerMs: () => number,
+	) {}
 
 	/** Prompt tokens that were admitted and are not prefilled yet. */
 	debt(now: number): number {
@@ -23,12 +35,14 @@
 		return this._debt;
 	}
 
-	/** Reserves capacity for a prompt. Returns the delay until it may be sent, in milliseconds. */
-	reserve(tokens: number, now: number): number {
+	/** Reserves capacity for a prompt. */
+	reserve(tokens: number, now: number): PromptTurn {
 		this._drain(now);
-		const delayMs = promptWaitMs(this._debt, tokens);
+		const tokensPerMs = this._tokensPerMs();
+		const delayMs = promptWaitMs(this._debt, tokens, tokensPerMs);
+		const tokensAhead = drainedDebt(this._debt, delayMs, tokensPerMs);
 		this._debt += tokens;
-		return delayMs;
+		return {delayMs, tokensAhead};
 	}
 
 	/** Cancels the reservation of a prompt that is not sent. */
@@ -38,24 +52,36 @@
 	}
 
 	private _drain(now: number): void {
-		this._debt = drainedDebt(this._debt, now - this._drainedAt);
+		this._debt = drainedDebt(
+			this._debt,
+			now - this._drainedAt,
+			this._tokensPerMs(),
+		);
 		this._drainedAt = now;
 	}
 }
 
 /** Returns the debt that remains after the elapsed time. */
-export function drainedDebt(debt: number, elapsedMs: number): number {
-	return Math.max(0, debt - elapsedMs * promptTokensPerMs);
+export function drainedDebt(
+	debt: number,
+	elapsedMs: number,
+	tokensPerMs: number,
+): number {
+	return Math.max(0, debt - elapsedMs * tokensPerMs);
 }
 
 /** Returns the time until a prompt may be sent to an engine with the given debt, in milliseconds. */
-export function promptWaitMs(debt: number, tokens: number): number {
-	const allowedDebt =
-		maxPromptBacklogTokens - Math.min(tokens, maxPromptBacklogTokens);
-	return Math.max(0, (debt - allowedDebt) / promptTokensPerMs);
+export function promptWaitMs(
+	debt: number,
+	tokens: number,
+	tokensPerMs: number,
+): number {
+	const maxBacklog = maxPromptBacklogMs * tokensPerMs;
+	const allowedDebt = maxBacklog - Math.min(tokens, maxBacklog);
+	return Math.max(0, (debt - allowedDebt) / tokensPerMs);
 }
 
 /** Returns the debt at which even the smallest prompt waits for the given time. */
-export function debtForWait(delayMs: number): number {
-	return delayMs * promptTokensPerMs + maxPromptBacklogTokens;
+export function debtForWait(delayMs: number, tokensPerMs: number): number {
+	return (delayMs + maxPromptBacklogMs) * tokensPerMs;
 }
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -1,5 +1,7 @@
 import {adapterKey} from '../authority/authority-view.js';
 import {
+	initialPrefillTokensPerMs,
+	maxReportedPrefills,
 	reportLifetimeMs,
 	silenceTimeoutMs,
 	suspicionMs,
@@ -7,7 +9,12 @@
 	wantLifetimeMs,
 } from './constants.js';
 import {drainedDebt, debtForWait, promptWaitMs} from './prompt-pacer.js';
-import type {AdapterWant, EngineReport, ServerRecord} from './types.js';
+import type {
+	AdapterWant,
+	EngineReport,
+	PrefillSample,
+	ServerRecord,
+} from './types.js';
 
 /** An entry's view of one backend server: its record, its agent's last report, and the requests that this entry sent. */
 export class ServerState {
@@ -34,6 +41,7 @@
 	/** Number of this entry's requests on each adapter, by adapter key. */
 	private readonly _inUse = new Map<string, number>();
 	/** Adapters used since the last call of `takeUsedAdapters`, by adapter key. */
+	private _prefills: PrefillSample[] = [];
 	private readonly _recentlyUsed = new Set<string>();
 	/** Adapters that the server refused since its last report or record. */
 	private readonly _refused = new Set<string>();
@@ -138,23 +146,42 @@
 
 	/** Estimated time until a prompt may be sent to the engine, in milliseconds. */
 	promptDelayMs(now: number, tokens: number = typicalPromptTokens): number {
-		return promptWaitMs(this._promptDebt(now), tokens);
+		return promptWaitMs(this._promptDebt(now), tokens, this._tokensPerMs);
 	}
 
 	/** Records a prompt for which this entry reserves capacity. The next report includes it. */
 	notePrompt(tokens: number, now: number): void {
 		this._unreportedDebt =
-			drainedDebt(this._unreportedDebt, now - this._unreportedDebtAt) + tokens;
+			drainedDebt(
+				this._unreportedDebt,
+				now - this._unreportedDebtAt,
+				this._tokensPerMs,
+			) + tokens;
 		this._unreportedDebtAt = now;
 	}
 
 	/** Sets the debt to match the delay that the server's agent returned for a prompt that could not wait that long. */
 	notePromptDelay(delayMs: number, now: number): void {
 		const reported = this._reportedDebt(now);
-		this._unreportedDebt = Math.max(0, debtForWait(delayMs) - reported);
+		this._unreportedDebt = Math.max(
+			0,
+			debtForWait(delayMs, this._tokensPerMs) - reported,
+		);
 		this._unreportedDebtAt = now;
 	}
 
+	/** Records how long a prompt took at the engine, for its agent. */
+	notePrefill(sample: PrefillSample): void {
+		this._prefills = [...this._prefills, sample].slice(-maxReportedPrefills);
+	}
+
+	/** Returns the samples since the last call. */
+	takePrefills(): readonly PrefillSample[] {
+		const prefills = this._prefills;
+		this._prefills = [];
+		return prefills;
+	}
+
 	/**
 	 * Number of this entry's requests that use the adapter on this server.
 	 *
@@ -243,16 +270,29 @@
 		return [...used];
 	}
 
+	/** The engine's prefill rate by its agent's last estimate, in tokens per millisecond. */
+	private get _tokensPerMs(): number {
+		return this._report?.prefillTokensPerMs ?? initialPrefillTokensPerMs;
+	}
+
 	private _promptDebt(now: number): number {
 		return (
 			this._reportedDebt(now) +
-			drainedDebt(this._unreportedDebt, now - this._unreportedDebtAt)
+			drainedDebt(
+				this._unreportedDebt,
+				now - this._unreportedDebtAt,
+				this._tokensPerMs,
+			)
 		);
 	}
 
 	private _reportedDebt(now: number): number {
 		return this.hasFreshReport(now)
-			? drainedDebt(this._report!.promptDebt ?? 0, now - this._reportedAt)
+			? drainedDebt(
+					this._report!.promptDebt ?? 0,
+					now - this._reportedAt,
+					this._tokensPerMs,
+				)
 			: 0;
 	}
 
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -47,6 +47,17 @@
 	readonly pending: readonly PendingAdapter[];
 	/** Prompt tokens that the agent admitted and the engine has not prefilled yet, by the agent's estimate. */
 	readonly promptDebt?: number;
+	/** The agent's estimate of the engine's prefill rate, in tokens per millisecond. */
+	readonly prefillTokensPerMs?: number;
+};
+
+/** Time to the first event of one request at an engine, as an entry saw it. */
+export type PrefillSample = {
+	readonly tokens: number;
+	/** Prompt tokens that the engine had to prefill before, by the agent's estimate. */
+	readonly tokensAhead: number;
+	/** Time from the send to the first part of the response, in milliseconds. */
+	readonly firstEventMs: number;
 };
 
 /** Requirements of a request on the server that runs it. */
--- a/packages/daemon/src/direct/agent-client.ts
+++ b/packages/daemon/src/direct/agent-client.ts
@@ -2,6 +2,7 @@
 	adapterKey,
 	type FleetView,
 	type EngineReport,
+	type PromptTurn,
 	type ServerState,
 	type ServiceSpec,
 } from '@balsamtray/core';
@@ -44,7 +45,7 @@
 	/** Time of each server's last report, or the time at which it became known. */
 	private readonly _silentSince = new Map<string, number>();
 	private readonly _lostServers = new Set<string>();
-	private readonly _prefillQueries: PendingQueries<number>;
+	private readonly _prefillQueries: PendingQueries<PromptTurn>;
 	private _timer: NodeJS.Timeout | undefined;
 
 	private constructor(private readonly _options: AgentClientOptions) {
@@ -67,21 +68,23 @@
 	}
 
 	/**
-	 * Reserves prefill time for a prompt at an engine. Resolves with the delay after which the request may be sent, in
-	 * milliseconds. The delay is 0 if the agent does not reply, since an engine still serves without its agent.
+	 * Reserves prefill time for a prompt at an engine. Resolves with undefined if the agent does not reply. The request may
+	 * be sent at once then, since an engine still serves without its agent.
 	 */
-	async reservePrefill(id: string, promptTokens: number): Promise<number> {
+	async reservePrefill(
+		id: string,
+		promptTokens: number,
+	): Promise<PromptTurn | undefined> {
 		const {fleet, clock, send} = this._options;
 		const server = fleet.server(id);
 		if (!server?.hasFreshReport(clock())) {
-			return 0;
+			return undefined;
 		}
 
 		server.notePrompt(promptTokens, clock());
-		const delayMs = await this._prefillQueries.query(askId => {
+		return this._prefillQueries.query(askId => {
 			send({type: 'turnAsk', askId, promptTokens}, this._agentEndpoint(server));
 		});
-		return delayMs ?? 0;
 	}
 
 	/** Releases the prefill reservation of a prompt that is not sent. */
@@ -95,8 +98,8 @@
 		}
 	}
 
-	onPrefillReply(askId: number, delayMs: number): void {
-		this._prefillQueries.settle(askId, delayMs);
+	onPrefillReply(askId: number, turn: PromptTurn): void {
+		this._prefillQueries.settle(askId, turn);
 	}
 
 	/** Sends a demand to one agent at once. */
@@ -213,6 +216,7 @@
 					adapterPlaces: engine.adapterPlaces,
 					loads: fleet.pendingLoads(clock()),
 					engines: fleet.engineCount(service),
+					prefills: server.takePrefills(),
 				},
 			},
 			this._agentEndpoint(server),
--- a/packages/daemon/src/direct/agent-runtime.ts
+++ b/packages/daemon/src/direct/agent-runtime.ts
@@ -1,6 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import {
 	OrderPlanner,
+	PrefillRate,
 	PromptPacer,
 	type EngineOrder,
 	type EngineReport,
@@ -35,8 +36,17 @@
 	}
 
 	private readonly _planner = OrderPlanner.create();
-	private readonly _pacer = PromptPacer.create(performance.now());
-	private readonly _metrics = DirectMetrics.create(() => 0);
+	private readonly _prefillRate = PrefillRate.create();
+	private readonly _pacer = PromptPacer.create(
+		performance.now(),
+		() => this._prefillRate.tokensPerMs,
+	);
+
+	private readonly _metrics = DirectMetrics.create({
+		prefillTokensPerMs: () => this._prefillRate.tokensPerMs,
+		loadLimit: () => this._planner.loadLimit,
+	});
+
 	private readonly _subscribers = new Map<string, Subscriber>();
 	private _socket: DatagramSocket | undefined;
 	private _metricsServer: TextServer | undefined;
@@ -88,8 +98,8 @@
 
 		if (message.type === 'turnAsk') {
 			const {askId, promptTokens} = message;
-			const delayMs = this._pacer.reserve(promptTokens, now);
-			this._socket?.send({type: 'turnAnswer', askId, delayMs}, from);
+			const turn = this._pacer.reserve(promptTokens, now);
+			this._socket?.send({type: 'turnAnswer', askId, ...turn}, from);
 		}
 
 		if (message.type === 'turnReturn') {
@@ -107,6 +117,10 @@
 
 		this._server = message.server;
 		this._planner.noteDemand(message.demand, id, now);
+		for (const sample of message.demand.prefills ?? []) {
+			this._prefillRate.note(sample, now);
+		}
+
 		if (isNew) {
 			this._sendReport(from);
 		}
@@ -248,6 +262,8 @@
 					report: {
 						...this._report,
 						promptDebt: Math.round(this._pacer.debt(performance.now())),
+						prefillTokensPerMs:
+							Math.round(this._prefillRate.tokensPerMs * 10) / 10,
 					},
 				},
 				to,
--- a/packages/daemon/src/direct/direct-metrics.ts
+++ b/packages/daemon/src/direct/direct-metrics.ts
@@ -6,11 +6,21 @@
 
 const nanosecondsPerSecond = 1e9;
 
+/** Values that an entry or an agent shows as gauges. */
+export type DirectGauges = {
+	/** Number of waiting requests. */
+	readonly waiting?: () => number;
+	/** Estimated prefill rate of the engine, in tokens per millisecond. */
+	readonly prefillTokensPerMs?: () => number;
+	/** Estimated concurrent loads that the weight store serves at full speed. */
+	readonly loadLimit?: () => number;
+};
+
 /** Metrics of an entry or agent, rendered in the Prometheus text format. */
 export class DirectMetrics {
-	/** @param waiting returns the current number of waiting requests */
-	static create(waiting: () => number): DirectMetrics {
-		return new DirectMetrics(waiting);
+	/** @param gauges functions that return the current values of gauges; the others are not served */
+	static create(gauges: DirectGauges): DirectMetrics {
+		return new DirectMetrics(gauges);
 	}
 
 	private readonly _registry = new Registry();
@@ -25,10 +35,21 @@
 	private readonly _peerCall = this._histogram(metricDefinitions.peerCall);
 	private readonly _proofAge = this._histogram(metricDefinitions.proofAge);
 
-	private constructor(waiting: () => number) {
+	private constructor({waiting, prefillTokensPerMs, loadLimit}: DirectGauges) {
 		const delays = monitorEventLoopDelay();
 		delays.enable();
-		this._gauge(metricDefinitions.waiting, waiting);
+		if (waiting !== undefined) {
+			this._gauge(metricDefinitions.waiting, waiting);
+		}
+
+		if (prefillTokensPerMs !== undefined) {
+			this._gauge(metricDefinitions.prefillRate, prefillTokensPerMs);
+		}
+
+		if (loadLimit !== undefined) {
+			this._gauge(metricDefinitions.loadLimit, loadLimit);
+		}
+
 		this._gauge(metricDefinitions.loopDelay, () => {
 			const delay = delays.percentile(99) / nanosecondsPerSecond;
 			delays.reset();
--- a/packages/daemon/src/direct/entry-fleet.testing.ts
+++ b/packages/daemon/src/direct/entry-fleet.testing.ts
@@ -55,8 +55,6 @@
 	readonly entries = new Map<string, SimulatedEntry>();
 	/** Sent datagrams and bytes. */
 	readonly sent = {datagrams: 0, bytes: 0, bytesBetweenZones: 0};
-	/** Whether datagrams pass from one entry to another. */
-	canPass: (from: SimulatedEntry, to: SimulatedEntry) => boolean = () => true;
 	private _inFlight: Datagram[] = [];
 	private readonly _random: Random;
 
@@ -78,6 +76,9 @@
 		}
 	}
 
+	/** Whether datagrams pass from one entry to another. */
+	canPass: (from: SimulatedEntry, to: SimulatedEntry) => boolean = () => true;
+
 	get live(): readonly SimulatedEntry[] {
 		return [...this.entries.values()].filter(({isDown}) => !isDown);
 	}
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -383,7 +383,7 @@
 		if (this._tickCount % lostLinkIntervals === 0) {
 			for (const id of this._topology.lostLinks(this._isLost)) {
 				const peer = this._peers.get(id);
-				if (peer !== undefined && !peer.isLinked) {
+				if (peer?.isLinked === false) {
 					this._sendHeartbeat(id, peer, now, true);
 				}
 			}
@@ -414,11 +414,7 @@
 			return this._peers.delete(id);
 		}
 
-		if (
-			known !== undefined &&
-			known.zone === zone &&
-			isSameEndpoint(known.endpoint, endpoint)
-		) {
+		if (known?.zone === zone && isSameEndpoint(known.endpoint, endpoint)) {
 			const hasChanged = !known.isListed;
 			known.isListed = true;
 			return hasChanged;
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -100,7 +100,10 @@
 	private readonly _members: RelayedTable<MemberRow>;
 	private readonly _shutdown: EntryShutdown;
 	private readonly _serverLog: ServerLog;
-	private readonly _metrics = DirectMetrics.create(() => this._waitQueue.size);
+	private readonly _metrics = DirectMetrics.create({
+		waiting: () => this._waitQueue.size,
+	});
+
 	private readonly _retryAllowances = new Map<string, RetryAllowance>();
 	private readonly _ingress: Ingress;
 	private readonly _watches: Disposable[] = [];
@@ -614,7 +617,8 @@
 			}
 
 			case 'turnAnswer': {
-				this._agentClient.onPrefillReply(message.askId, message.delayMs);
+				const {askId, delayMs, tokensAhead = 0} = message;
+				this._agentClient.onPrefillReply(askId, {delayMs, tokensAhead});
 				break;
 			}
 
--- a/packages/daemon/src/direct/metric-definitions.ts
+++ b/packages/daemon/src/direct/metric-definitions.ts
@@ -60,6 +60,18 @@
 		help: 'Requests that wait for a server or an adapter.',
 		labels: [],
 	},
+	prefillRate: {
+		kind: 'gauge',
+		name: 'balsamtray_prefill_tokens_per_ms',
+		help: "Estimated rate at which the agent's engine prefills prompts, in tokens per millisecond.",
+		labels: [],
+	},
+	loadLimit: {
+		kind: 'gauge',
+		name: 'balsamtray_load_limit',
+		help: 'Estimated number of concurrent loads over all engines that the weight store serves at full speed.',
+		labels: [],
+	},
 	loopDelay: {
 		kind: 'gauge',
 		name: 'balsamtray_event_loop_delay_seconds',
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -44,6 +44,10 @@
 	readonly version: number | undefined;
 	/** Prompt tokens of a prefill reservation that is not used yet. */
 	reservedPromptTokens: number | undefined;
+	/** Prompt tokens that the engine prefills before this one; undefined if its agent did not reply. */
+	tokensAhead: number | undefined;
+	/** Time at which the request was sent. */
+	sentAt: number | undefined;
 	/** Whether the attempt waits for its reserved prefill time. */
 	isAwaitingPrefill: boolean;
 	/** Undefined until the attempt is dispatched. */
@@ -363,6 +367,8 @@
 			version,
 			call: undefined,
 			reservedPromptTokens: undefined,
+			tokensAhead: undefined,
+			sentAt: undefined,
 			isAwaitingPrefill: false,
 			isSent: false,
 			hasResponded: false,
@@ -383,16 +389,15 @@
 	private async _reservePrefill(attempt: Attempt): Promise<void> {
 		const {fleet, agentClient, clock} = this._context;
 		const promptTokens = this._metadata.promptTokens ?? 0;
-		const delayMs = await agentClient.reservePrefill(
-			attempt.server,
-			promptTokens,
-		);
+		const turn = await agentClient.reservePrefill(attempt.server, promptTokens);
+		const delayMs = turn?.delayMs ?? 0;
 		if (this._attempt !== attempt) {
 			agentClient.releasePrefill(attempt.server, promptTokens);
 			return;
 		}
 
 		attempt.reservedPromptTokens = promptTokens;
+		attempt.tokensAhead = turn?.tokensAhead;
 		const now = clock();
 		if (delayMs > this._maxPrefillWaitMs(now)) {
 			fleet.server(attempt.server)?.notePromptDelay(delayMs, now);
@@ -519,6 +524,7 @@
 				const late = this._checkDispatch();
 				if (isCurrent() && late === undefined) {
 					attempt.isSent = true;
+					attempt.sentAt = this._context.clock();
 					return true;
 				}
 
@@ -536,7 +542,7 @@
 					this._onHeaders(attempt, status, headers);
 				}
 			},
-			onData: chunk => !isCurrent() || this._onData(chunk),
+			onData: chunk => !isCurrent() || this._onData(attempt, chunk),
 			onEnd: () => {
 				if (isCurrent()) {
 					this._onEnd(attempt);
@@ -626,8 +632,10 @@
 		return forwarded;
 	}
 
-	private _onData(chunk: Uint8Array): boolean {
-		this._record.noteBytes(this._context.clock());
+	private _onData(attempt: Attempt, chunk: Uint8Array): boolean {
+		const now = this._context.clock();
+		this._record.noteBytes(now);
+		this._notePrefill(attempt, now);
 		if (this._eventSplitter === undefined) {
 			return this._write(chunk);
 		}
@@ -637,6 +645,21 @@
 		return bytes.length === 0 || this._write(bytes);
 	}
 
+	/** Reports the time to the first part of the response to the server's agent, once for each attempt. */
+	private _notePrefill(attempt: Attempt, now: number): void {
+		const {server, sentAt, tokensAhead} = attempt;
+		if (sentAt === undefined || tokensAhead === undefined) {
+			return;
+		}
+
+		attempt.sentAt = undefined;
+		this._context.fleet.server(server)?.notePrefill({
+			tokens: this._metadata.promptTokens ?? 0,
+			tokensAhead: Math.round(tokensAhead),
+			firstEventMs: Math.round(now - sentAt),
+		});
+	}
+
 	private _write(bytes: Uint8Array): boolean {
 		if (this._res.write(bytes)) {
 			return true;
--- a/packages/protocol/src/gossip/messages.ts
+++ b/packages/protocol/src/gossip/messages.ts
@@ -94,6 +94,8 @@
 	readonly askId: number;
 	/** Delay after which the prompt may be sent, in milliseconds. */
 	readonly delayMs: number;
+	/** Prompt tokens that the engine still has to prefill before then. */
+	readonly tokensAhead?: number;
 };
 
 /** Releases the prefill reservation of a prompt that is not sent. */
