--- a/packages/core/src/topology/entry-topology.ts
+++ b/packages/core/src/topology/entry-topology.ts
@@ -64,6 +64,18 @@
 		return this.parent(isLost) === undefined;
 	}
 
+	/** Entries that should get changes from this entry, and so send it heartbeats. Lost ones are included. */
+	children(isLost: IsLost): readonly string[] {
+		const live = this._liveZone(isLost);
+		const rank = live.indexOf(this._self.id);
+		if (rank === 0 && this._zoneOrder.length <= maxZoneChildren + 1) {
+			return this._zoneOrder.filter(id => id !== this._self.id);
+		}
+
+		const first = rank * maxZoneChildren + 1;
+		return live.slice(first, first + maxZoneChildren);
+	}
+
 	/** Entries that this entry sends heartbeats to on its own account. Those that it hears from get replies besides. */
 	links(customers: readonly string[], isLost: IsLost): ReadonlySet<string> {
 		const links = new Set(this._extraLinks);
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -22,6 +22,9 @@
 /** Maximum time between two checks whether this entry has to read a table itself, in milliseconds. */
 export const readDutyCheckMs = 250;
 
+/** Pause after a failed read by an entry that does not read for its zone, in milliseconds. The reader tries more often. */
+export const relayedReadRetryMs = 2000;
+
 /** Time without a report after which an entry asks the agent itself, since its zone's relay may be lost, in milliseconds. */
 export const relayTimeoutMs = 450;
 
--- a/packages/daemon/src/direct/entry-fleet.test.ts
+++ b/packages/daemon/src/direct/entry-fleet.test.ts
@@ -89,6 +89,20 @@
 		});
 	});
 
+	describe('with a listed entry that never sends a heartbeat', () => {
+		it('assigns its servers to other relays of its zone', () => {
+			const fleet = EntryFleet.create({count: 30, zones: 3, seed: 8});
+			const dead = fleet.entries.get('entry-4')!;
+			dead.isDown = true;
+			fleet.run(4000);
+			const zone = fleet.live.filter(entry => entry.zone === dead.zone);
+			for (let i = 0; i < 30; i++) {
+				const relays = zone.filter(({peers}) => peers.isRelay(`server-${i}`));
+				assert.equal(relays.length, 1);
+			}
+		});
+	});
+
 	describe('with a zone that is cut from the store', () => {
 		it('gets its proofs from the readers of the other zones', () => {
 			const fleet = EntryFleet.create({count: 68, zones: 5, seed: 3});
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -80,6 +80,8 @@
 	isListed: boolean;
 	/** Whether this entry sends heartbeats to the peer on its own account. */
 	isLinked: boolean;
+	/** Whether the peer should get changes from this entry. */
+	isChild: boolean;
 	/** Time since which the peer is expected to send heartbeats. */
 	expectedSince: number;
 	/** Time of the last heartbeat in which the peer asked for heartbeats. */
@@ -435,6 +437,7 @@
 			zone,
 			isListed,
 			isLinked: false,
+			isChild: false,
 			expectedSince: 0,
 			linkedByPeerAt: Number.NEGATIVE_INFINITY,
 			lastHeardAt: Number.NEGATIVE_INFINITY,
@@ -457,7 +460,13 @@
 	private _updateLinks(now: number): void {
 		const {customers, onRootChanged} = this._options;
 		const links = this._topology.links(customers(), this._isLost);
+		const children = new Set(this._topology.children(this._isLost));
 		for (const [id, peer] of this._peers) {
+			if (children.has(id) && !peer.isChild && !peer.isLinked) {
+				peer.expectedSince = now;
+			}
+
+			peer.isChild = children.has(id);
 			const isLinked = links.has(id);
 			if (isLinked && !peer.isLinked) {
 				peer.isLinked = true;
@@ -484,11 +493,8 @@
 			const isExpected = peer.isLinked || Number.isFinite(peer.linkedByPeerAt);
 			const heardAt = Math.max(peer.lastHeardAt, peer.expectedSince);
 			if (peer.isLost) {
-				if (
-					!peer.isLinked &&
-					!probed.has(id) &&
-					now - peer.lostAt > forgetLossMs
-				) {
+				const isWatched = peer.isLinked || peer.isChild || probed.has(id);
+				if (!isWatched && now - peer.lostAt > forgetLossMs) {
 					// Nobody would notice the return of a peer that is neither linked nor probed.
 					peer.isLost = false;
 					peer.linkedByPeerAt = Number.NEGATIVE_INFINITY;
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -25,6 +25,7 @@
 	graceMarginMs,
 	membersIntervalMs,
 	membersWaitMs,
+	relayedReadRetryMs,
 	serversIntervalMs,
 	staleMembersAgeMs,
 	staleServersAgeMs,
@@ -403,7 +404,7 @@
 		this._watch({
 			name: 'authority',
 			source: store.authority,
-			waitMs: () => this._authorityWaitMs,
+			waitMs: () => (this._peers.isRoot ? this._authorityWaitMs : 0),
 			intervalMs: 0,
 			untilDueMs: () =>
 				this._msUntilRead(this._freshness.provenAt, maxRelayedProofAgeMs),
@@ -441,7 +442,7 @@
 		this._membersWatch = this._watch({
 			name: 'members',
 			source: this._options.store.members,
-			waitMs: () => membersWaitMs,
+			waitMs: () => (this._peers.isRoot ? membersWaitMs : 0),
 			intervalMs: membersIntervalMs,
 			untilDueMs: () =>
 				this._msUntilRead(this._members.confirmedAt, maxRelayedMembersAgeMs),
@@ -462,6 +463,7 @@
 			...tableOptions,
 			clock,
 			epoch: () => this._freshness.epoch,
+			minFailurePauseMs: () => (this._peers.isRoot ? 0 : relayedReadRetryMs),
 			onRead: (...read) => {
 				this._freshness.checkForSuspension();
 				tableOptions.onRead(...read);
--- a/packages/daemon/src/direct/table-watch.test.ts
+++ b/packages/daemon/src/direct/table-watch.test.ts
@@ -40,6 +40,7 @@
 		waitMs: () => 100,
 		intervalMs: 0,
 		untilDueMs: () => 0,
+		minFailurePauseMs: () => 0,
 		clock: () => now,
 		epoch: () => 0,
 		onRead(read, isSnapshot) {
--- a/packages/daemon/src/direct/table-watch.ts
+++ b/packages/daemon/src/direct/table-watch.ts
@@ -11,6 +11,8 @@
 	readonly intervalMs: number;
 	/** Time until this process has to read the table itself, in milliseconds. The first read is due at once. */
 	readonly untilDueMs: () => number;
+	/** Minimum pause after a failed read other than the first, in milliseconds. */
+	readonly minFailurePauseMs: () => number;
 	readonly clock: () => number;
 	/**
 	 * Called after each successful read.
@@ -65,7 +67,10 @@
 				backoffMs = storeBackoffMs.initial;
 				pauseMs = intervalMs - (clock() - startedAt);
 			} else {
-				pauseMs = backoffMs;
+				pauseMs =
+					this._version === undefined
+						? backoffMs
+						: Math.max(backoffMs, this._options.minFailurePauseMs());
 				backoffMs = Math.min(backoffMs * 2, storeBackoffMs.max);
 			}
 
