Tell agents of uses that end between demands; subscribe to agents without a report at once

Cause: with demands only to engines with requests or wants, the use of an adapter by a short request was told late, so agents evicted adapters that had just been used; a restarted entry waited 450 ms for relayed reports. Change: an unreported use makes a demand due; an entry subscribes to each agent that it has no report of.

--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -263,6 +263,11 @@
 		return [...this._wants.values()].map(({want}) => want);
 	}
 
+	/** Whether adapters were used since the last call of `takeUsedAdapters`. */
+	get hasUnreportedUse(): boolean {
+		return this._recentlyUsed.size > 0;
+	}
+
 	/** Returns the adapters that are in use or were used since the last call. */
 	takeUsedAdapters(): readonly string[] {
 		const used = new Set([...this._inUse.keys(), ...this._recentlyUsed]);
--- a/packages/daemon/src/direct/agent-client.ts
+++ b/packages/daemon/src/direct/agent-client.ts
@@ -174,20 +174,22 @@
 		return (
 			server.outstanding > 0 ||
 			server.wants(now).length > 0 ||
+			server.hasUnreportedUse ||
 			(now - lastDemandAt >= idleDemandIntervalMs &&
 				this._needsReports(server, now))
 		);
 	}
 
 	/**
-	 * Whether the agent has to send its reports to this entry: it relays them to its zone, waits for a load, or the zone's
-	 * relay does not pass them on.
+	 * Whether the agent has to send its reports to this entry: it relays them to its zone, waits for a load, or has none
+	 * yet, or the zone's relay does not pass them on.
 	 */
 	private _needsReports(server: ServerState, now: number): boolean {
 		const {id} = server.record;
 		return (
 			this._options.isRelay(id) ||
 			server.wants(now).length > 0 ||
+			!this._lastReportAt.has(id) ||
 			now - (this._silentSince.get(id) ?? now) > relayTimeoutMs
 		);
 	}
