--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -23,7 +23,7 @@
 export const prefillRateQuantile = 0.6;
 
 /** Number of samples from which the estimate no longer depends on the initial rate. */
-export const minPrefillSamples = 16;
+export const minPrefillSamples = 8;
 
 /** Maximum number of samples, so that the estimate follows a change of the engine. */
 export const maxPrefillSamples = 48;
