--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -25,6 +25,9 @@
 /** Number of samples from which the estimate no longer depends on the initial rate. */
 export const minPrefillSamples = 8;
 
+/** Maximum of the observed rate against the initial one while there are fewer samples than that. */
+export const maxEarlyRateFactor = 3;
+
 /** Maximum number of samples, so that the estimate follows a change of the engine. */
 export const maxPrefillSamples = 48;
 
--- a/packages/core/src/placement/prefill-rate.ts
+++ b/packages/core/src/placement/prefill-rate.ts
@@ -1,5 +1,6 @@
 import {
 	initialPrefillTokensPerMs,
+	maxEarlyRateFactor,
 	maxPrefillSamples,
 	minPrefillSamples,
 	minSampledPromptTokens,
@@ -58,9 +59,13 @@
 			sorted[Math.floor(sorted.length * prefillRateQuantile)] ??
 			initialPrefillTokensPerMs;
 		const weight = Math.min(1, sorted.length / minPrefillSamples);
+		const credible =
+			weight < 1
+				? Math.min(observed, maxEarlyRateFactor * initialPrefillTokensPerMs)
+				: observed;
 		const blended =
 			initialPrefillTokensPerMs +
-			weight * (observed - initialPrefillTokensPerMs);
+			weight * (credible - initialPrefillTokensPerMs);
 		const {min, max} = prefillRateBounds;
 		this._tokensPerMs = Math.min(max, Math.max(min, blended));
 	}
