Give an adapter a replica when the slots of its holders fill up

Cause: a replica was asked for only when prompts waited at the holders. Change: a replica from 60% of the slots at the least busy holder, on a server at most half as busy. Engines with 64 slots do not come near that at the loads of the first sites. Tests fail before, pass after.

--- a/packages/core/src/placement/adapter-placement.ts
+++ b/packages/core/src/placement/adapter-placement.ts
@@ -3,6 +3,8 @@
 import {
 	replicaDelayMs,
 	maxReplicaDelayShare,
+	maxReplicaUtilizationShare,
+	replicaSlotUtilization,
 	maxLoadTargetDelayMs,
 	maxSlotUtilization,
 	spareReplicaDelayMs,
@@ -98,13 +100,20 @@
 			(sum, server) => sum + server.inUseCount(key),
 			0,
 		);
-		const load = {delayMs, inUse, holders: holders.length};
+		const utilization = Math.min(
+			...holders.map(server => server.slotUtilization(now)),
+		);
+		const load = {delayMs, inUse, utilization, holders: holders.length};
 		const pendingPerServer = this._options.pendingLoads(now) / usable.length;
 		if (needsReplica(load, pendingPerServer)) {
-			const lessDelayed = usable.filter(
-				server => server.promptDelayMs(now) <= delayMs * maxReplicaDelayShare,
+			const lessBusy = usable.filter(
+				server =>
+					server.promptDelayMs(now) <= delayMs * maxReplicaDelayShare &&
+					(utilization < replicaSlotUtilization ||
+						server.slotUtilization(now) <=
+							utilization * maxReplicaUtilizationShare),
 			);
-			this._requestLoadOnOne(lessDelayed, want, now);
+			this._requestLoadOnOne(lessBusy, want, now);
 		}
 	}
 
@@ -143,19 +152,22 @@
 /**
  * Returns whether an adapter should get another replica.
  *
- * @param load the least prompt delay among the holders in milliseconds, this entry's requests on them, and their number
+ * @param load the least prompt delay among the holders in milliseconds, this entry's requests on them, the least share
+ *   of slots in use among them, and their number
  * @param pendingPerServer pending loads over all servers, divided by the number of usable servers
  */
 function needsReplica(
 	load: {
 		readonly delayMs: number;
 		readonly inUse: number;
+		readonly utilization: number;
 		readonly holders: number;
 	},
 	pendingPerServer: number,
 ): boolean {
 	return (
 		load.delayMs >= replicaDelayMs ||
+		load.utilization >= replicaSlotUtilization ||
 		(load.delayMs >= spareReplicaDelayMs &&
 			load.inUse > load.holders &&
 			pendingPerServer <= spareLoadsPerEngine)
--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -61,6 +61,12 @@
  */
 export const spareReplicaDelayMs = 40;
 
+/** Share of the slots in use at the least busy holder from which an adapter gets a replica, before its requests queue. */
+export const replicaSlotUtilization = 0.6;
+
+/** Maximum share of the slots in use at a server that gets a replica, against the least busy holder. */
+export const maxReplicaUtilizationShare = 0.5;
+
 /** Pending loads per engine, over all engines, up to which the weight store has spare capacity. */
 export const spareLoadsPerEngine = 0.25;
 
--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -155,6 +155,25 @@
 			assert.deepEqual(wanted, ['y']);
 		});
 
+		it('are wanted on a second server when small batches fill up at the only one, before requests queue', () => {
+			list(record('x', {slots: 16}), record('y', {slots: 16}));
+			fleet.noteReport('x', report({a: 1}, {running: 8}), 0);
+			fleet.noteReport('y', report({}, {running: 2}), 0);
+			assert.equal(chosen(), 'x');
+			assert.deepEqual(wanted, []);
+			fleet.noteReport('x', report({a: 1}, {running: 10}), 10);
+			assert.equal(chosen({}, 10), 'x');
+			assert.deepEqual(wanted, ['y']);
+		});
+
+		it('are not wanted on a second server that is as busy', () => {
+			list(record('x', {slots: 16}), record('y', {slots: 16}));
+			fleet.noteReport('x', report({a: 1}, {running: 12}), 0);
+			fleet.noteReport('y', report({}, {running: 8}), 0);
+			chosen();
+			assert.deepEqual(wanted, []);
+		});
+
 		it('are loaded on a server without a prompt backlog', () => {
 			list(record('x'), record('y'));
 			for (const id of ['x', 'y']) {
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -125,6 +125,11 @@
 		);
 	}
 
+	/** Estimated requests at the server per slot. */
+	slotUtilization(now: number): number {
+		return this.requestCount(now) / this._record.slots;
+	}
+
 	/** Whether the tokens fit into the given share of the engine's memory, by its report. True without a fresh report. */
 	hasMemoryFor(tokens: number, share: number, now: number): boolean {
 		if (!this.hasFreshReport(now)) {
