Wait for a rate's owner that replies late; a query keeps its identifier at all candidates

Cause: a query was given up after two times 60 ms, and the request refused as over its rate although inside it. An owner on a quarter of a core is later than that when its host is busy, and then all requests of its customers are refused at all entries. Change: a query is open for 300 ms; after 60 and 140 ms it goes to the next candidate as well, under the same identifier, and an owner takes the units of an identifier once. Replying moved from EntryRuntime into QuotaResponder. Ruled out: a longer timeout alone (a lost datagram or a dead owner would cost it each time). Tests: an owner that replies after 150 ms grants and takes the units once; an owner that the asker can't reach is reached through the next candidate.

--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -31,14 +31,17 @@
 /** Time without a heartbeat after which an entry is lost, in milliseconds: three intervals and the network delay. */
 export const peerTimeoutMs = 700;
 
-/** Timeout of a quota query to another entry, in milliseconds: many times the latency between zones. */
-export const quotaTimeoutMs = 60;
-
 /**
- * Maximum number of queries to the entries that own a customer's quota. After that, units are taken from the share that
- * is reserved for customers whose owner does not reply.
+ * Time until a quota query is given up, in milliseconds. It is long against the latency between zones, since an owner on
+ * a busy host replies late.
  */
-export const maxQuotaAttempts = 2;
+export const quotaTimeoutMs = 300;
+
+/** Times after which a quota query without a reply is also sent to the next candidate, in milliseconds. */
+export const quotaRetryMs = [60, 140] as const;
+
+/** Time for which an owner recognizes a query that it has replied to, in milliseconds. */
+export const quotaReplyLifetimeMs = 1000;
 
 /** Prefill delay below which a request is sent without a timer, in milliseconds. */
 export const minPrefillDelayMs = 1;
--- a/packages/daemon/src/direct/entry-fleet.test.ts
+++ b/packages/daemon/src/direct/entry-fleet.test.ts
@@ -1,8 +1,15 @@
 import assert from 'node:assert/strict';
-import {describe, it, type TestContext} from 'node:test';
+import {
+	afterEach,
+	beforeEach,
+	describe,
+	it,
+	mock,
+	type TestContext,
+} from 'node:test';
 import {maxRelayedProofAgeMs, type CustomerRule} from '@balsamtray/core';
 import {peerTimeoutMs} from './constants.js';
-import {EntryFleet} from './entry-fleet.testing.js';
+import {EntryFleet, type SimulatedEntry} from './entry-fleet.testing.js';
 
 /** Bound of the users on the traffic of control of one node, in bytes per second. */
 const maxBytesPerSecond = 25_000;
@@ -187,6 +194,71 @@
 	});
 });
 
+describe('a query for units of a rate', () => {
+	const slowCustomers = customers.map(rule => ({...rule, unitsPerSecond: 100}));
+	const customer = slowCustomers[0]!;
+
+	beforeEach(() => {
+		mock.timers.enable({apis: ['setTimeout']});
+	});
+
+	afterEach(() => {
+		mock.timers.reset();
+	});
+
+	/** Lets an entry that is no candidate ask for units. Returns the grant and the owner's level before and after. */
+	async function ask(
+		prepare: (fleet: EntryFleet, owner: SimulatedEntry) => void,
+	) {
+		const fleet = EntryFleet.create({
+			count: 30,
+			zones: 3,
+			seed: 9,
+			customers: slowCustomers,
+		});
+		fleet.run(2000);
+		const owner = fleet.live.find(({peers}) => peers.isOwner(customer.name))!;
+		owner.ledger.take(customer, 5000, fleet.now);
+		fleet.run(heartbeats(2));
+		const asker = fleet.live.find(
+			({peers}) => !peers.knowsLevel(customer.name),
+		)!;
+		prepare(fleet, owner);
+		const levelOf = () =>
+			owner.ledger
+				.levels(fleet.now)
+				.find(level => level.customer === customer.name)!.level;
+		const before = levelOf();
+		const startedAt = fleet.now;
+		const reserved = fleet.reserve(asker.id, customer, 1000);
+		fleet.run(500, () => {
+			mock.timers.tick(10);
+		});
+		const accrued = fleet.now - startedAt;
+		const grant = await reserved;
+		const spent =
+			before + (accrued * customer.unitsPerSecond) / 1000 - levelOf();
+		return {grant, spent};
+	}
+
+	it('is granted by an owner that replies late, which takes the units once', async () => {
+		const {grant, spent} = await ask((_fleet, owner) => {
+			owner.lagMs = 150;
+		});
+		assert.equal(grant.kind, 'granted');
+		assert.ok(Math.abs(spent - 1000) < 150, `${spent}`);
+	});
+
+	it('reaches an owner through the next candidate when the direct way is cut', async () => {
+		const {grant, spent} = await ask((fleet, owner) => {
+			fleet.canPass = (from, to) =>
+				to.id !== owner.id || from.peers.knowsLevel(customer.name);
+		});
+		assert.equal(grant.kind, 'granted');
+		assert.ok(Math.abs(spent - 1000) < 150, `${spent}`);
+	});
+});
+
 function heartbeats(count: number): number {
 	return count * 200 + 100;
 }
--- a/packages/daemon/src/direct/entry-fleet.testing.ts
+++ b/packages/daemon/src/direct/entry-fleet.testing.ts
@@ -8,6 +8,7 @@
 import type {GossipMessage} from '@balsamtray/protocol';
 import {heartbeatIntervalMs} from './constants.js';
 import {EntryPeers} from './entry-peers.js';
+import {QuotaResponder} from './quota-responder.js';
 import type {Endpoint} from './types.js';
 
 /** Interval at which the root of a zone proves that its statements are the newest, in milliseconds. */
@@ -30,10 +31,13 @@
 	readonly zone: string;
 	readonly peers: EntryPeers;
 	readonly ledger: QuotaLedger;
+	readonly responder: QuotaResponder;
 	readonly nextTickAt: {value: number};
 	provenAt: number;
 	lastReadAt: number;
 	isDown: boolean;
+	/** Time that the entry takes to handle a datagram, in milliseconds. */
+	lagMs: number;
 	/** Whether the entry can't reach the store. */
 	isCutFromStore: boolean;
 };
@@ -93,6 +97,7 @@
 		return Math.max(...this.live.map(({provenAt}) => this.now - provenAt));
 	}
 
+	/** Lets time pass for the entries. */
 	run(milliseconds: number, onStep?: () => void): void {
 		const end = this.now + milliseconds;
 		while (this.now < end) {
@@ -154,7 +159,8 @@
 		this.sent.bytesBetweenZones += from.zone === receiver.zone ? 0 : bytes;
 		const isLost = this._random() < (this._options.lossRate ?? 0);
 		if (!isLost && this.canPass(from, receiver)) {
-			this._inFlight.push({at: this.now + stepMs, message, from: from.id, to});
+			const at = this.now + stepMs + receiver.lagMs;
+			this._inFlight.push({at, message, from: from.id, to});
 		}
 	}
 
@@ -165,61 +171,95 @@
 			slackUnits: () => 0,
 			now: 0,
 		});
+		const send = (message: GossipMessage, {host}: Endpoint) => {
+			this._send(entry, message, host);
+		};
+
+		const peers = EntryPeers.create({
+			hostId: id,
+			zone,
+			endpoint: endpointOf(id),
+			clock: () => this.now,
+			epoch: () => 0,
+			ledger,
+			send,
+			authorityVersion: () => 1,
+			isServing: () => true,
+			provenAt: () => entry.provenAt,
+			customers: () => customers.map(({name}) => name),
+			tables: () => ({
+				servers: {revision: 1, ageMs: 100},
+				members: {revision: 1, ageMs: 100},
+			}),
+			onTables: () => undefined,
+			onProof(provenAt) {
+				entry.provenAt = Math.max(entry.provenAt, provenAt);
+			},
+			fetchStatements: async () => [],
+			onStatements: () => undefined,
+			onRootChanged: () => undefined,
+			onQueryEnded: () => undefined,
+			onLost: () => undefined,
+			onRegained: () => undefined,
+			onError: () => undefined,
+		});
 		const entry: SimulatedEntry = {
 			id,
 			zone,
 			ledger,
-			nextTickAt: {
-				value: Math.floor(this._random() * heartbeatIntervalMs),
-			},
+			peers,
+			responder: QuotaResponder.create({
+				clock: () => this.now,
+				peers,
+				ledger,
+				ruleOf: customer => customers.find(({name}) => name === customer),
+				send,
+			}),
+			nextTickAt: {value: Math.floor(this._random() * heartbeatIntervalMs)},
 			provenAt: 0,
 			lastReadAt: 0,
 			isDown: false,
+			lagMs: 0,
 			isCutFromStore: false,
-			peers: EntryPeers.create({
-				hostId: id,
-				zone,
-				endpoint: endpointOf(id),
-				clock: () => this.now,
-				epoch: () => 0,
-				ledger,
-				send: (message, {host}) => {
-					this._send(entry, message, host);
-				},
-				authorityVersion: () => 1,
-				isServing: () => true,
-				provenAt: () => entry.provenAt,
-				customers: () => customers.map(({name}) => name),
-				tables: () => ({
-					servers: {revision: 1, ageMs: 100},
-					members: {revision: 1, ageMs: 100},
-				}),
-				onTables: () => undefined,
-				onProof(provenAt) {
-					entry.provenAt = Math.max(entry.provenAt, provenAt);
-				},
-				fetchStatements: async () => [],
-				onStatements: () => undefined,
-				onRootChanged: () => undefined,
-				onQueryEnded: () => undefined,
-				onLost: () => undefined,
-				onRegained: () => undefined,
-				onError: () => undefined,
-			}),
 		};
 		this.entries.set(id, entry);
 	}
 }
 
 function receive(
-	{peers}: SimulatedEntry,
+	{peers, responder}: SimulatedEntry,
 	message: GossipMessage,
 	from: Endpoint,
 ): void {
-	if (message.type === 'entry') {
-		peers.onHeartbeat(message, from);
-	} else if (message.type === 'suspect') {
-		peers.passOnSuspect(message);
+	switch (message.type) {
+		case 'entry': {
+			peers.onHeartbeat(message, from);
+			break;
+		}
+
+		case 'suspect': {
+			peers.passOnSuspect(message);
+			break;
+		}
+
+		case 'quotaAsk': {
+			responder.onQuery(message, from);
+			break;
+		}
+
+		case 'quotaAnswer': {
+			peers.onQuotaReply(message.askId, message.grant);
+			break;
+		}
+
+		case 'quotaReturn':
+		case 'demand':
+		case 'report':
+		case 'turnAsk':
+		case 'turnAnswer':
+		case 'turnReturn': {
+			break;
+		}
 	}
 }
 
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -16,9 +16,9 @@
 	forgetLossMs,
 	heartbeatIntervalMs,
 	lostLinkIntervals,
-	maxQuotaAttempts,
 	maxSeenReports,
 	peerTimeoutMs,
+	quotaRetryMs,
 	quotaTimeoutMs,
 	unresponsiveOwnerMs,
 } from './constants.js';
@@ -215,8 +215,8 @@
 
 	/**
 	 * Takes units of a customer's rate from the entry that owns its quota. If the owner does not reply, the next candidate
-	 * is asked, which decides in its place if it has lost the owner, and otherwise passes the query on. If nobody replies,
-	 * takes the units from this entry's share of those that the ledger keeps for this case.
+	 * is asked as well, which decides in its place if it has lost the owner, and otherwise passes the query on. If nobody
+	 * replies, takes the units from this entry's share of those that the ledger keeps for this case.
 	 */
 	async reserve(customer: CustomerRule, units: number): Promise<Reservation> {
 		const {ledger, clock, hostId} = this._options;
@@ -224,22 +224,17 @@
 			return {grant: {kind: 'granted'}, owner: undefined};
 		}
 
-		for (let i = 0; i < maxQuotaAttempts; i++) {
-			const owner = this._entryToAsk(customer.name);
-			if (owner === hostId) {
-				return {grant: ledger.take(customer, units, clock()), owner};
-			}
-
-			if (owner === undefined) {
-				break;
-			}
+		const owner = this._entryToAsk(customer.name);
+		if (owner === hostId) {
+			return {grant: ledger.take(customer, units, clock()), owner};
+		}
 
-			// Each attempt starts after the previous one timed out.
-			// eslint-disable-next-line no-await-in-loop
-			const grant = await this._queryOwner(owner, customer.name, units);
-			if (grant !== undefined) {
-				return {grant, owner};
-			}
+		const reservation =
+			owner === undefined
+				? undefined
+				: await this._queryOwners(owner, customer.name, units);
+		if (reservation !== undefined) {
+			return reservation;
 		}
 
 		const {entryCount} = this;
@@ -359,6 +354,13 @@
 		this._quotaQueries.settle(askId, grant);
 	}
 
+	/** Whether this entry is told the customer's level, so that it can take over its quota. */
+	knowsLevel(customer: string): boolean {
+		return this._topology
+			.ownerCandidates(customer)
+			.includes(this._options.hostId);
+	}
+
 	/** Whether this entry owns the customer's quota. */
 	isOwner(customer: string): boolean {
 		return this._ownerOf(customer) === this._options.hostId;
@@ -640,27 +642,52 @@
 		});
 	}
 
-	private async _queryOwner(
-		owner: string,
+	/**
+	 * Sends a query to one candidate after the other until one replies. The earlier ones may still reply, as the query keeps
+	 * its identifier.
+	 */
+	private async _queryOwners(
+		first: string,
 		customer: string,
 		units: number,
-	): Promise<QuotaGrant | undefined> {
-		const peer = this._peers.get(owner);
-		if (peer === undefined) {
-			return undefined;
-		}
+	): Promise<Reservation | undefined> {
+		const {send, hostId, clock} = this._options;
+		const asked: string[] = [];
+		const ask = (id: string, askId: number) => {
+			const peer = this._peers.get(id);
+			if (peer !== undefined) {
+				asked.push(id);
+				send(
+					{type: 'quotaAsk', from: hostId, askId, customer, units},
+					peer.endpoint,
+				);
+			}
+		};
 
+		const timers: NodeJS.Timeout[] = [];
 		const grant = await this._quotaQueries.query(askId => {
-			this._options.send(
-				{type: 'quotaAsk', from: this._options.hostId, askId, customer, units},
-				peer.endpoint,
-			);
+			ask(first, askId);
+			for (const retryMs of quotaRetryMs) {
+				const timer = setTimeout(() => {
+					this._markUnresponsive(asked.at(-1), clock());
+					const next = this._entryToAsk(customer);
+					ask(next === undefined || next === hostId ? first : next, askId);
+				}, retryMs);
+				timers.push(timer);
+			}
 		});
-		if (grant === undefined) {
-			peer.unresponsiveUntil = this._options.clock() + unresponsiveOwnerMs;
+		for (const timer of timers) {
+			clearTimeout(timer);
 		}
 
-		return grant;
+		return grant && {grant, owner: asked.at(-1)};
+	}
+
+	private _markUnresponsive(id: string | undefined, now: number): void {
+		const peer = this._peerOf(id);
+		if (peer !== undefined) {
+			peer.unresponsiveUntil = now + unresponsiveOwnerMs;
+		}
 	}
 }
 
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -41,6 +41,7 @@
 import {FreshnessMonitor} from './freshness-monitor.js';
 import {Ingress} from './ingress.js';
 import {KeyCounts} from './key-counts.js';
+import {QuotaResponder} from './quota-responder.js';
 import {RelayedTable} from './relayed-table.js';
 import {ServerLog} from './server-log.js';
 import {TableExchange} from './table-exchange.js';
@@ -99,6 +100,7 @@
 	private readonly _exchange: TableExchange;
 	private readonly _servers: RelayedTable<ServerChange>;
 	private readonly _members: RelayedTable<MemberRow>;
+	private readonly _quotaResponder: QuotaResponder;
 	private readonly _shutdown: EntryShutdown;
 	private readonly _serverLog: ServerLog;
 	private readonly _metrics = DirectMetrics.create({
@@ -148,6 +150,18 @@
 			members: () => this._members.copy(clock()),
 		});
 		this._peers = this._createPeers();
+		this._quotaResponder = QuotaResponder.create({
+			clock,
+			peers: this._peers,
+			ledger: this._ledger,
+			ruleOf: customer =>
+				this._authority.inForce?.config.customers?.find(
+					({name}) => name === customer,
+				),
+			send: (message, to) => {
+				this._send(message, to);
+			},
+		});
 		this._fleet = this._createFleet();
 		this._agentClient = AgentClient.create({
 			fleet: this._fleet,
@@ -590,7 +604,7 @@
 			}
 
 			case 'quotaAsk': {
-				this._onQuotaQuery(message, from);
+				this._quotaResponder.onQuery(message, from);
 				break;
 			}
 
@@ -640,26 +654,6 @@
 		}
 	}
 
-	private _onQuotaQuery(
-		query: Extract<GossipMessage, {type: 'quotaAsk'}>,
-		from: Endpoint,
-	): void {
-		const {askId, customer, units, replyTo = from} = query;
-		const rule = this._authority.inForce?.config.customers?.find(
-			({name}) => name === customer,
-		);
-		if (rule === undefined) {
-			return;
-		}
-
-		if (this._peers.isOwner(customer)) {
-			const grant = this._ledger.take(rule, units, clock());
-			this._send({type: 'quotaAnswer', askId, grant}, replyTo);
-		} else {
-			this._peers.forwardQuery(query, from);
-		}
-	}
-
 	private _serviceOf(name: string): ServiceSpec | undefined {
 		return this._authority.inForce?.services.get(name);
 	}
--- a/packages/daemon/src/direct/pending-queries.ts
+++ b/packages/daemon/src/direct/pending-queries.ts
@@ -16,7 +16,8 @@
 	}
 
 	private readonly _pending = new Map<number, (reply: Reply) => void>();
-	private _nextId = 1;
+	/** Starts at random, so that a restarted process does not repeat the identifiers of its last queries. */
+	private _nextId = Math.floor(Math.random() * 2 ** 31);
 
 	private constructor(private readonly _options: PendingQueriesOptions) {}
 
