--- a/packages/daemon/src/direct/entry-fleet.test.ts
+++ b/packages/daemon/src/direct/entry-fleet.test.ts
@@ -101,14 +101,32 @@
 
 	describe('with a listed entry that never sends a heartbeat', () => {
 		it('assigns its servers to other relays of its zone', () => {
+			for (let index = 0; index < 30; index += 3) {
+				const fleet = EntryFleet.create({count: 30, zones: 3, seed: 8});
+				const dead = fleet.entries.get(`entry-${index}`)!;
+				dead.isDown = true;
+				fleet.run(4000);
+				const zone = fleet.live.filter(entry => entry.zone === dead.zone);
+				for (let i = 0; i < 30; i++) {
+					const relays = zone.filter(({peers}) => peers.isRelay(`server-${i}`));
+					assert.equal(relays.length, 1, `${dead.id} dead, server ${i}`);
+				}
+			}
+		});
+	});
+
+	describe('whose reader of a zone was away', () => {
+		it('considers nobody lost after the return, although links change back', () => {
 			const fleet = EntryFleet.create({count: 30, zones: 3, seed: 8});
-			const dead = fleet.entries.get('entry-4')!;
-			dead.isDown = true;
-			fleet.run(4000);
-			const zone = fleet.live.filter(entry => entry.zone === dead.zone);
-			for (let i = 0; i < 30; i++) {
-				const relays = zone.filter(({peers}) => peers.isRelay(`server-${i}`));
-				assert.equal(relays.length, 1);
+			fleet.run(3000);
+			const reader = fleet.roots[0]!;
+			reader.isDown = true;
+			fleet.run(3000);
+			reader.isDown = false;
+			fleet.run(3000);
+			for (const {peers, zone} of fleet.live) {
+				const size = fleet.live.filter(entry => entry.zone === zone).length;
+				assert.equal(peers.zoneSize, size);
 			}
 		});
 	});
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -299,6 +299,11 @@
 		return true;
 	}
 
+	/** Number of entries of this entry's zone that are not lost, including this one. */
+	get zoneSize(): number {
+		return this._topology.zonePeers(this._isLostInZone).length + 1;
+	}
+
 	/** Whether this entry relays the reports of the server's agent to its zone. */
 	isRelay(server: string): boolean {
 		return this._topology.isRelay(server, this._isLostInZone);
@@ -492,14 +497,14 @@
 		const probed = new Set(this._topology.lostLinks(this._isLost));
 		let hasRemoved = false;
 		for (const [id, peer] of this._peers) {
-			const isExpected = peer.isLinked || Number.isFinite(peer.linkedByPeerAt);
+			// Other peers may stop sending heartbeats because they have chosen other links.
+			const isExpected = peer.isLinked || peer.isChild || !peer.isListed;
 			const heardAt = Math.max(peer.lastHeardAt, peer.expectedSince);
 			if (peer.isLost) {
 				const isWatched = peer.isLinked || peer.isChild || probed.has(id);
 				if (!isWatched && now - peer.lostAt > forgetLossMs) {
 					// Nobody would notice the return of a peer that is neither linked nor probed.
 					peer.isLost = false;
-					peer.linkedByPeerAt = Number.NEGATIVE_INFINITY;
 				}
 			} else if (isExpected && now - heardAt > peerTimeoutMs) {
 				peer.isLost = true;
