--- a/packages/core/src/routing/router.test.ts
+++ b/packages/core/src/routing/router.test.ts
@@ -51,6 +51,15 @@
 	return Array.from({length: count}, (_, i) => hostOf(i));
 }
 
+function hostsWithLeaving(
+	count: number,
+	leaving: string,
+): readonly AgentHost[] {
+	return hostsOf(count).map(host =>
+		host.id === leaving ? {...host, state: 'leaving'} : host,
+	);
+}
+
 function routerOf(
 	hosts: readonly Host[],
 	policy: RoutingPolicy = defaultRoutingPolicy,
@@ -334,12 +343,7 @@
 		it('gets them back within the slow start after the platform listed it as leaving', () => {
 			checkReturn(
 				router => {
-					router.updateHosts(
-						hostsOf(3).map(host =>
-							host.id === 's1' ? {...host, state: 'leaving'} : host,
-						),
-						now,
-					);
+					router.updateHosts(hostsWithLeaving(3, 's1'), now);
 				},
 				router => {
 					router.updateHosts(hostsOf(3), now);
