Pass on when a server turns cold

Found by reading the change: what a zone's reader passes on left out the time until a server is warm, so that entries which follow it would not have heard that a server turned cold again and could have sent it more than it bears (FAILBACK). Change: each record with a longer time until warm than the one before makes a new revision. Test: fails without the count of cold starts.

--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -190,6 +190,41 @@
 		});
 	});
 
+	describe('the digest of the list for other entries', () => {
+		it('changes when a server turns cold, also again, and not while it grows warm', () => {
+			list(record('x'));
+			let rowVersion = 10;
+			const digestAfter = (changes: Partial<ServerRecord>) => {
+				fleet.apply(
+					[{id: 'x', rowVersion: rowVersion++, record: record('x', changes)}],
+					0,
+				);
+				return fleet.listedDigest();
+			};
+
+			const warm = fleet.listedDigest();
+			const cold = digestAfter({coldLeftMs: 3000});
+			assert.notEqual(cold, warm);
+			assert.equal(digestAfter({coldLeftMs: 1500}), cold);
+			const again = digestAfter({coldLeftMs: 3000});
+			assert.notEqual(again, cold);
+			assert.notEqual(again, warm);
+		});
+
+		it('changes with drains and not with adapters', () => {
+			list(record('x'));
+			const before = fleet.listedDigest();
+			const change = (changes: Partial<ServerRecord>, rowVersion: number) => {
+				fleet.apply([{id: 'x', rowVersion, record: record('x', changes)}], 0);
+			};
+
+			change({models: [{name: 'm', adapters: {b: 1}}]}, 10);
+			assert.equal(fleet.listedDigest(), before);
+			change({isDraining: true}, 11);
+			assert.notEqual(fleet.listedDigest(), before);
+		});
+	});
+
 	describe('when engines restarted empty', () => {
 		it('uses only the newest server at an address while the list still holds the old one', () => {
 			list(record('old', {models: [{name: 'm', adapters: {a: 1}}]}));
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -82,6 +82,21 @@
 			}));
 	}
 
+	/**
+	 * Text that differs if the list differs in something that other entries have to know. Agents report the adapters, and
+	 * every entry counts down the time until a server is warm, so these are left out.
+	 */
+	listedDigest(): string {
+		return JSON.stringify(
+			[...this._servers.values()]
+				.filter(({vanishedAt}) => vanishedAt === undefined)
+				.map(({record, coldStarts}) => [
+					{...record, models: [], coldLeftMs: 0},
+					coldStarts,
+				]),
+		);
+	}
+
 	server(id: string): ServerState | undefined {
 		return this._servers.get(id);
 	}
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -28,6 +28,7 @@
 	outstanding = 0;
 	private _record: ServerRecord;
 	private _coldUntil: number;
+	private _coldStarts = 0;
 	private _report: EngineReport | undefined;
 	private _reportedAt = Number.NEGATIVE_INFINITY;
 	private _sentAt: number[] = [];
@@ -55,11 +56,20 @@
 		return this._record;
 	}
 
+	/** Number of times that the server turned cold, by its records. */
+	get coldStarts(): number {
+		return this._coldStarts;
+	}
+
 	get report(): EngineReport | undefined {
 		return this._report;
 	}
 
 	setRecord(record: ServerRecord, now: number): void {
+		if (record.coldLeftMs > this._record.coldLeftMs) {
+			this._coldStarts++;
+		}
+
 		this._record = record;
 		this._refused.clear();
 		this.vanishedAt = undefined;
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -556,11 +556,7 @@
 			new Set([...this._fleet.servers()].map(({record}) => record.id)),
 		);
 		this._waitQueue.wake();
-		const digest = JSON.stringify(
-			this._fleet
-				.listedRows()
-				.map(({record}) => ({...record!, models: [], coldLeftMs: 0})),
-		);
+		const digest = this._fleet.listedDigest();
 		const hasChanged = digest !== this._serversDigest;
 		this._serversDigest = digest;
 		return hasChanged;
