Say in request lines what delimited a response and where it ended

The lines could not tell an orderly end inside an event from a reset that was missed. sends now says when only the connection delimits a response, and how many bytes into an event it stopped. No decision changes.

--- a/packages/core/src/direct/event-stream-splitter.ts
+++ b/packages/core/src/direct/event-stream-splitter.ts
@@ -20,6 +20,11 @@
 
 	private constructor() {}
 
+	/** Number of bytes after the last complete event. */
+	get partialEventBytes(): number {
+		return this._partialEvent.length;
+	}
+
 	/** Appends bytes and returns the events that they complete. */
 	push(chunk: Uint8Array): CompleteEvents {
 		const bytes =
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -95,7 +95,10 @@
 	/** Why the response was not complete. Absent if it was. */
 	readonly reason?: string;
 	readonly notRun?: boolean;
-	/** Attempts in order: each server with the outcome of the attempt. */
+	/**
+	 * Attempts in order: each server with the outcome of the attempt. Says so if only the connection delimited the
+	 * response, and how many bytes into an event it ended.
+	 */
 	readonly sends: readonly string[];
 	/** Time from arrival to the last dispatch. */
 	readonly waitedMs?: number;
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -25,7 +25,7 @@
 import {CallRecord} from './call-record.js';
 import type {Reservation} from './entry-peers.js';
 import type {CallMetadata} from './types.js';
-import type {UpstreamCall, UpstreamSink} from './upstream.js';
+import type {ResponseFraming, UpstreamCall, UpstreamSink} from './upstream.js';
 import type {Waiter} from './wait-queue.js';
 
 /** A caller's request and the response to write to. */
@@ -54,7 +54,8 @@
 	call: UpstreamCall | undefined;
 	/** Whether a connection was assigned to the request. From then on the server may run it. */
 	isSent: boolean;
-	hasResponded: boolean;
+	/** Undefined until the response headers arrive. */
+	framing: ResponseFraming | undefined;
 };
 
 /** Headers that apply to a single connection and are not forwarded. */
@@ -371,7 +372,7 @@
 			sentAt: undefined,
 			isAwaitingPrefill: false,
 			isSent: false,
-			hasResponded: false,
+			framing: undefined,
 		};
 		this._attempt = attempt;
 		clearTimeout(this._deadlineTimer);
@@ -535,10 +536,11 @@
 
 				return false;
 			},
-			onHeaders: (status, headers) => {
+			onHeaders: (status, headers, framing) => {
 				const {fleet, clock} = this._context;
 				fleet.server(attempt.server)?.noteActivity(clock());
 				if (isCurrent()) {
+					attempt.framing = framing;
 					this._onHeaders(attempt, status, headers);
 				}
 			},
@@ -583,7 +585,6 @@
 			return;
 		}
 
-		attempt.hasResponded = true;
 		this._mayHaveRun = true;
 		if (this._res.headersSent) {
 			if (status !== 200) {
@@ -672,7 +673,7 @@
 	}
 
 	private _onEnd(attempt: Attempt): void {
-		if (!attempt.hasResponded) {
+		if (attempt.framing === undefined) {
 			this._onAttemptFailed(
 				attempt,
 				new Error('response ended before its headers'),
@@ -680,7 +681,7 @@
 			return;
 		}
 
-		this._endAttempt('answered');
+		this._endAttempt(`answered${this._describeEnd(attempt)}`);
 		const rest = this._eventSplitter?.takePartialEvent();
 		if (rest !== undefined && rest.length > 0) {
 			this._res.write(rest);
@@ -690,10 +691,24 @@
 		this._res.end();
 	}
 
+	/** Describes for the log where a response ended that its connection delimits. */
+	private _describeEnd({framing}: Attempt): string {
+		if (framing !== 'connection') {
+			return '';
+		}
+
+		const bytes = this._eventSplitter?.partialEventBytes;
+		return bytes === undefined
+			? ': delimited by its connection'
+			: `: delimited by its connection, ${bytes} bytes into an event`;
+	}
+
 	/** Handles a broken connection or an unusable response. */
 	private _onAttemptFailed(attempt: Attempt, err: Error): void {
 		this._endAttempt(
-			`${attempt.isSent ? 'broke' : 'not sent'}: ${err.message}`,
+			attempt.isSent
+				? `broke: ${err.message}${this._describeEnd(attempt)}`
+				: `not sent: ${err.message}`,
 		);
 		this._context.fleet
 			.server(attempt.server)
--- a/packages/daemon/src/direct/upstream.ts
+++ b/packages/daemon/src/direct/upstream.ts
@@ -17,6 +17,9 @@
 	readonly body: Uint8Array;
 };
 
+/** What marks the end of a response body: its length, its last chunk, or only the end of its connection. */
+export type ResponseFraming = 'length' | 'chunks' | 'connection';
+
 /** Receives the events of a request to a server, in this order. */
 export type UpstreamSink = {
 	/**
@@ -24,7 +27,11 @@
 	 * Returns false to cancel the request; it is not sent then, and no event follows.
 	 */
 	readonly onSending: () => boolean;
-	readonly onHeaders: (status: number, headers: IncomingHttpHeaders) => void;
+	readonly onHeaders: (
+		status: number,
+		headers: IncomingHttpHeaders,
+		framing: ResponseFraming,
+	) => void;
 	/** Returns false to pause the response until `resume` is called. */
 	readonly onData: (chunk: Uint8Array) => boolean;
 	readonly onEnd: () => void;
@@ -104,7 +111,11 @@
 				},
 				onResponseStart(_controller, status, headers) {
 					if (!isAborted && status >= 200) {
-						sink.onHeaders(status, headers);
+						sink.onHeaders(
+							status,
+							headers,
+							framingOf(req.method, status, headers),
+						);
 					}
 				},
 				onResponseData(responding, chunk) {
@@ -186,6 +197,21 @@
 	}
 }
 
+function framingOf(
+	method: string,
+	status: number,
+	headers: IncomingHttpHeaders,
+): ResponseFraming {
+	if (headers['transfer-encoding'] !== undefined) {
+		return 'chunks';
+	}
+
+	const hasNoBody = method === 'HEAD' || status === 204 || status === 304;
+	return hasNoBody || headers['content-length'] !== undefined
+		? 'length'
+		: 'connection';
+}
+
 /**
  * Makes a socket reset its connection when its request is aborted. After a plain close, bytes that are still unsent or
  * held up on the way would reach the server, which would then begin a request whose caller is gone.
