--- a/packages/daemon/src/direct/upstream.test.ts
+++ b/packages/daemon/src/direct/upstream.test.ts
@@ -29,6 +29,13 @@
 	}, 20);
 }
 
+/** Writes the last data after a delay, so that the client reads it apart from the data before, and closes. */
+function endLater(socket: Socket, data: string): void {
+	setTimeout(() => {
+		socket.end(data);
+	}, 10);
+}
+
 type Outcome = {
 	readonly events: readonly string[];
 	readonly call: UpstreamCall;
@@ -38,6 +45,7 @@
 async function send(
 	address: string,
 	onChunk?: (call: UpstreamCall) => void,
+	pauseMs = 0,
 ): Promise<Outcome> {
 	const events: string[] = [];
 	return new Promise(resolve => {
@@ -67,7 +75,11 @@
 				onData(chunk) {
 					events.push(chunk.toString());
 					onChunk?.(call);
-					return true;
+					if (pauseMs > 0) {
+						setTimeout(call.resume, pauseMs);
+					}
+
+					return pauseMs === 0;
 				},
 				onEnd() {
 					end('end');
@@ -106,6 +118,39 @@
 		});
 	});
 
+	describe('a paused response', {timeout: 2000}, () => {
+		const eventHead = `${head}Content-Type: text/event-stream\r\n`;
+
+		// Guards against an assertion of the HTTP client that ended the entry with all its requests.
+		it('without a content length is complete when its connection ends during the pause', async () => {
+			const address = await listen(socket => {
+				socket.end(`${eventHead}\r\nhello`);
+			});
+			const {events} = await send(address, undefined, 50);
+			assert.deepEqual(events, ['sent', '200', 'hello', 'end']);
+		});
+
+		// Guards against the same assertion at a reset.
+		it('without a content length fails when its connection is reset during the pause', async () => {
+			const address = await listen(socket => {
+				socket.write(`${eventHead}\r\nhello`);
+				resetLater(socket);
+			});
+			const {events} = await send(address, undefined, 50);
+			assert.equal(events.at(-1), 'error');
+		});
+
+		// Guards against a whole response being lost because its server closed the connection during the pause.
+		it('with a content length is complete although its connection ends during the pause', async () => {
+			const address = await listen(socket => {
+				socket.write(`${eventHead}Content-Length: 10\r\n\r\nhello`);
+				endLater(socket, 'world');
+			});
+			const {events} = await send(address, undefined, 50);
+			assert.deepEqual(events, ['sent', '200', 'hello', 'world', 'end']);
+		});
+	});
+
 	it('reports an error for a response that is shorter than its content length', async () => {
 		const address = await listen(socket => {
 			socket.end(`${head}Content-Length: 9\r\n\r\nhello`);
