Pause a response at its socket instead of in the undici client

Callers saw: all requests of an entry cut at once, if a caller read slowly while the connection of its response ended; and whole responses reported as broken where the server closed after them.

Cause: undici asserts that a response is not paused when its connection ends, and drops what it has not parsed yet. Evidence: the three tests of a paused response in upstream.test.ts fail before, two with the assertion, which no handler catches, so the process ends.

A gate in front of the socket's read() withholds the data instead. undici never pauses, and the stream does not end before its data is read, so an end reaches undici after the last byte. Back pressure stays: an unread socket stops receiving.

--- /dev/null
+++ b/packages/daemon/src/direct/read-gate.ts
@@ -0,0 +1,45 @@
+import type {Socket} from 'node:net';
+
+/**
+ * Pauses the reading of a socket without its reader's knowledge. Pausing the undici client instead fails: it does not
+ * expect the connection of a paused response to end.
+ */
+export class ReadGate {
+	/** @param onRead called before each read that may return data */
+	static create(socket: Socket, onRead: (gate: ReadGate) => void): ReadGate {
+		return new ReadGate(socket, onRead);
+	}
+
+	private _isClosed = false;
+
+	private constructor(
+		private readonly _socket: Socket,
+		onRead: (gate: ReadGate) => void,
+	) {
+		const read = _socket.read.bind(_socket);
+		_socket.read = size => {
+			// A read of zero bytes returns no data; Node.js uses it to receive more.
+			if (this._isClosed && size !== 0) {
+				return null;
+			}
+
+			onRead(this);
+			return read(size) as unknown;
+		};
+	}
+
+	close(): void {
+		this._isClosed = true;
+	}
+
+	open(): void {
+		if (!this._isClosed) {
+			return;
+		}
+
+		this._isClosed = false;
+		if (!this._socket.destroyed) {
+			this._socket.emit('readable');
+		}
+	}
+}
--- a/packages/daemon/src/direct/upstream.ts
+++ b/packages/daemon/src/direct/upstream.ts
@@ -4,6 +4,7 @@
 import buildConnector from 'undici/lib/core/connect.js';
 import Pool from 'undici/lib/dispatcher/pool.js';
 import {connectTimeoutMs, keepAliveMs} from './constants.js';
+import {ReadGate} from './read-gate.js';
 
 /** A request to a server. */
 export type UpstreamRequest = {
@@ -32,7 +33,9 @@
 		headers: IncomingHttpHeaders,
 		framing: ResponseFraming,
 	) => void;
-	/** Returns false to pause the response until `resume` is called. */
+	/**
+	 * Returns false to pause the response until `resume` is called. Events of data that is already read still follow.
+	 */
 	readonly onData: (chunk: Uint8Array) => boolean;
 	readonly onEnd: () => void;
 	readonly onError: (err: Error) => void;
@@ -64,6 +67,8 @@
 	private readonly _connect: buildConnector.connector;
 	/** Whether a connection error occurred in the current event loop turn. */
 	private _hasConnectionError = false;
+	/** Gate of the connection that was read last. The undici client handles the data in the same call. */
+	private _lastGate: ReadGate | undefined;
 
 	private constructor() {
 		const connect = buildConnector({timeout: connectTimeoutMs});
@@ -72,6 +77,9 @@
 				const [, socket] = result;
 				if (socket) {
 					resetOnAbort(socket);
+					ReadGate.create(socket, gate => {
+						this._lastGate = gate;
+					});
 				}
 
 				socket?.prependListener('error', () => {
@@ -91,7 +99,15 @@
 	send(req: UpstreamRequest, sink: UpstreamSink): UpstreamCall {
 		let controller: Dispatcher.DispatchController | undefined;
 		let isAborted = false;
+		/** Gate of the response's connection, until the response ends. */
+		let gate: ReadGate | undefined;
+		const releaseGate = () => {
+			gate?.open();
+			gate = undefined;
+		};
+
 		const hasConnectionError = () => this._hasConnectionError;
+		const lastGate = () => this._lastGate;
 		this._poolOf(req).dispatch(
 			{
 				method: req.method,
@@ -111,6 +127,7 @@
 				},
 				onResponseStart(_controller, status, headers) {
 					if (!isAborted && status >= 200) {
+						gate = lastGate();
 						sink.onHeaders(
 							status,
 							headers,
@@ -118,12 +135,13 @@
 						);
 					}
 				},
-				onResponseData(responding, chunk) {
+				onResponseData(_controller, chunk) {
 					if (!isAborted && !sink.onData(chunk)) {
-						responding.pause();
+						gate?.close();
 					}
 				},
 				onResponseEnd() {
+					releaseGate();
 					if (isAborted) {
 						return;
 					}
@@ -136,6 +154,7 @@
 					}
 				},
 				onResponseError(_controller, err) {
+					releaseGate();
 					if (!isAborted) {
 						sink.onError(err);
 					}
@@ -150,7 +169,7 @@
 				}
 			},
 			resume() {
-				controller?.resume();
+				gate?.open();
 			},
 		};
 	}
