Do not take the end of a connection for the end of a stream

Cause: responses without a length or chunks end with their connection. The entry sent them on in chunks, and ended the chunks whenever the connection ended in order, also inside an event.

A response that only its connection delimits is passed on so, without chunks, and a cut of it is a reset. Where a chunked response was resumed and the second server marks no end, the chunks stay without an end. While a response is paused only one drain listener waits.

--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -69,6 +69,11 @@
 	'trailer',
 ]);
 
+/** Whether the response is a `text/event-stream`. */
+function isEventStream(headers: IncomingHttpHeaders): boolean {
+	return headers['content-type']?.startsWith('text/event-stream') ?? false;
+}
+
 /** Status that a server sends if it is not the addressed server or lacks the adapter that the request needs. */
 const misdirectedStatus = 421;
 
@@ -98,6 +103,8 @@
 	private _prefillTimer: NodeJS.Timeout | undefined;
 	private _deadlineAt = 0;
 	private _isEnded = false;
+	/** Whether the response is paused until the caller has read more. */
+	private _isDraining = false;
 	/** Whether some server may have run the request. */
 	private _mayHaveRun = false;
 	private _hasCountedRequest = false;
@@ -205,7 +212,7 @@
 		const {status, reason, isNotRun} = refusal;
 		if (this._res.headersSent) {
 			this._finish(refusal);
-			this._res.destroy();
+			this._cutResponse();
 			return;
 		}
 
@@ -226,6 +233,21 @@
 		this._res.end(JSON.stringify({error: {code: reason, not_run: isNotRun}}));
 	}
 
+	/** Ends the response so that the caller sees that it is not complete. */
+	private _cutResponse(): void {
+		if (this._isResponseFramed) {
+			this._res.destroy();
+		} else {
+			// A close would look like the end of the response.
+			this._res.socket?.resetAndDestroy();
+		}
+	}
+
+	/** Whether a length or chunks mark the end of the caller's response, not only the end of its connection. */
+	private get _isResponseFramed(): boolean {
+		return this._res.useChunkedEncodingByDefault;
+	}
+
 	private async _reserve(
 		customer: CustomerRule,
 		units: number,
@@ -596,10 +618,12 @@
 			return;
 		}
 
-		if (this._route!.isResumable && status === 200) {
+		if (isEventStream(headers)) {
 			this._eventSplitter = EventStreamSplitter.create();
 		}
 
+		// Chunks would mark an end that the entry can't be sure of.
+		this._res.useChunkedEncodingByDefault = attempt.framing !== 'connection';
 		this._res.writeHead(status, this._responseHeaders(headers));
 		this._res.flushHeaders();
 	}
@@ -666,9 +690,14 @@
 			return true;
 		}
 
-		this._res.once('drain', () => {
-			this._attempt?.call?.resume();
-		});
+		if (!this._isDraining) {
+			this._isDraining = true;
+			this._res.once('drain', () => {
+				this._isDraining = false;
+				this._attempt?.call?.resume();
+			});
+		}
+
 		return false;
 	}
 
@@ -681,7 +710,23 @@
 			return;
 		}
 
+		const isEndCertain = attempt.framing !== 'connection';
+		const partialBytes = this._eventSplitter?.partialEventBytes ?? 0;
+		if (!isEndCertain && partialBytes > 0) {
+			this._onAttemptFailed(
+				attempt,
+				new Error('connection ended inside an event'),
+			);
+			return;
+		}
+
 		this._endAttempt(`answered${this._describeEnd(attempt)}`);
+		if (!isEndCertain && this._isResponseFramed) {
+			// The stream was resumed, and the end of a chunked response would say that it is complete.
+			this._fail(badGateway('endUncertain'));
+			return;
+		}
+
 		const rest = this._eventSplitter?.takePartialEvent();
 		if (rest !== undefined && rest.length > 0) {
 			this._res.write(rest);
@@ -741,7 +786,8 @@
 	/** Retries on another server if that is allowed and attempts and time are left; otherwise fails the request. */
 	private _retry(refusal: CallRefusal, isAllowed: boolean): void {
 		const canResume =
-			!this._res.headersSent || this._eventSplitter !== undefined;
+			!this._res.headersSent ||
+			(this._eventSplitter !== undefined && this._route!.isResumable);
 		if (
 			isAllowed &&
 			canResume &&
