Treat any stream that ends inside an event as broken off

Callers saw a stream whose last event was cut as complete, where the server's response ended with a length or a last chunk.

--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -710,28 +710,18 @@
 			return;
 		}
 
-		const isEndCertain = attempt.framing !== 'connection';
-		const partialBytes = this._eventSplitter?.partialEventBytes ?? 0;
-		if (!isEndCertain && partialBytes > 0) {
-			this._onAttemptFailed(
-				attempt,
-				new Error('connection ended inside an event'),
-			);
+		if ((this._eventSplitter?.partialEventBytes ?? 0) > 0) {
+			this._onAttemptFailed(attempt, new Error('ended inside an event'));
 			return;
 		}
 
 		this._endAttempt(`answered${this._describeEnd(attempt)}`);
-		if (!isEndCertain && this._isResponseFramed) {
+		if (attempt.framing === 'connection' && this._isResponseFramed) {
 			// The stream was resumed, and the end of a chunked response would say that it is complete.
 			this._fail(badGateway('endUncertain'));
 			return;
 		}
 
-		const rest = this._eventSplitter?.takePartialEvent();
-		if (rest !== undefined && rest.length > 0) {
-			this._res.write(rest);
-		}
-
 		this._finish(undefined);
 		this._res.end();
 	}
