Recognize resets of responses without a length on the way through the agent too

The new test of agent-task.test.ts fails before ('Missing expected rejection').

The check for resets and the gate for pauses move from Upstream into ConnectionGuard, which both clients use; Upstream behaves as before. Looked at and left: event streams of engines there end with [DONE], calls to the store and between processes are JSON with a length, and node:http reports a reset as an error before the end.

--- a/packages/daemon/src/agent/agent-task.test.ts
+++ b/packages/daemon/src/agent/agent-task.test.ts
@@ -355,6 +355,22 @@
 			assert.equal(other.refusal.notRun, false);
 		});
 
+		// Guards against a reset being taken for the end of a response that only its connection delimits.
+		it('closes the connection without a trailer if a response without a length is reset', async () => {
+			engine.respondToServiceCall = (attemptId, res) => {
+				res.useChunkedEncodingByDefault = false;
+				res.writeHead(200, {'x-request-id': attemptId});
+				res.write('do');
+				setTimeout(() => {
+					res.socket?.resetAndDestroy();
+				}, 20);
+			};
+
+			const res = await post(call);
+			await assert.rejects(res.body.text());
+			assert.equal(res.trailers[endTrailer], undefined);
+		});
+
 		it('applies backpressure to the service while the entry does not read', async () => {
 			const chunk = new Uint8Array(1024 * 1024);
 			const maxChunks = 64;
--- a/packages/daemon/src/agent/backend-client.ts
+++ b/packages/daemon/src/agent/backend-client.ts
@@ -1,6 +1,7 @@
 import type {BackendFault, BackendHealth} from '@balsamtray/core';
-import {Agent, type Dispatcher} from 'undici';
+import {Agent, buildConnector, DecoratorHandler, type Dispatcher} from 'undici';
 import {z} from 'zod';
+import {ConnectionGuard} from '../common/connection-guard.js';
 import {createResponseCheck} from './response-check.js';
 import {relayBytes, relayEvents, relayComplete} from './response-relay.js';
 import {
@@ -56,13 +57,22 @@
 		return new BackendClient(options);
 	}
 
-	private readonly _dispatcher = new Agent({
-		connect: {timeout: connectTimeoutMs},
+	private readonly _guard = ConnectionGuard.create(
+		buildConnector({timeout: connectTimeoutMs}),
+	);
+
+	private readonly _agent = new Agent({
+		connect: this._guard.connect,
 		pipelining: 1,
 		headersTimeout: responseHeadersTimeoutMs,
 		bodyTimeout: responseIdleTimeoutMs,
 	});
 
+	private readonly _dispatcher = this._agent.compose(
+		dispatch => (options, handler) =>
+			dispatch(options, this._guard.wrap(new DecoratorHandler(handler))),
+	);
+
 	private constructor(private readonly _options: BackendClientOptions) {}
 
 	/** Reads the health report. Throws if the backend server is unreachable or unhealthy. */
@@ -128,7 +138,7 @@
 
 	/** Closes all connections at once. */
 	async destroy(): Promise<void> {
-		await this._dispatcher.destroy();
+		await this._agent.destroy();
 	}
 
 	private async _runOnEngine(
--- /dev/null
+++ b/packages/daemon/src/common/connection-guard.ts
@@ -0,0 +1,114 @@
+import type {Dispatcher} from 'undici';
+import type buildConnector from 'undici/lib/core/connect.js';
+import {ReadGate} from './read-gate.js';
+
+/**
+ * Reports responses of an undici client truthfully when their connection ends. Alone, undici takes a reset for the end
+ * of a response without a content length, and does not expect the connection of a paused response to end.
+ */
+export class ConnectionGuard {
+	/** @param connect opens the connections of the client, which must use `connect` of the guard instead */
+	static create(connect: buildConnector.connector): ConnectionGuard {
+		return new ConnectionGuard(connect);
+	}
+
+	/** Opens a connection whose errors are recorded before undici handles them. */
+	readonly connect: buildConnector.connector;
+	/** Whether a connection error occurred in the current event loop turn. */
+	private _hasConnectionError = false;
+	/** Gate of the connection that was read last. undici handles the data in the same call. */
+	private _lastGate: ReadGate | undefined;
+
+	private constructor(connect: buildConnector.connector) {
+		this.connect = (options, callback) => {
+			connect(options, (...result) => {
+				const [, socket] = result;
+				if (socket) {
+					ReadGate.create(socket, gate => {
+						this._lastGate = gate;
+					});
+					socket.prependListener('error', () => {
+						this._noteConnectionError();
+					});
+					socket.prependListener('end', () => {
+						// Node.js reports data that arrives together with a reset as data and 'end'. The remote port is then unknown.
+						if (socket.remotePort === undefined) {
+							this._noteConnectionError();
+						}
+					});
+				}
+
+				callback(...result);
+			});
+		};
+	}
+
+	/** Wraps the handler of a request. A pause of its controller pauses the connection. */
+	wrap(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
+		const hasConnectionError = () => this._hasConnectionError;
+		const lastGate = () => this._lastGate;
+		/** Gate of the response's connection, until the response ends. */
+		let gate: ReadGate | undefined;
+		let controller: Dispatcher.DispatchController | undefined;
+		const releaseGate = () => {
+			gate?.open();
+			gate = undefined;
+		};
+
+		return {
+			onRequestStart(started, context) {
+				controller = {
+					get aborted() {
+						return started.aborted;
+					},
+					get paused() {
+						return gate?.isClosed ?? false;
+					},
+					get reason() {
+						return started.reason;
+					},
+					abort(reason) {
+						started.abort(reason);
+					},
+					pause() {
+						gate?.close();
+					},
+					resume() {
+						gate?.open();
+					},
+				};
+				handler.onRequestStart?.(controller, context);
+			},
+			onRequestUpgrade(_started, ...args) {
+				handler.onRequestUpgrade?.(controller!, ...args);
+			},
+			onResponseStart(_started, ...args) {
+				gate = lastGate();
+				handler.onResponseStart?.(controller!, ...args);
+			},
+			onResponseData(_started, chunk) {
+				handler.onResponseData?.(controller!, chunk);
+			},
+			onResponseEnd(_started, trailers) {
+				releaseGate();
+				if (hasConnectionError()) {
+					handler.onResponseError?.(controller!, new Error('connection reset'));
+				} else {
+					handler.onResponseEnd?.(controller!, trailers);
+				}
+			},
+			onResponseError(_started, err) {
+				releaseGate();
+				handler.onResponseError?.(controller!, err);
+			},
+		};
+	}
+
+	/** Sets the error flag until the next microtask, since undici ends its requests in the same turn as the error. */
+	private _noteConnectionError(): void {
+		this._hasConnectionError = true;
+		queueMicrotask(() => {
+			this._hasConnectionError = false;
+		});
+	}
+}
--- a/packages/daemon/src/direct/read-gate.ts
+++ b/packages/daemon/src/common/read-gate.ts
@@ -28,6 +28,10 @@
 		};
 	}
 
+	get isClosed(): boolean {
+		return this._isClosed;
+	}
+
 	close(): void {
 		this._isClosed = true;
 	}
--- a/packages/daemon/src/direct/upstream.ts
+++ b/packages/daemon/src/direct/upstream.ts
@@ -3,8 +3,8 @@
 import type {Dispatcher} from 'undici';
 import buildConnector from 'undici/lib/core/connect.js';
 import Pool from 'undici/lib/dispatcher/pool.js';
+import {ConnectionGuard} from '../common/connection-guard.js';
 import {connectTimeoutMs, keepAliveMs} from './constants.js';
-import {ReadGate} from './read-gate.js';
 
 /** A request to a server. */
 export type UpstreamRequest = {
@@ -63,51 +63,25 @@
 		{readonly pool: Dispatcher; readonly address: string}
 	>();
 
-	/** Opens a connection whose errors are recorded before undici handles them. */
-	private readonly _connect: buildConnector.connector;
-	/** Whether a connection error occurred in the current event loop turn. */
-	private _hasConnectionError = false;
-	/** Gate of the connection that was read last. The undici client handles the data in the same call. */
-	private _lastGate: ReadGate | undefined;
+	private readonly _guard: ConnectionGuard;
 
 	private constructor() {
 		const connect = buildConnector({timeout: connectTimeoutMs});
-		this._connect = (options, callback) => {
+		this._guard = ConnectionGuard.create((options, callback) => {
 			connect(options, (...result) => {
 				const [, socket] = result;
 				if (socket) {
 					resetOnAbort(socket);
-					ReadGate.create(socket, gate => {
-						this._lastGate = gate;
-					});
 				}
 
-				socket?.prependListener('error', () => {
-					this._noteConnectionError();
-				});
-				socket?.prependListener('end', () => {
-					// Node.js reports data that arrives together with a reset as data and 'end'. The remote port is then unknown.
-					if (socket.remotePort === undefined) {
-						this._noteConnectionError();
-					}
-				});
 				callback(...result);
 			});
-		};
+		});
 	}
 
 	send(req: UpstreamRequest, sink: UpstreamSink): UpstreamCall {
 		let controller: Dispatcher.DispatchController | undefined;
 		let isAborted = false;
-		/** Gate of the response's connection, until the response ends. */
-		let gate: ReadGate | undefined;
-		const releaseGate = () => {
-			gate?.open();
-			gate = undefined;
-		};
-
-		const hasConnectionError = () => this._hasConnectionError;
-		const lastGate = () => this._lastGate;
 		this._poolOf(req).dispatch(
 			{
 				method: req.method,
@@ -117,7 +91,7 @@
 				headersTimeout: 0,
 				bodyTimeout: 0,
 			},
-			{
+			this._guard.wrap({
 				onRequestStart(started) {
 					controller = started;
 					if (isAborted || !sink.onSending()) {
@@ -127,7 +101,6 @@
 				},
 				onResponseStart(_controller, status, headers) {
 					if (!isAborted && status >= 200) {
-						gate = lastGate();
 						sink.onHeaders(
 							status,
 							headers,
@@ -135,31 +108,22 @@
 						);
 					}
 				},
-				onResponseData(_controller, chunk) {
+				onResponseData(responding, chunk) {
 					if (!isAborted && !sink.onData(chunk)) {
-						gate?.close();
+						responding.pause();
 					}
 				},
 				onResponseEnd() {
-					releaseGate();
-					if (isAborted) {
-						return;
-					}
-
-					// The undici client treats a reset as the end of a response that has no content length.
-					if (hasConnectionError()) {
-						sink.onError(new Error('connection reset'));
-					} else {
+					if (!isAborted) {
 						sink.onEnd();
 					}
 				},
 				onResponseError(_controller, err) {
-					releaseGate();
 					if (!isAborted) {
 						sink.onError(err);
 					}
 				},
-			},
+			}),
 		);
 		return {
 			abort() {
@@ -169,7 +133,7 @@
 				}
 			},
 			resume() {
-				gate?.open();
+				controller?.resume();
 			},
 		};
 	}
@@ -184,14 +148,6 @@
 		}
 	}
 
-	/** Sets the error flag until the next microtask, since undici ends its requests in the same turn as the error. */
-	private _noteConnectionError(): void {
-		this._hasConnectionError = true;
-		queueMicrotask(() => {
-			this._hasConnectionError = false;
-		});
-	}
-
 	private _poolOf({
 		server,
 		address,
@@ -206,7 +162,7 @@
 		const pool = new Pool(`http://${address}`, {
 			connections: maxConnections,
 			pipelining: 1,
-			connect: this._connect,
+			connect: this._guard.connect,
 			keepAliveTimeout: keepAliveMs,
 			keepAliveMaxTimeout: 60_000,
 			keepAliveTimeoutThreshold: 500,
