--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -244,6 +244,7 @@
 			cut: this._ingress.running,
 			afterMs: Math.round(clock() - startedAt),
 		});
+		this._ingress.cutUnframed();
 	}
 
 	/** Replaces the bounds, effective at once. */
--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -9,6 +9,7 @@
 import type {CallerLimits} from '@balsamtray/core';
 import type {CallContext} from './call-context.js';
 import {ProxiedCall} from './proxied-call.js';
+import {cutResponse, isFramed} from './response-cut.js';
 import type {Endpoint} from './types.js';
 
 /** Maximum size of request headers for the HTTP parser, in bytes. The lower configured limit is checked afterwards. */
@@ -39,8 +40,8 @@
 	 * response, so it must not run.
 	 */
 	private readonly _closing = new WeakSet<Socket>();
+	private readonly _running = new Set<ServerResponse>();
 	private _limits = initialLimits;
-	private _running = 0;
 
 	private constructor(private readonly _context: CallContext) {
 		this._server = createServer(
@@ -64,7 +65,7 @@
 
 	/** Number of requests that have not ended. */
 	get running(): number {
-		return this._running;
+		return this._running.size;
 	}
 
 	/** Number of connections that this side has not closed. Callers may keep theirs half open after a close. */
@@ -105,6 +106,15 @@
 		}
 	}
 
+	/** Cuts the running responses that would look complete when the process exits and the system closes their connections. */
+	cutUnframed(): void {
+		for (const res of this._running) {
+			if (res.headersSent && !isFramed(res)) {
+				cutResponse(res);
+			}
+		}
+	}
+
 	dispose(): void {
 		this._server.close();
 		this._server.closeAllConnections();
@@ -121,13 +131,13 @@
 			return;
 		}
 
-		this._running++;
+		this._running.add(res);
 		this._runningBySocket.set(
 			socket,
 			(this._runningBySocket.get(socket) ?? 0) + 1,
 		);
 		res.once('close', () => {
-			this._running--;
+			this._running.delete(res);
 			const running = (this._runningBySocket.get(socket) ?? 1) - 1;
 			if (this._runningBySocket.has(socket)) {
 				this._runningBySocket.set(socket, running);
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -25,6 +25,7 @@
 import type {CallContext} from './call-context.js';
 import {CallRecord} from './call-record.js';
 import type {Reservation} from './entry-peers.js';
+import {cutResponse, isFramed} from './response-cut.js';
 import type {CallMetadata, ResponseMetadata} from './types.js';
 import type {ResponseFraming, UpstreamCall, UpstreamSink} from './upstream.js';
 import type {Waiter} from './wait-queue.js';
@@ -213,7 +214,7 @@
 		const {status, reason, isNotRun} = refusal;
 		if (this._res.headersSent) {
 			this._finish(refusal);
-			this._cutResponse();
+			cutResponse(this._res);
 			return;
 		}
 
@@ -234,21 +235,6 @@
 		this._res.end(JSON.stringify({error: {code: reason, not_run: isNotRun}}));
 	}
 
-	/** Ends the response so that the caller sees that it is not complete. */
-	private _cutResponse(): void {
-		if (this._isResponseFramed) {
-			this._res.destroy();
-		} else {
-			// A close would look like the end of the response.
-			this._res.socket?.resetAndDestroy();
-		}
-	}
-
-	/** Whether a length or chunks mark the end of the caller's response, not only the end of its connection. */
-	private get _isResponseFramed(): boolean {
-		return this._res.useChunkedEncodingByDefault;
-	}
-
 	private async _reserve(
 		customer: CustomerRule,
 		units: number,
@@ -765,7 +751,7 @@
 		}
 
 		this._endAttempt(`answered${this._describeEnd(attempt)}`);
-		if (attempt.framing === 'connection' && this._isResponseFramed) {
+		if (attempt.framing === 'connection' && isFramed(this._res)) {
 			// The stream was resumed, and the end of a chunked response would say that it is complete.
 			this._fail(badGateway('endUncertain'));
 			return;
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -35,6 +35,14 @@
 		to: '',
 		test: path,
 	},
+	{
+		rule: 'MIXED',
+		what: 'a stream without a length ends in order when its entry exits',
+		file: `${direct}/entry-runtime.ts`,
+		from: 'this._ingress.cutUnframed();',
+		to: '',
+		test: path,
+	},
 	{
 		rule: 'ORDER',
 		what: 'a stream that ends inside an event is taken for complete',
@@ -48,7 +56,7 @@
 		what: 'a server that says in its responses that it is leaving receives calls',
 		file: `${direct}/proxied-call.ts`,
 		from: 'if (isLeaving && state?.isLeaving === false) {',
-		to: 'if (isLeaving && state === undefined) {',
+		to: 'if (isLeaving && state?.isLeaving === true) {',
 		test: path,
 	},
 	{
