--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -244,6 +244,7 @@
 			cut: this._ingress.running,
 			afterMs: Math.round(clock() - startedAt),
 		});
+		this._ingress.cutUnframed();
 	}
 
 	/** Replaces the bounds, effective at once. */
@@ -274,6 +275,9 @@
 			proofAgeMs: () => this._freshness.proofAgeMs(),
 			retryAllowance: service => this._retryAllowanceOf(service),
 			maxConnections: service => this._maxConnectionsTo(service),
+			onServerChanged: () => {
+				this._serverLog.update(this._fleet.servers());
+			},
 			random: Math.random,
 			shutdown: () => this._shutdown.progress,
 		};
