--- a/packages/daemon/src/direct/wait-queue.test.ts
+++ b/packages/daemon/src/direct/wait-queue.test.ts
@@ -46,4 +46,22 @@
 		assert.deepEqual(retried, ['early', 'late']);
 		assert.equal(queue.countFor('m/a'), 0);
 	});
+
+	it('retries the requests once at the earliest time that a server takes them again', async () => {
+		const queue = WaitQueue.create();
+		let retries = 0;
+		queue.add(
+			waiterOf(undefined, 0, () => {
+				retries++;
+			}),
+		);
+		queue.wakeIn(60, 0);
+		queue.wakeIn(20, 10);
+		queue.wakeIn(200, 10);
+		assert.equal(retries, 0);
+		await delay(40);
+		assert.equal(retries, 1);
+		await delay(60);
+		assert.equal(retries, 1);
+	});
 });
