Keep responses to HTTP/1.0 callers without chunks; read framing headers strictly

Found by reading the diff before it landed: the framing of a caller's response was set to chunks where Node.js had chosen none for an HTTP/1.0 caller, a repeated content type would have thrown, and a transfer encoding other than chunked counted as chunks. A test of an HTTP/1.0 caller holds the first.

--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -71,11 +71,6 @@
 	'trailer',
 ]);
 
-/** Whether the response is a `text/event-stream`. */
-function isEventStream(headers: IncomingHttpHeaders): boolean {
-	return headers['content-type']?.startsWith('text/event-stream') ?? false;
-}
-
 /** Status that a server sends if it is not the addressed server or lacks the adapter that the request needs. */
 const misdirectedStatus = 421;
 
@@ -106,7 +101,7 @@
 	private _deadlineAt = 0;
 	private _isEnded = false;
 	/** Whether the response is paused until the caller has read more. */
-	private _isDraining = false;
+	private _isPaused = false;
 	/** Whether some server may have run the request. */
 	private _mayHaveRun = false;
 	private _hasCountedRequest = false;
@@ -627,12 +622,15 @@
 			return;
 		}
 
-		if (isEventStream(headers)) {
+		if (isEventStream(headers['content-type'])) {
 			this._eventSplitter = EventStreamSplitter.create();
 		}
 
-		// Chunks would mark an end that the entry can't be sure of.
-		this._res.useChunkedEncodingByDefault = attempt.framing !== 'connection';
+		if (attempt.framing === 'connection') {
+			// Chunks would mark an end that the entry can't be sure of.
+			this._res.useChunkedEncodingByDefault = false;
+		}
+
 		this._res.writeHead(status, this._responseHeaders(headers));
 		this._res.flushHeaders();
 	}
@@ -725,10 +723,10 @@
 			return true;
 		}
 
-		if (!this._isDraining) {
-			this._isDraining = true;
+		if (!this._isPaused) {
+			this._isPaused = true;
 			this._res.once('drain', () => {
-				this._isDraining = false;
+				this._isPaused = false;
 				this._attempt?.call?.resume();
 			});
 		}
@@ -969,3 +967,11 @@
 			: undefined;
 	}
 }
+
+/** @param contentType value of the header; several values are no valid type */
+function isEventStream(contentType: unknown): boolean {
+	return (
+		typeof contentType === 'string' &&
+		contentType.toLowerCase().startsWith('text/event-stream')
+	);
+}
--- a/packages/daemon/src/direct/upstream.ts
+++ b/packages/daemon/src/direct/upstream.ts
@@ -177,7 +177,8 @@
 	status: number,
 	headers: IncomingHttpHeaders,
 ): ResponseFraming {
-	if (headers['transfer-encoding'] !== undefined) {
+	const transferEncoding = String(headers['transfer-encoding'] ?? '');
+	if (transferEncoding.toLowerCase().includes('chunked')) {
 		return 'chunks';
 	}
 
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -31,7 +31,7 @@
 		rule: 'MIXED',
 		what: 'a response that only its connection delimits is passed on in chunks',
 		file: `${direct}/proxied-call.ts`,
-		from: "this._res.useChunkedEncodingByDefault = attempt.framing !== 'connection';",
+		from: 'this._res.useChunkedEncodingByDefault = false;',
 		to: '',
 		test: path,
 	},
