Say which adapter versions a request was sent under, and when they were learned

The lines of an entry did not distinguish the hypotheses on VERSION: a request's line named no version, and authorityChanged only a row version. Now the request's line has the version that its server was known to hold and the newest declared one at its last dispatch, and versionDeclared says when the entry learned of a version and how old its last proof was that there was none. No decision changes.

--- a/packages/core/src/authority/authority-view.ts
+++ b/packages/core/src/authority/authority-view.ts
@@ -6,6 +6,15 @@
 export type AuthorityChange = {
 	readonly hasNewConfig: boolean;
 	readonly hasChanged: boolean;
+	/** Adapter versions that are newer than those known before. */
+	readonly declared: readonly DeclaredAdapter[];
+};
+
+/** A declared version of an adapter. */
+export type DeclaredAdapter = {
+	/** `adapterKey` of the adapter. */
+	readonly adapter: string;
+	readonly version: number;
 };
 
 /** A configuration with its lookup tables. */
@@ -65,15 +74,16 @@
 	/** Applies changed rows, in any order. */
 	apply(rows: readonly AuthorityRow[], now: number): AuthorityChange {
 		const before = this._inForce;
+		const declared: DeclaredAdapter[] = [];
 		let hasChanged = false;
 		for (const row of rows) {
 			if (row.rowVersion > (this._rows.get(row.key)?.rowVersion ?? 0)) {
-				this._replace(row, now);
+				declared.push(...this._replace(row, now));
 				hasChanged = true;
 			}
 		}
 
-		return {hasChanged, hasNewConfig: before !== this._inForce};
+		return {hasChanged, hasNewConfig: before !== this._inForce, declared};
 	}
 
 	/** Applies all rows as of one store version. Older rows that are missing count as withdrawn. */
@@ -95,12 +105,13 @@
 		return this.apply([...withdrawn, ...rows], now);
 	}
 
-	private _replace(row: AuthorityRow, now: number): void {
+	/** Returns the adapter version that the row declares, if it is a newer one. */
+	private _replace(row: AuthorityRow, now: number): readonly DeclaredAdapter[] {
 		const before = this._rows.get(row.key)?.statement;
 		this._version = Math.max(this._version, row.rowVersion);
 		if (row.statement.type === 'withdrawn' && before?.type === 'config') {
 			// A configuration is only replaced, never withdrawn.
-			return;
+			return [];
 		}
 
 		this._rows.set(row.key, row);
@@ -121,14 +132,15 @@
 			}
 
 			case 'adapterVersion': {
-				this._declare(statement, now);
-				break;
+				return this._declare(statement, now);
 			}
 
 			case 'withdrawn': {
 				break;
 			}
 		}
+
+		return [];
 	}
 
 	private _setConfig(config: AuthorityConfig): void {
@@ -147,12 +159,15 @@
 	private _declare(
 		declared: {model: string; adapter: string; version: number},
 		now: number,
-	): void {
-		const key = adapterKey(declared.model, declared.adapter);
+	): readonly DeclaredAdapter[] {
+		const adapter = adapterKey(declared.model, declared.adapter);
 		const {version} = declared;
-		if (version > (this._declared.get(key)?.version ?? 0)) {
-			this._declared.set(key, {version, learnedAt: now});
+		if (version <= (this._declared.get(adapter)?.version ?? 0)) {
+			return [];
 		}
+
+		this._declared.set(adapter, {version, learnedAt: now});
+		return [{adapter, version}];
 	}
 }
 
--- a/packages/daemon/src/direct/call-record.ts
+++ b/packages/daemon/src/direct/call-record.ts
@@ -17,6 +17,12 @@
 	readonly proofAgeMs: number | undefined;
 };
 
+/** Version of the adapter that a server was known to hold, and the newest declared one. */
+export type AdapterVersionsAtDispatch = Pick<
+	RequestEvent,
+	'adapterVersion' | 'declaredVersion'
+>;
+
 /** Collects the data for the log line of one request. */
 export class CallRecord {
 	static create(): CallRecord {
@@ -25,6 +31,7 @@
 
 	private readonly _sends: string[] = [];
 	private _sentAt: number | undefined;
+	private _adapterVersions: AdapterVersionsAtDispatch = {};
 	private _waitedFor: string | undefined;
 	private _firstByteAt: number | undefined;
 	private _lastByteAt: number | undefined;
@@ -57,6 +64,10 @@
 		this._sentAt = now;
 	}
 
+	noteAdapterVersions(versions: AdapterVersionsAtDispatch): void {
+		this._adapterVersions = versions;
+	}
+
 	/** Records the outcome of an attempt on a server. */
 	noteAttempt(server: string, outcome: string): void {
 		this._sends.push(`${server}: ${outcome}`);
@@ -95,6 +106,7 @@
 			}),
 			...(this._sentAt !== undefined && {waitedMs: sinceArrival(this._sentAt)}),
 			...(this._waitedFor !== undefined && {waitedFor: this._waitedFor}),
+			...this._adapterVersions,
 			...(this._firstByteAt !== undefined && {
 				firstByteMs: sinceArrival(this._firstByteAt),
 				longestPauseMs: Math.round(this._longestPauseMs),
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -513,13 +513,24 @@
 		const change = isSnapshot
 			? this._authority.applyAll(read.rows, read.version, now)
 			: this._authority.apply(read.rows, now);
-		this._freshness.prove(startedAt, epoch);
 		this._onAuthorityChange(change, 'store');
+		this._freshness.prove(startedAt, epoch);
 	}
 
+	/** Called before the read that brought the change renews the proof. */
 	private _onAuthorityChange(change: AuthorityChange, source: string): void {
 		const {log} = this._options;
 		const {inForce, version} = this._authority;
+		const proofAgeMs = this._freshness.proofAgeMs();
+		for (const declared of change.declared) {
+			log.write({
+				event: 'versionDeclared',
+				...declared,
+				...(proofAgeMs !== undefined && {provenMsAgo: Math.round(proofAgeMs)}),
+				source,
+			});
+		}
+
 		if (change.hasNewConfig && inForce !== undefined) {
 			this._ingress.setLimits(inForce.config.limits);
 			log.write({
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -36,6 +36,17 @@
 			readonly rowVersion: number;
 			readonly source: string;
 	  }
+	/**
+	 * An adapter version was declared. `provenMsAgo` is the age of the last proof that it was not declared yet; absent
+	 * without one.
+	 */
+	| {
+			readonly event: 'versionDeclared';
+			readonly adapter: string;
+			readonly version: number;
+			readonly provenMsAgo?: number;
+			readonly source: string;
+	  }
 	/** This entry began to read the store for its zone, or follows another entry (`reader`) that does. */
 	| {
 			readonly event: 'readerChanged';
@@ -111,6 +122,9 @@
 	readonly waitedMs?: number;
 	/** Cause of the last wait. */
 	readonly waitedFor?: string;
+	/** Version of the adapter that the last server was known to hold, and the newest declared one, at the last dispatch. */
+	readonly adapterVersion?: number;
+	readonly declaredVersion?: number;
 	readonly firstByteMs?: number;
 	/** Longest time between two chunks of the response body. */
 	readonly longestPauseMs?: number;
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -503,6 +503,7 @@
 		}
 
 		this._record.noteDispatch(now);
+		this._noteAdapterVersions(attempt.server, now);
 		this._attemptedServers.add(attempt.server);
 		attempt.reservedPromptTokens = undefined;
 		const headers = codec.encodeForward(this._req.rawHeaders, {
@@ -527,6 +528,21 @@
 		);
 	}
 
+	private _noteAdapterVersions(server: string, now: number): void {
+		const {fleet, authority} = this._context;
+		const {model, adapter} = this._metadata;
+		if (model === undefined || adapter === undefined) {
+			return;
+		}
+
+		const held = fleet.server(server)?.adapterVersion(model, adapter, now);
+		const declared = authority.declaredVersion(model, adapter)?.version;
+		this._record.noteAdapterVersions({
+			...(held !== undefined && {adapterVersion: held}),
+			...(declared !== undefined && {declaredVersion: declared}),
+		});
+	}
+
 	/** Returns the refusal of a request that may no longer be sent to a server. */
 	private _checkDispatch(): CallRefusal | undefined {
 		const {clock, epoch} = this._context;
