Judge each adapter version from its own declaration

What callers saw: requests began on version 1 although version 2 had been acknowledged for more than 5 s, if versions 3, 4, ... followed each other within 2.5 s.

Cause: only the newest version of an adapter was kept, with the time at which it was learned. Each newer one restarted the time in use of all before it.

A server may hold a newer version than that, so the request now expects the version that its server holds; it named the newest declared one before.

--- a/packages/core/src/authority/authority-view.test.ts
+++ b/packages/core/src/authority/authority-view.test.ts
@@ -43,7 +43,7 @@
 			assert.equal(view.isZoneOut('z1'), true);
 		});
 
-		it('keeps the highest adapter version and the time it was learned', () => {
+		it('keeps the highest adapter version and the time at which its limit began', () => {
 			const view = AuthorityView.create();
 			const declare = (rowVersion: number, version: number): AuthorityRow => ({
 				key: 'v',
@@ -52,10 +52,9 @@
 			});
 			view.apply([declare(1, 4)], 10);
 			view.apply([declare(2, 3)], 20);
-			assert.deepEqual(view.declaredVersion('m', 'a'), {
-				version: 4,
-				learnedAt: 10,
-			});
+			assert.equal(view.newestVersion('m', 'a'), 4);
+			assert.equal(view.minVersion('m', 'a', 100, 109), 0);
+			assert.equal(view.minVersion('m', 'a', 100, 110), 4);
 		});
 	});
 
--- a/packages/core/src/authority/authority-view.ts
+++ b/packages/core/src/authority/authority-view.ts
@@ -1,3 +1,4 @@
+import {AdapterVersions} from './adapter-versions.js';
 import {KeyDirectory} from './key-directory.js';
 import {RouteTable} from './route-table.js';
 import type {AuthorityConfig, AuthorityRow, ServiceSpec} from './types.js';
@@ -25,12 +26,6 @@
 	readonly services: ReadonlyMap<string, ServiceSpec>;
 };
 
-/** A declared adapter version, with the time at which this process learned it. */
-export type DeclaredVersion = {
-	readonly version: number;
-	readonly learnedAt: number;
-};
-
 /**
  * This process's view of the authority's statements. Versions only increase: a row is replaced only by a newer row, and
  * the configuration and adapter versions only by higher versions.
@@ -42,7 +37,7 @@
 
 	private readonly _rows = new Map<string, AuthorityRow>();
 	private readonly _zonesOut = new Set<string>();
-	private readonly _declared = new Map<string, DeclaredVersion>();
+	private readonly _versions = AdapterVersions.create();
 	private _inForce: ConfigInForce | undefined;
 	private _version = 0;
 
@@ -62,8 +57,19 @@
 		return this._zonesOut.has(zone);
 	}
 
-	declaredVersion(model: string, adapter: string): DeclaredVersion | undefined {
-		return this._declared.get(adapterKey(model, adapter));
+	/** Newest declared version of an adapter; undefined if none was declared. */
+	newestVersion(model: string, adapter: string): number | undefined {
+		return this._versions.newest(adapterKey(model, adapter));
+	}
+
+	/** Oldest version of an adapter that may be used if newer ones end its use after `graceMs`; 0 if any may. */
+	minVersion(
+		model: string,
+		adapter: string,
+		graceMs: number,
+		now: number,
+	): number {
+		return this._versions.minimum(adapterKey(model, adapter), graceMs, now);
 	}
 
 	/** Returns all rows, for sending them to a peer. */
@@ -162,12 +168,9 @@
 	): readonly DeclaredAdapter[] {
 		const adapter = adapterKey(declared.model, declared.adapter);
 		const {version} = declared;
-		if (version <= (this._declared.get(adapter)?.version ?? 0)) {
-			return [];
-		}
-
-		this._declared.set(adapter, {version, learnedAt: now});
-		return [{adapter, version}];
+		return this._versions.declare(adapter, version, now)
+			? [{adapter, version}]
+			: [];
 	}
 }
 
--- a/packages/core/src/placement/adapter-placement.ts
+++ b/packages/core/src/placement/adapter-placement.ts
@@ -1,4 +1,4 @@
-import {adapterKey, type DeclaredVersion} from '../authority/authority-view.js';
+import {adapterKey} from '../authority/authority-view.js';
 import {hashString, rendezvousScore} from '../common/rendezvous.js';
 import {
 	replicaDelayMs,
@@ -9,7 +9,6 @@
 	maxSlotUtilization,
 	spareReplicaDelayMs,
 	spareLoadsPerEngine,
-	versionGraceMs,
 } from './constants.js';
 import type {ServerState} from './server-state.js';
 import type {AdapterWant, ServerNeed} from './types.js';
@@ -23,15 +22,18 @@
 /** Servers on which a request for an adapter may run. */
 export type AdapterHolders = {
 	readonly holders: readonly ServerState[];
-	/** Minimum version that the server must have; undefined while older versions are still accepted. */
-	readonly version: number | undefined;
+	/** Oldest version on which a request may run; 0 if any may. */
+	readonly minVersion: number;
 };
 
 export type AdapterPlacementOptions = {
-	readonly declaredVersion: (
+	/** Returns the newest declared version of an adapter; undefined if none was declared. */
+	readonly newestVersion: (
 		model: string,
 		adapter: string,
-	) => DeclaredVersion | undefined;
+	) => number | undefined;
+	/** Returns the oldest version of an adapter on which a request may run; 0 if any may. */
+	readonly minVersion: (model: string, adapter: string, now: number) => number;
 	/** Returns the number of pending loads over all servers. */
 	readonly pendingLoads: (now: number) => number;
 	/** Called when a server gets a new want, or one for another version. */
@@ -56,10 +58,7 @@
 		{model, adapter}: AdapterNeed,
 		now: number,
 	): AdapterHolders {
-		const declared = this._options.declaredVersion(model, adapter);
-		const isRequired =
-			declared !== undefined && now - declared.learnedAt >= versionGraceMs;
-		const minVersion = isRequired ? declared.version : 0;
+		const minVersion = this._options.minVersion(model, adapter, now);
 		const holders = usable.filter(server => {
 			const version = server.adapterVersion(model, adapter, now);
 			return (
@@ -71,10 +70,14 @@
 		this._requestLoads(
 			usable,
 			holders,
-			{model, adapter, version: declared?.version ?? 0},
+			{
+				model,
+				adapter,
+				version: this._options.newestVersion(model, adapter) ?? 0,
+			},
 			now,
 		);
-		return {holders, version: isRequired ? declared.version : undefined};
+		return {holders, minVersion};
 	}
 
 	private _requestLoads(
--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
-import type {DeclaredVersion} from '../authority/authority-view.js';
 import type {ServiceSpec} from '../authority/types.js';
 import {
 	postOutageWindowMs,
@@ -9,7 +8,6 @@
 	initialPrefillTokensPerMs,
 	silenceTimeoutMs,
 	vanishedGraceMs,
-	versionGraceMs,
 } from './constants.js';
 import {FleetView} from './fleet-view.js';
 import type {
@@ -74,7 +72,8 @@
 let fleet: FleetView;
 let wanted: string[];
 let zonesOut: Set<string>;
-let declared: DeclaredVersion | undefined;
+let newestVersion: number | undefined;
+let minVersion: number;
 
 function list(...records: readonly ServerRecord[]): void {
 	fleet.apply(
@@ -95,11 +94,13 @@
 	beforeEach(() => {
 		wanted = [];
 		zonesOut = new Set();
-		declared = undefined;
+		newestVersion = undefined;
+		minVersion = 0;
 		fleet = FleetView.create({
 			zone: 'z1',
 			isZoneOut: zone => zonesOut.has(zone),
-			declaredVersion: () => declared,
+			newestVersion: () => newestVersion,
+			minVersion: () => minVersion,
 			serviceOf: name => (name === 's' ? spec : undefined),
 			coldBound: ({coldRequestsPerSecond}) => coldRequestsPerSecond * 1.5 + 5,
 			entryCount: () => 5,
@@ -274,7 +275,7 @@
 			list(record('x'), record('y'));
 			fleet.noteReport('x', report({a: 1}), 0);
 			fleet.noteReport('y', report({}), 0);
-			declared = {version: 2, learnedAt: 0};
+			newestVersion = 2;
 		});
 
 		it('run on the old version during the grace period while the new one is loaded on another server', () => {
@@ -283,16 +284,25 @@
 		});
 
 		it('run only on the new version after the grace period', () => {
-			fleet.noteReport('x', report({a: 1}), versionGraceMs);
-			fleet.noteReport('y', report({}), versionGraceMs);
-			assert.equal(chosen({}, versionGraceMs), 'awaitAdapter');
-			fleet.noteReport('y', report({a: 2}), versionGraceMs);
-			assert.deepEqual(fleet.choose(need, versionGraceMs), {
+			minVersion = 2;
+			assert.equal(chosen(), 'awaitAdapter');
+			fleet.noteReport('y', report({a: 2}), 0);
+			assert.deepEqual(fleet.choose(need, 0), {
 				kind: 'send',
 				server: 'y',
 				version: 2,
 			});
 		});
+
+		it('run on a version that is newer than the required one, and say which', () => {
+			minVersion = 2;
+			fleet.noteReport('y', report({a: 3}), 0);
+			assert.deepEqual(fleet.choose(need, 0), {
+				kind: 'send',
+				server: 'y',
+				version: 3,
+			});
+		});
 	});
 
 	describe('leaving servers', () => {
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -1,6 +1,9 @@
-import type {DeclaredVersion} from '../authority/authority-view.js';
 import type {ServiceSpec} from '../authority/types.js';
-import {AdapterPlacement, type AdapterNeed} from './adapter-placement.js';
+import {
+	AdapterPlacement,
+	type AdapterNeed,
+	type AdapterPlacementOptions,
+} from './adapter-placement.js';
 import {
 	runningRequestCostMs,
 	maxMemoryUtilization,
@@ -25,21 +28,18 @@
 const noServers: ReadonlySet<string> = new Set();
 
 /** Dependencies and settings of a `FleetView`. */
-export type FleetViewOptions = {
+export type FleetViewOptions = Pick<
+	AdapterPlacementOptions,
+	'newestVersion' | 'minVersion' | 'onNewWant'
+> & {
 	/** Zone of this entry. */
 	readonly zone: string;
 	readonly isZoneOut: (zone: string) => boolean;
-	readonly declaredVersion: (
-		model: string,
-		adapter: string,
-	) => DeclaredVersion | undefined;
 	readonly serviceOf: (name: string) => ServiceSpec | undefined;
 	/** Maximum requests per second that a cold server of the service may get from all entries together. */
 	readonly coldBound: (service: ServiceSpec) => number;
 	/** Number of entries that may send to the same servers, including this one. */
 	readonly entryCount: () => number;
-	/** Called when a server gets a new want, or one for another version. */
-	readonly onNewWant: (server: string) => void;
 };
 
 /** Tracks the backend servers and chooses the one that runs a request. */
@@ -62,9 +62,10 @@
 	private readonly _placement: AdapterPlacement;
 
 	private constructor(private readonly _options: FleetViewOptions) {
-		const {declaredVersion, onNewWant} = _options;
+		const {newestVersion, minVersion, onNewWant} = _options;
 		this._placement = AdapterPlacement.create({
-			declaredVersion,
+			newestVersion,
+			minVersion,
 			onNewWant,
 			pendingLoads: now => this.pendingLoads(now),
 		});
@@ -204,7 +205,7 @@
 		const {model, adapter} = need;
 		if (adapter === undefined) {
 			const holders = usable.filter(server => server.hasModel(model, now));
-			return this._chooseAmong(holders, need, undefined, now);
+			return this._chooseAmong(holders, need, 0, now);
 		}
 
 		return this._chooseForAdapter(usable, {...need, model, adapter}, now);
@@ -322,16 +323,16 @@
 		need: AdapterNeed,
 		now: number,
 	): ServerChoice {
-		const {holders, version} = this._placement.place(usable, need, now);
+		const {holders, minVersion} = this._placement.place(usable, need, now);
 		return holders.length === 0
 			? {kind: 'awaitAdapter'}
-			: this._chooseAmong(holders, need, version, now);
+			: this._chooseAmong(holders, need, minVersion, now);
 	}
 
 	private _chooseAmong(
 		holders: readonly ServerState[],
 		need: ServerNeed,
-		version: number | undefined,
+		minVersion: number,
 		now: number,
 	): ServerChoice {
 		const open = holders.filter(
@@ -350,7 +351,7 @@
 
 		const sessionServer =
 			need.session === undefined ? undefined : this._sessions.get(need.session);
-		let best: {readonly id: string; readonly cost: number} | undefined;
+		let best: {readonly server: ServerState; readonly cost: number} | undefined;
 		for (const [i, server] of open.entries()) {
 			const {id} = server.record;
 			const cost =
@@ -359,7 +360,7 @@
 				crossZoneCostMs * this._zoneDistance(server) -
 				(id === sessionServer ? cachedPromptCreditMs : 0);
 			if (best === undefined || cost < best.cost) {
-				best = {id, cost};
+				best = {server, cost};
 			}
 		}
 
@@ -367,7 +368,13 @@
 			return {kind: holders.length === 0 ? 'noServer' : 'full'};
 		}
 
-		return {kind: 'send', server: best.id, version};
+		const {server} = best;
+		const {model, adapter} = need;
+		const version =
+			minVersion > 0 && model !== undefined && adapter !== undefined
+				? server.adapterVersion(model, adapter, now)
+				: undefined;
+		return {kind: 'send', server: server.record.id, version};
 	}
 
 	/** Whether a server may get another request. A cold server gets at most this entry's share of the limit per second. */
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -86,7 +86,7 @@
 	| {
 			readonly kind: 'send';
 			readonly server: string;
-			/** Minimum version of the adapter that the server must have; undefined if any version is accepted. */
+			/** Version of the adapter that the server holds, if only some versions are accepted; undefined if any is. */
 			readonly version: number | undefined;
 	  }
 	/** No usable server holds the adapter; it has to be loaded first. */
--- a/packages/daemon/src/direct/agent-client.test.ts
+++ b/packages/daemon/src/direct/agent-client.test.ts
@@ -57,7 +57,8 @@
 		fleet = FleetView.create({
 			zone: 'z',
 			isZoneOut: () => false,
-			declaredVersion: () => undefined,
+			newestVersion: () => undefined,
+			minVersion: () => 0,
 			serviceOf: () => service,
 			coldBound: () => 100,
 			entryCount: () => 1,
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -12,6 +12,7 @@
 	QuotaLedger,
 	RetryAllowance,
 	SuspectRegistry,
+	versionGraceMs,
 	type AuthorityChange,
 	type AuthorityRow,
 	type ServerChange,
@@ -288,8 +289,10 @@
 		return FleetView.create({
 			zone: settings.zone,
 			isZoneOut: zone => this._authority.isZoneOut(zone),
-			declaredVersion: (model, adapter) =>
-				this._authority.declaredVersion(model, adapter),
+			newestVersion: (model, adapter) =>
+				this._authority.newestVersion(model, adapter),
+			minVersion: (model, adapter, now) =>
+				this._authority.minVersion(model, adapter, versionGraceMs, now),
 			serviceOf: name => this._serviceOf(name),
 			coldBound: service => this._bounds.coldBound(service),
 			entryCount: () => this._peers.entryCount,
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -42,7 +42,7 @@
 /** One attempt to serve the request on a server. */
 type Attempt = {
 	readonly server: string;
-	/** Adapter version that the server must have; undefined if any loaded version will do. */
+	/** Adapter version that the server must have; undefined if any loaded version is accepted. */
 	readonly version: number | undefined;
 	/** Prompt tokens of a prefill reservation that is not used yet. */
 	reservedPromptTokens: number | undefined;
@@ -536,7 +536,7 @@
 		}
 
 		const held = fleet.server(server)?.adapterVersion(model, adapter, now);
-		const declared = authority.declaredVersion(model, adapter)?.version;
+		const declared = authority.newestVersion(model, adapter);
 		this._record.noteAdapterVersions({
 			...(held !== undefined && {adapterVersion: held}),
 			...(declared !== undefined && {declaredVersion: declared}),
