Count the time in use of an older adapter version from when it may have ended

What callers saw: an entry that was killed and started again used version 1 for another 2.5 s from its own start, up to 6.8 s after version 2 was acknowledged. The same holds for an entry that learns of a version late, for example as the entry it follows is gone (up to 3 s, maxRelayedProofAgeMs).

Cause: the time counted from the moment at which this process learned of the version, and its length (2.5 s) had nothing to do with the platform's bound.

Why it works: a version that an entry learns now was acknowledged after its last proof that it knew the newest statements, so the time counts from there. A process without a proof (just started, or suspended) requires the newest version at once. The time is 70% of version_ms, read from the settings, and the rest is for the way to the server. Late learning costs callers the wait for a load, no longer a wrong version.

--- a/packages/core/src/authority/adapter-versions.ts
+++ b/packages/core/src/authority/adapter-versions.ts
@@ -3,7 +3,10 @@
 /** A declared version. */
 type Declaration = {
 	readonly version: number;
-	/** Monotonic time from which the time limit on older versions counts, in milliseconds. */
+	/**
+	 * Monotonic time after which the version was declared, in milliseconds; negative infinity if that is unknown. The time
+	 * limit on older versions counts from it.
+	 */
 	readonly since: number;
 };
 
@@ -41,6 +44,14 @@
 		return true;
 	}
 
+	/** Requires the newest versions at once, after the monotonic clock may have stopped. */
+	forgetTimes(): void {
+		for (const [adapter, declared] of this._declared) {
+			const {version} = declared.at(-1)!;
+			this._declared.set(adapter, [{version, since: Number.NEGATIVE_INFINITY}]);
+		}
+	}
+
 	/** Newest declared version; undefined if none was declared. */
 	newest(adapter: string): number | undefined {
 		return this._declared.get(adapter)?.at(-1)?.version;
--- a/packages/core/src/authority/authority-view.test.ts
+++ b/packages/core/src/authority/authority-view.test.ts
@@ -58,6 +58,45 @@
 		});
 	});
 
+	describe('adapter versions', () => {
+		const declaration: AuthorityRow = {
+			key: 'v',
+			rowVersion: 1,
+			statement: {
+				type: 'adapterVersion',
+				model: 'm',
+				adapter: 'a',
+				version: 2,
+			},
+		};
+		const graceMs = 3500;
+
+		// Guards against a time in use that begins when this process hears of a version, however late.
+		it('end the use of older ones by the time at which they may have been declared', () => {
+			const view = AuthorityView.create();
+			const provenAt = 1000;
+			view.apply([declaration], provenAt);
+			assert.equal(view.minVersion('m', 'a', graceMs, 4499), 0);
+			assert.equal(view.minVersion('m', 'a', graceMs, 4500), 2);
+		});
+
+		// Guards against a restarted process that counts the time in use from its own start.
+		it('end it at once in a process that did not know the statements before', () => {
+			const view = AuthorityView.create();
+			view.applyAll([declaration], 1, Number.NEGATIVE_INFINITY);
+			assert.equal(view.minVersion('m', 'a', graceMs, 0), 2);
+		});
+
+		// Guards against a time in use that is measured by a clock that stopped during a suspension.
+		it('end it at once after a suspension', () => {
+			const view = AuthorityView.create();
+			view.apply([declaration], 1000);
+			view.forgetVersionTimes();
+			assert.equal(view.minVersion('m', 'a', graceMs, 1001), 2);
+			assert.equal(view.newestVersion('m', 'a'), 2);
+		});
+	});
+
 	describe('withdrawn statements', () => {
 		it('are dropped by a removed row, and not restored by an older one', () => {
 			const view = AuthorityView.create();
--- a/packages/core/src/authority/authority-view.ts
+++ b/packages/core/src/authority/authority-view.ts
@@ -72,19 +72,29 @@
 		return this._versions.minimum(adapterKey(model, adapter), graceMs, now);
 	}
 
+	/** Forgets when versions were declared, since the monotonic clock may have stopped meanwhile. */
+	forgetVersionTimes(): void {
+		this._versions.forgetTimes();
+	}
+
 	/** Returns all rows, for sending them to a peer. */
 	rows(): readonly AuthorityRow[] {
 		return [...this._rows.values()];
 	}
 
-	/** Applies changed rows, in any order. */
-	apply(rows: readonly AuthorityRow[], now: number): AuthorityChange {
+	/**
+	 * Applies changed rows, in any order.
+	 *
+	 * @param provenAt monotonic time at which this process last knew the newest statements. The authority made those that
+	 *   it did not know then later; negative infinity if it may have made them at any time
+	 */
+	apply(rows: readonly AuthorityRow[], provenAt: number): AuthorityChange {
 		const before = this._inForce;
 		const declared: DeclaredAdapter[] = [];
 		let hasChanged = false;
 		for (const row of rows) {
 			if (row.rowVersion > (this._rows.get(row.key)?.rowVersion ?? 0)) {
-				declared.push(...this._replace(row, now));
+				declared.push(...this._replace(row, provenAt));
 				hasChanged = true;
 			}
 		}
@@ -92,11 +102,11 @@
 		return {hasChanged, hasNewConfig: before !== this._inForce, declared};
 	}
 
-	/** Applies all rows as of one store version. Older rows that are missing count as withdrawn. */
+	/** Applies all rows as of one store version, like `apply`. Older rows that are missing count as withdrawn. */
 	applyAll(
 		rows: readonly AuthorityRow[],
 		storeVersion: number,
-		now: number,
+		provenAt: number,
 	): AuthorityChange {
 		const keys = new Set(rows.map(({key}) => key));
 		const withdrawn = this.rows()
@@ -108,11 +118,14 @@
 				rowVersion: storeVersion,
 				statement: {type: 'withdrawn'},
 			}));
-		return this.apply([...withdrawn, ...rows], now);
+		return this.apply([...withdrawn, ...rows], provenAt);
 	}
 
 	/** Returns the adapter version that the row declares, if it is a newer one. */
-	private _replace(row: AuthorityRow, now: number): readonly DeclaredAdapter[] {
+	private _replace(
+		row: AuthorityRow,
+		provenAt: number,
+	): readonly DeclaredAdapter[] {
 		const before = this._rows.get(row.key)?.statement;
 		this._version = Math.max(this._version, row.rowVersion);
 		if (row.statement.type === 'withdrawn' && before?.type === 'config') {
@@ -138,7 +151,7 @@
 			}
 
 			case 'adapterVersion': {
-				return this._declare(statement, now);
+				return this._declare(statement, provenAt);
 			}
 
 			case 'withdrawn': {
@@ -164,11 +177,11 @@
 
 	private _declare(
 		declared: {model: string; adapter: string; version: number},
-		now: number,
+		provenAt: number,
 	): readonly DeclaredAdapter[] {
 		const adapter = adapterKey(declared.model, declared.adapter);
 		const {version} = declared;
-		return this._versions.declare(adapter, version, now)
+		return this._versions.declare(adapter, version, provenAt)
 			? [{adapter, version}]
 			: [];
 	}
--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -94,8 +94,11 @@
 /** Maximum number of concurrent loads of an engine, as the platform specifies. */
 export const maxPendingAdapters = 4;
 
-/** Time for which an older adapter version stays in use after a newer one was declared, in milliseconds. */
-export const versionGraceMs = 2500;
+/**
+ * Share of the time limit on older adapter versions for which requests are still sent to them. The rest is for the way to
+ * the server and the wait there.
+ */
+export const versionGraceShare = 0.7;
 
 /** Time for which a server stays in use after it vanished from the list during a store outage, in milliseconds. */
 export const vanishedGraceMs = 1800;
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -12,7 +12,7 @@
 	QuotaLedger,
 	RetryAllowance,
 	SuspectRegistry,
-	versionGraceMs,
+	versionGraceShare,
 	type AuthorityChange,
 	type AuthorityRow,
 	type ServerChange,
@@ -134,6 +134,7 @@
 			revokeMs: () => this._bounds.revokeMs,
 			onSuspended: (epoch, now) => {
 				this._ledger.resetAfterPause(now);
+				this._authority.forgetVersionTimes();
 				log.write({event: 'suspended', epoch});
 			},
 		});
@@ -292,7 +293,12 @@
 			newestVersion: (model, adapter) =>
 				this._authority.newestVersion(model, adapter),
 			minVersion: (model, adapter, now) =>
-				this._authority.minVersion(model, adapter, versionGraceMs, now),
+				this._authority.minVersion(
+					model,
+					adapter,
+					this._bounds.versionMs * versionGraceShare,
+					now,
+				),
 			serviceOf: name => this._serviceOf(name),
 			coldBound: service => this._bounds.coldBound(service),
 			entryCount: () => this._peers.entryCount,
@@ -335,7 +341,10 @@
 			fetchStatements: async endpoint =>
 				this._exchange.fetchStatements(endpoint),
 			onStatements: (rows, from) => {
-				this._onAuthorityChange(this._authority.apply(rows, clock()), from);
+				this._onAuthorityChange(
+					this._authority.apply(rows, this._freshness.provenAt),
+					from,
+				);
 			},
 			onRootChanged: (isRoot, parent) => {
 				this._options.log.write({
@@ -512,10 +521,10 @@
 		startedAt: number,
 		epoch: number,
 	): void {
-		const now = clock();
+		const {provenAt} = this._freshness;
 		const change = isSnapshot
-			? this._authority.applyAll(read.rows, read.version, now)
-			: this._authority.apply(read.rows, now);
+			? this._authority.applyAll(read.rows, read.version, provenAt)
+			: this._authority.apply(read.rows, provenAt);
 		this._onAuthorityChange(change, 'store');
 		this._freshness.prove(startedAt, epoch);
 	}
--- a/packages/daemon/src/direct/types.ts
+++ b/packages/daemon/src/direct/types.ts
@@ -127,6 +127,8 @@
 export type EntryBounds = {
 	/** Time after which a withdrawn key must not be accepted, in milliseconds; undefined without such a bound. */
 	readonly revokeMs: number | undefined;
+	/** Time after which a server must not begin requests on an adapter version older than a declared one, in milliseconds. */
+	readonly versionMs: number;
 	readonly retry: RetryLimit;
 	/** Units beyond rate and burst that all entries together may grant to a customer. */
 	readonly quotaSlackUnits: number;
