Check the adapter version where a request is sent

What callers saw: a request whose prompt waited for prefill began on version 1 up to 7.8 s after version 2 was acknowledged.

Cause: the version that a request expects was fixed when its server was chosen. After the wait for prefill (up to half of the caller's time) and for a connection, configuration, deadline and the server's state were checked again, but not the version.

Why it works: the choice of a server no longer names a version. FleetView says at the dispatch which version to expect at a server, and again when a connection is assigned; a request that would be too late goes to another server or waits for the load.

Ruled out: the queue of the server, where these requests did not wait.

--- a/packages/core/src/placement/adapter-placement.ts
+++ b/packages/core/src/placement/adapter-placement.ts
@@ -19,13 +19,6 @@
 	readonly adapter: string;
 };
 
-/** Servers on which a request for an adapter may run. */
-export type AdapterHolders = {
-	readonly holders: readonly ServerState[];
-	/** Oldest version on which a request may run; 0 if any may. */
-	readonly minVersion: number;
-};
-
 export type AdapterPlacementOptions = {
 	/** Returns the newest declared version of an adapter; undefined if none was declared. */
 	readonly newestVersion: (
@@ -57,7 +50,7 @@
 		usable: readonly ServerState[],
 		{model, adapter}: AdapterNeed,
 		now: number,
-	): AdapterHolders {
+	): readonly ServerState[] {
 		const minVersion = this._options.minVersion(model, adapter, now);
 		const holders = usable.filter(server => {
 			const version = server.adapterVersion(model, adapter, now);
@@ -77,7 +70,7 @@
 			},
 			now,
 		);
-		return {holders, minVersion};
+		return holders;
 	}
 
 	private _requestLoads(
--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -287,21 +287,25 @@
 			minVersion = 2;
 			assert.equal(chosen(), 'awaitAdapter');
 			fleet.noteReport('y', report({a: 2}), 0);
-			assert.deepEqual(fleet.choose(need, 0), {
-				kind: 'send',
-				server: 'y',
-				version: 2,
-			});
+			assert.equal(chosen(), 'y');
 		});
 
-		it('run on a version that is newer than the required one, and say which', () => {
+		it('may be expected in any version during the grace period', () => {
+			assert.deepEqual(fleet.versionToExpect('x', need, 0), {kind: 'any'});
+		});
+
+		it('must be expected in the version that the server holds after it, which may be newer than the required one', () => {
 			minVersion = 2;
 			fleet.noteReport('y', report({a: 3}), 0);
-			assert.deepEqual(fleet.choose(need, 0), {
-				kind: 'send',
-				server: 'y',
+			assert.deepEqual(fleet.versionToExpect('y', need, 0), {
+				kind: 'exactly',
 				version: 3,
 			});
+			for (const id of ['x', 'gone']) {
+				assert.deepEqual(fleet.versionToExpect(id, need, 0), {
+					kind: 'outdated',
+				});
+			}
 		});
 	});
 
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -23,6 +23,7 @@
 	ServerChoice,
 	ServerNeed,
 	ServerRecord,
+	VersionToExpect,
 } from './types.js';
 
 const noServers: ReadonlySet<string> = new Set();
@@ -205,7 +206,7 @@
 		const {model, adapter} = need;
 		if (adapter === undefined) {
 			const holders = usable.filter(server => server.hasModel(model, now));
-			return this._chooseAmong(holders, need, 0, now);
+			return this._chooseAmong(holders, need, now);
 		}
 
 		return this._chooseForAdapter(usable, {...need, model, adapter}, now);
@@ -242,6 +243,27 @@
 		);
 	}
 
+	/** Returns the version that a request sent to the server now has to expect. */
+	versionToExpect(
+		id: string,
+		{model, adapter}: Pick<ServerNeed, 'model' | 'adapter'>,
+		now: number,
+	): VersionToExpect {
+		if (model === undefined || adapter === undefined) {
+			return {kind: 'any'};
+		}
+
+		const minVersion = this._options.minVersion(model, adapter, now);
+		if (minVersion === 0) {
+			return {kind: 'any'};
+		}
+
+		const version = this._servers.get(id)?.adapterVersion(model, adapter, now);
+		return version !== undefined && version >= minVersion
+			? {kind: 'exactly', version}
+			: {kind: 'outdated'};
+	}
+
 	private _noteCurrentServer(
 		{id, address}: ServerRecord,
 		rowVersion: number,
@@ -315,7 +337,7 @@
 		);
 		return best === undefined
 			? {kind: 'full'}
-			: {kind: 'send', server: best.record.id, version: undefined};
+			: {kind: 'send', server: best.record.id};
 	}
 
 	private _chooseForAdapter(
@@ -323,16 +345,15 @@
 		need: AdapterNeed,
 		now: number,
 	): ServerChoice {
-		const {holders, minVersion} = this._placement.place(usable, need, now);
+		const holders = this._placement.place(usable, need, now);
 		return holders.length === 0
 			? {kind: 'awaitAdapter'}
-			: this._chooseAmong(holders, need, minVersion, now);
+			: this._chooseAmong(holders, need, now);
 	}
 
 	private _chooseAmong(
 		holders: readonly ServerState[],
 		need: ServerNeed,
-		minVersion: number,
 		now: number,
 	): ServerChoice {
 		const open = holders.filter(
@@ -351,7 +372,7 @@
 
 		const sessionServer =
 			need.session === undefined ? undefined : this._sessions.get(need.session);
-		let best: {readonly server: ServerState; readonly cost: number} | undefined;
+		let best: {readonly id: string; readonly cost: number} | undefined;
 		for (const [i, server] of open.entries()) {
 			const {id} = server.record;
 			const cost =
@@ -360,7 +381,7 @@
 				crossZoneCostMs * this._zoneDistance(server) -
 				(id === sessionServer ? cachedPromptCreditMs : 0);
 			if (best === undefined || cost < best.cost) {
-				best = {server, cost};
+				best = {id, cost};
 			}
 		}
 
@@ -368,13 +389,7 @@
 			return {kind: holders.length === 0 ? 'noServer' : 'full'};
 		}
 
-		const {server} = best;
-		const {model, adapter} = need;
-		const version =
-			minVersion > 0 && model !== undefined && adapter !== undefined
-				? server.adapterVersion(model, adapter, now)
-				: undefined;
-		return {kind: 'send', server: server.record.id, version};
+		return {kind: 'send', server: best.id};
 	}
 
 	/** Whether a server may get another request. A cold server gets at most this entry's share of the limit per second. */
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -83,12 +83,7 @@
 
 /** Result of choosing a server for a request. */
 export type ServerChoice =
-	| {
-			readonly kind: 'send';
-			readonly server: string;
-			/** Version of the adapter that the server holds, if only some versions are accepted; undefined if any is. */
-			readonly version: number | undefined;
-	  }
+	| {readonly kind: 'send'; readonly server: string}
 	/** No usable server holds the adapter; it has to be loaded first. */
 	| {readonly kind: 'awaitAdapter'}
 	/** Every server that could run the request is at its limit. */
@@ -100,6 +95,13 @@
 	/** No server that may run the request is usable. */
 	| {readonly kind: 'noServer'};
 
+/** Version of its adapter that a request has to expect at a server. */
+export type VersionToExpect =
+	| {readonly kind: 'any'}
+	| {readonly kind: 'exactly'; readonly version: number}
+	/** The server's version is too old, or it does not hold the adapter. */
+	| {readonly kind: 'outdated'};
+
 /** An adapter that an entry wants loaded on a server. */
 export type AdapterWant = {
 	readonly model: string;
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -14,6 +14,7 @@
 	type RouteRule,
 	type ServerChoice,
 	type ServerNeed,
+	type VersionToExpect,
 } from '@balsamtray/core';
 import {badGateway, unavailable, type CallRefusal} from './call-refusal.js';
 import {
@@ -42,8 +43,8 @@
 /** One attempt to serve the request on a server. */
 type Attempt = {
 	readonly server: string;
-	/** Adapter version that the server must have; undefined if any loaded version is accepted. */
-	readonly version: number | undefined;
+	/** Adapter version that the request expects at the server, once dispatched; undefined if any is accepted. */
+	expectedVersion: number | undefined;
 	/** Prompt tokens of a prefill reservation that is not used yet. */
 	reservedPromptTokens: number | undefined;
 	/** Prompt tokens that the engine prefills before this one; undefined if its agent did not reply. */
@@ -300,7 +301,7 @@
 
 		const choice = this._chooseServer(now);
 		if (choice.kind === 'send') {
-			this._startAttempt(choice.server, choice.version, now);
+			this._startAttempt(choice.server, now);
 			return;
 		}
 
@@ -374,11 +375,7 @@
 		}, this._waitDeadlineAt - now);
 	}
 
-	private _startAttempt(
-		server: string,
-		version: number | undefined,
-		now: number,
-	): void {
+	private _startAttempt(server: string, now: number): void {
 		const {fleet} = this._context;
 		fleet.server(server)!.noteSent(this._adapterKey, now);
 		if (this._metadata.session !== undefined) {
@@ -387,7 +384,7 @@
 
 		const attempt: Attempt = {
 			server,
-			version,
+			expectedVersion: undefined,
 			call: undefined,
 			reservedPromptTokens: undefined,
 			tokensAhead: undefined,
@@ -448,7 +445,7 @@
 		return Math.max(0, latestAt - now);
 	}
 
-	/** Checks the authorization and the server again, since both may have changed during the wait, then dispatches. */
+	/** Checks the authorization and the server again, since they may have changed during the wait, then dispatches. */
 	private _onPrefillDue(attempt: Attempt): void {
 		this._stopPrefillWait(attempt);
 		const refusal = this._authorize();
@@ -464,9 +461,30 @@
 			return;
 		}
 
+		if (this._versionToExpect(attempt).kind === 'outdated') {
+			this._endAttempt('not sent: adapter version outdated');
+			this._assignServer();
+			return;
+		}
+
 		this._dispatch(attempt);
 	}
 
+	private _versionToExpect({server}: Attempt): VersionToExpect {
+		const {fleet, clock} = this._context;
+		return fleet.versionToExpect(server, this._metadata, clock());
+	}
+
+	/** Whether the request expects a version at the server that is still accepted. Its headers may be some time old. */
+	private _expectsAcceptedVersion(attempt: Attempt): boolean {
+		const toExpect = this._versionToExpect(attempt);
+		return (
+			toExpect.kind === 'any' ||
+			(toExpect.kind === 'exactly' &&
+				attempt.expectedVersion === toExpect.version)
+		);
+	}
+
 	private _stopPrefillWait(attempt: Attempt): void {
 		if (attempt.isAwaitingPrefill) {
 			attempt.isAwaitingPrefill = false;
@@ -506,11 +524,14 @@
 		this._noteAdapterVersions(attempt.server, now);
 		this._attemptedServers.add(attempt.server);
 		attempt.reservedPromptTokens = undefined;
+		const toExpect = this._versionToExpect(attempt);
+		attempt.expectedVersion =
+			toExpect.kind === 'exactly' ? toExpect.version : undefined;
 		const headers = codec.encodeForward(this._req.rawHeaders, {
 			server: attempt.server,
 			deadlineMs: Math.max(1, Math.floor(this._deadlineAt - now)),
 			customer: this._customer?.name,
-			adapterVersion: attempt.version,
+			adapterVersion: attempt.expectedVersion,
 			urgency: this._priority,
 			lastEventId: this._lastEventId,
 		});
@@ -563,7 +584,8 @@
 				const late = this._checkDispatch();
 				const {fleet, clock} = this._context;
 				const isTaken = fleet.isUsable(attempt.server, clock());
-				if (isCurrent() && late === undefined && isTaken) {
+				const isVersionAccepted = this._expectsAcceptedVersion(attempt);
+				if (isCurrent() && late === undefined && isTaken && isVersionAccepted) {
 					attempt.isSent = true;
 					attempt.sentAt = this._context.clock();
 					return true;
@@ -574,7 +596,11 @@
 					this._fail(late);
 				} else if (isCurrent()) {
 					this._attemptedServers.delete(attempt.server);
-					this._endAttempt('not sent: server takes no requests');
+					this._endAttempt(
+						isTaken
+							? 'not sent: adapter version outdated'
+							: 'not sent: server takes no requests',
+					);
 					this._assignServer();
 				}
 
