Take back requests that wait at a server with an outdated adapter version

What callers saw: a request in the queue of a server began on version 1 5.5 s after version 2 was acknowledged; it had been sent before.

Cause: a send is not a beginning. Nothing limited how long a request that was sent in time waits at its server.

Why it works: entries keep the requests for adapters that were sent and have brought no byte. When a version ends the use of older ones (90% of version_ms after the last proof that it was not declared), those at servers that hold an older one are aborted, which resets their connection, and go to another server if they may be repeated. One that may not is answered 502 adapterOutdated, as it may have begun.

Cost: one set of the requests under way without an answer, one timer for each declared version.

--- a/packages/core/src/authority/authority-view.ts
+++ b/packages/core/src/authority/authority-view.ts
@@ -16,6 +16,8 @@
 	/** `adapterKey` of the adapter. */
 	readonly adapter: string;
 	readonly version: number;
+	/** Monotonic time after which it was declared, in milliseconds; negative infinity if that is unknown. */
+	readonly since: number;
 };
 
 /** A configuration with its lookup tables. */
@@ -182,7 +184,7 @@
 		const adapter = adapterKey(declared.model, declared.adapter);
 		const {version} = declared;
 		return this._versions.declare(adapter, version, provenAt)
-			? [{adapter, version}]
+			? [{adapter, version, since: provenAt}]
 			: [];
 	}
 }
--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -100,6 +100,9 @@
  */
 export const versionGraceShare = 0.7;
 
+/** Share of that time limit after which requests that have not begun on an older version are taken back from its server. */
+export const versionRecallShare = 0.9;
+
 /** Time for which a server stays in use after it vanished from the list during a store outage, in milliseconds. */
 export const vanishedGraceMs = 1800;
 
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -11,6 +11,7 @@
 import type {EventLog} from './event-log.js';
 import type {KeyCounts} from './key-counts.js';
 import type {CallCodec} from './types.js';
+import type {SentCalls} from './sent-calls.js';
 import type {Upstream} from './upstream.js';
 import type {WaitQueue} from './wait-queue.js';
 
@@ -28,6 +29,8 @@
 	readonly waitQueue: WaitQueue;
 	/** Requests that are assigned to a server and wait for prefill there, counted by adapter. */
 	readonly prefillWaiting: KeyCounts;
+	/** Requests for adapters that were sent to a server and have not begun. */
+	readonly sentCalls: SentCalls;
 	readonly codec: CallCodec;
 	readonly log: EventLog;
 	readonly metrics: DirectMetrics;
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -13,6 +13,7 @@
 	RetryAllowance,
 	SuspectRegistry,
 	versionGraceShare,
+	versionRecallShare,
 	type AuthorityChange,
 	type AuthorityRow,
 	type ServerChange,
@@ -44,6 +45,7 @@
 import {KeyCounts} from './key-counts.js';
 import {QuotaResponder} from './quota-responder.js';
 import {RelayedTable} from './relayed-table.js';
+import {SentCalls} from './sent-calls.js';
 import {ServerLog} from './server-log.js';
 import {TableExchange} from './table-exchange.js';
 import {TableWatch, type TableWatchOptions} from './table-watch.js';
@@ -97,6 +99,7 @@
 	private readonly _upstream = Upstream.create();
 	private readonly _waitQueue = WaitQueue.create();
 	private readonly _prefillWaiting = KeyCounts.create();
+	private readonly _sentCalls = SentCalls.create();
 	private readonly _suspects = SuspectRegistry.create();
 	private readonly _exchange: TableExchange;
 	private readonly _servers: RelayedTable<ServerChange>;
@@ -135,6 +138,7 @@
 			onSuspended: (epoch, now) => {
 				this._ledger.resetAfterPause(now);
 				this._authority.forgetVersionTimes();
+				this._recallOutdated();
 				log.write({event: 'suspended', epoch});
 			},
 		});
@@ -266,6 +270,7 @@
 			upstream: this._upstream,
 			waitQueue: this._waitQueue,
 			prefillWaiting: this._prefillWaiting,
+			sentCalls: this._sentCalls,
 			codec,
 			log,
 			metrics: this._metrics,
@@ -293,12 +298,7 @@
 			newestVersion: (model, adapter) =>
 				this._authority.newestVersion(model, adapter),
 			minVersion: (model, adapter, now) =>
-				this._authority.minVersion(
-					model,
-					adapter,
-					this._bounds.versionMs * versionGraceShare,
-					now,
-				),
+				this._minVersion(model, adapter, versionGraceShare, now),
 			serviceOf: name => this._serviceOf(name),
 			coldBound: service => this._bounds.coldBound(service),
 			entryCount: () => this._peers.entryCount,
@@ -525,22 +525,51 @@
 		const change = isSnapshot
 			? this._authority.applyAll(read.rows, read.version, provenAt)
 			: this._authority.apply(read.rows, provenAt);
-		this._onAuthorityChange(change, 'store');
 		this._freshness.prove(startedAt, epoch);
+		this._onAuthorityChange(change, 'store');
+	}
+
+	/** Takes back requests that wait at servers with an adapter version on which they may no longer begin. */
+	private _recallOutdated(): void {
+		const now = clock();
+		this._sentCalls.recallOutdated((model, adapter) =>
+			this._minVersion(model, adapter, versionRecallShare, now),
+		);
+	}
+
+	/** @param graceShare share of the time limit on older versions for which they are accepted */
+	private _minVersion(
+		model: string,
+		adapter: string,
+		graceShare: number,
+		now: number,
+	): number {
+		const graceMs = this._bounds.versionMs * graceShare;
+		return this._authority.minVersion(model, adapter, graceMs, now);
 	}
 
-	/** Called before the read that brought the change renews the proof. */
 	private _onAuthorityChange(change: AuthorityChange, source: string): void {
 		const {log} = this._options;
 		const {inForce, version} = this._authority;
-		const proofAgeMs = this._freshness.proofAgeMs();
-		for (const declared of change.declared) {
+		for (const {adapter, version: declared, since} of change.declared) {
+			const provenMsAgo = clock() - since;
 			log.write({
 				event: 'versionDeclared',
-				...declared,
-				...(proofAgeMs !== undefined && {provenMsAgo: Math.round(proofAgeMs)}),
+				adapter,
+				version: declared,
+				...(Number.isFinite(provenMsAgo) && {
+					provenMsAgo: Math.round(provenMsAgo),
+				}),
 				source,
 			});
+			const untilRecallMs =
+				this._bounds.versionMs * versionRecallShare - provenMsAgo;
+			setTimeout(
+				() => {
+					this._recallOutdated();
+				},
+				Math.max(0, untilRecallMs),
+			);
 		}
 
 		if (change.hasNewConfig && inForce !== undefined) {
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -16,6 +16,7 @@
 	type ServerNeed,
 	type VersionToExpect,
 } from '@balsamtray/core';
+import type {Disposable} from '../common/types.js';
 import {badGateway, unavailable, type CallRefusal} from './call-refusal.js';
 import {
 	maxPrefillWaitShare,
@@ -57,6 +58,8 @@
 	call: UpstreamCall | undefined;
 	/** Whether a connection was assigned to the request. From then on the server may run it. */
 	isSent: boolean;
+	/** Ends the registration with `SentCalls`; undefined before the request is sent. */
+	sent: Disposable | undefined;
 	/** Undefined until the response headers arrive. */
 	framing: ResponseFraming | undefined;
 };
@@ -391,6 +394,7 @@
 			sentAt: undefined,
 			isAwaitingPrefill: false,
 			isSent: false,
+			sent: undefined,
 			framing: undefined,
 		};
 		this._attempt = attempt;
@@ -588,6 +592,7 @@
 				if (isCurrent() && late === undefined && isTaken && isVersionAccepted) {
 					attempt.isSent = true;
 					attempt.sentAt = this._context.clock();
+					this._watchVersion(attempt);
 					return true;
 				}
 
@@ -631,6 +636,35 @@
 		};
 	}
 
+	/** Watches until the first part of the response whether the request may still begin on the server's version. */
+	private _watchVersion(attempt: Attempt): void {
+		const {fleet, sentCalls, clock} = this._context;
+		const {model, adapter} = this._metadata;
+		if (model === undefined || adapter === undefined) {
+			return;
+		}
+
+		attempt.sent = sentCalls.add({
+			model,
+			adapter,
+			heldVersion: () =>
+				fleet.server(attempt.server)?.adapterVersion(model, adapter, clock()),
+			recall: () => {
+				if (this._attempt === attempt) {
+					this._recall(attempt);
+				}
+			},
+		});
+	}
+
+	/** Takes the request back from its server. It may have begun there without a sign of it. */
+	private _recall(attempt: Attempt): void {
+		attempt.call?.abort();
+		this._mayHaveRun = true;
+		this._endAttempt('recalled: adapter version outdated');
+		this._retry(badGateway('adapterOutdated'), this._isRepeatable);
+	}
+
 	private _onHeaders(
 		attempt: Attempt,
 		status: number,
@@ -735,6 +769,7 @@
 	private _onData(attempt: Attempt, chunk: Uint8Array): boolean {
 		const now = this._context.clock();
 		this._record.noteBytes(now);
+		attempt.sent?.dispose();
 		this._notePrefill(attempt, now);
 		if (this._eventSplitter === undefined) {
 			return this._write(chunk);
@@ -921,6 +956,7 @@
 
 		this._attempt = undefined;
 		clearTimeout(this._prefillTimer);
+		attempt.sent?.dispose();
 		this._stopPrefillWait(attempt);
 		if (attempt.reservedPromptTokens !== undefined) {
 			this._context.agentClient.releasePrefill(
