--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -8,6 +8,8 @@
 const path = 'platform/dist/platform-path.test.js';
 const fleetView = 'packages/core/dist/placement/fleet-view.test.js';
 const codec = 'platform/dist/call-codec.test.js';
+const versionSchedules =
+	'packages/daemon/dist/direct/adapter-version-schedules.test.js';
 const planner = 'packages/core/dist/orders/order-planner.test.js';
 
 export const mutations = [
@@ -271,10 +273,42 @@
 		rule: 'VERSION',
 		what: 'outdated adapter versions are used without a time limit',
 		file: `${core}/placement/adapter-placement.ts`,
-		from: 'const minVersion = isRequired ? declared.version : 0;',
+		from: 'const minVersion = this._options.minVersion(model, adapter, now);',
 		to: 'const minVersion = 0;',
 		test: fleetView,
 	},
+	{
+		rule: 'VERSION',
+		what: 'a newer version hides the time limits of those before it',
+		file: `${core}/authority/adapter-versions.ts`,
+		from: 'const declared = [...known, {version, since}];',
+		to: 'const declared = [{version, since}];',
+		test: versionSchedules,
+	},
+	{
+		rule: 'VERSION',
+		what: 'the time limit counts from a process start instead of the last proof',
+		file: `${core}/authority/adapter-versions.ts`,
+		from: 'const declared = [...known, {version, since}];',
+		to: 'const declared = [...known, {version, since: Math.max(0, since)}];',
+		test: 'packages/core/dist/authority/authority-view.test.js',
+	},
+	{
+		rule: 'VERSION',
+		what: 'a request is sent without a look at the version that it has to expect',
+		file: `${core}/placement/fleet-view.ts`,
+		from: 'if (minVersion === 0) {',
+		to: 'if (minVersion >= 0) {',
+		test: versionSchedules,
+	},
+	{
+		rule: 'VERSION',
+		what: 'requests are not taken back from servers with an outdated version',
+		file: `${direct}/sent-calls.ts`,
+		from: '				recall();',
+		to: '',
+		test: versionSchedules,
+	},
 	{
 		rule: 'LIMIT',
 		what: 'pending loads do not occupy an adapter slot',
