Take outdated requests back when their time is over by the monotonic clock

What callers saw: a request in a server's queue still began on an old adapter version, in some runs only.

--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -22,6 +22,9 @@
 /** Maximum time between two checks whether this entry has to read a table itself, in milliseconds. */
 export const readDutyCheckMs = 250;
 
+/** Maximum time between two checks whether requests on an outdated adapter version have to be taken back, in milliseconds. */
+export const recallCheckMs = 250;
+
 /** Pause after a failed read by an entry that does not read for its zone, in milliseconds. The reader tries more often. */
 export const relayedReadRetryMs = 2000;
 
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -27,6 +27,7 @@
 	graceMarginMs,
 	membersIntervalMs,
 	membersWaitMs,
+	recallCheckMs,
 	relayedReadRetryMs,
 	serversIntervalMs,
 	staleMembersAgeMs,
@@ -529,6 +530,24 @@
 		this._onAuthorityChange(change, 'store');
 	}
 
+	/** Takes outdated requests back once a version that was declared after `since` ends the use of older ones. */
+	private _scheduleRecall(since: number): void {
+		const untilDueMs =
+			this._bounds.versionMs * versionRecallShare - (clock() - since);
+		if (untilDueMs <= 0) {
+			this._recallOutdated();
+			return;
+		}
+
+		// A timer may end early by the monotonic clock, and the time limit may change.
+		setTimeout(
+			() => {
+				this._scheduleRecall(since);
+			},
+			Math.min(Math.ceil(untilDueMs), recallCheckMs),
+		);
+	}
+
 	/** Takes back requests that wait at servers with an adapter version on which they may no longer begin. */
 	private _recallOutdated(): void {
 		const now = clock();
@@ -562,14 +581,7 @@
 				}),
 				source,
 			});
-			const untilRecallMs =
-				this._bounds.versionMs * versionRecallShare - provenMsAgo;
-			setTimeout(
-				() => {
-					this._recallOutdated();
-				},
-				Math.max(0, untilRecallMs),
-			);
+			this._scheduleRecall(since);
 		}
 
 		if (change.hasNewConfig && inForce !== undefined) {
