Return the units of a request to the customer that they were taken from

What callers saw: an entry ended with an uncaught TypeError, and with it all its requests, when the key of a waiting request was withdrawn on an open route.

Cause: the customer of a request is resolved again after each wait and may be another one, or none; the units were returned to that one.

Evidence: 'does not end its entry if its key is withdrawn on an open route' failed before. Why it works: customer and units are kept together.

--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -94,7 +94,9 @@
 	private _service: string | undefined;
 	private _customer: CustomerRule | undefined;
 	private _body: Uint8Array = new Uint8Array(0);
-	private _reservedUnits = 0;
+	/** Units that were taken from a customer's rate for this request. */
+	private _reserved:
+		{readonly customer: string; readonly units: number} | undefined;
 	private _attempt: Attempt | undefined;
 	private _eventSplitter: EventStreamSplitter | undefined;
 	private _lastEventId: string | undefined;
@@ -198,7 +200,7 @@
 				return;
 			}
 
-			this._reservedUnits = units;
+			this._reserved = {customer: customer.name, units};
 		}
 
 		this._assignServer();
@@ -981,11 +983,9 @@
 			this._context.waitQueue.remove(this._waiter);
 		}
 
-		if (this._reservedUnits > 0 && !this._mayHaveRun) {
-			this._context.peers.returnUnits(
-				this._customer!.name,
-				this._reservedUnits,
-			);
+		if (this._reserved !== undefined && !this._mayHaveRun) {
+			const {customer, units} = this._reserved;
+			this._context.peers.returnUnits(customer, units);
 		}
 
 		this._log(refusal);
