Check the quarantine of a request again where it is sent

Cause: the quarantine was checked when a server was chosen, not after the waits that follow. Evidence: 'for prefill is not sent after it was quarantined' failed before. Why it works: it is checked with the deadline, at the dispatch and when a connection is assigned.

--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -285,25 +285,13 @@
 			return;
 		}
 
-		const refusal = this._authorize();
+		const refusal = this._authorize() ?? this._checkQuarantine();
 		if (refusal !== undefined) {
 			this._fail(refusal);
 			return;
 		}
 
 		const now = this._context.clock();
-		const quarantinedForMs = this._context.suspects.quarantinedForMs(
-			this._fingerprint,
-			now,
-		);
-		if (quarantinedForMs > 0) {
-			this._fail({
-				...unavailable('quarantined'),
-				retryAfterMs: quarantinedForMs,
-			});
-			return;
-		}
-
 		const choice = this._chooseServer(now);
 		if (choice.kind === 'send') {
 			this._startAttempt(choice.server, now);
@@ -576,12 +564,21 @@
 		const limits = {deadlineAt: this._deadlineAt, epoch: this._epoch};
 		const check = checkDispatch(limits, clock(), epoch());
 		if (check === 'allowed') {
-			return undefined;
+			return this._checkQuarantine();
 		}
 
 		return unavailable(check === 'tooLate' ? 'deadline' : 'suspended');
 	}
 
+	/** Returns the refusal of a request that crashed servers, here or at another entry. */
+	private _checkQuarantine(): CallRefusal | undefined {
+		const {suspects, clock} = this._context;
+		const retryAfterMs = suspects.quarantinedForMs(this._fingerprint, clock());
+		return retryAfterMs > 0
+			? {...unavailable('quarantined'), retryAfterMs}
+			: undefined;
+	}
+
 	/** Creates the sink of an attempt. Drops the events of an attempt that is no longer the current one. */
 	private _createSink(attempt: Attempt): UpstreamSink {
 		const isCurrent = () => this._attempt === attempt;
