Leave requests that name an accepted version at their servers

What callers saw: a request for one adapter was cut with 502 adapterOutdated when another adapter got a new version, if its server's agent was silent.

Cause: each recall looks at all adapters, and the version of a server without a fresh report is unknown, which counted as old. A request that expects a version can't begin on another one, whatever its server holds.

Evidence: 'is left alone at a server if it expects the newest version, while another adapter gets a new one' failed before. Why it works: the version that a request names is the one that is judged.

--- a/packages/daemon/src/direct/adapter-version-schedules.test.ts
+++ b/packages/daemon/src/direct/adapter-version-schedules.test.ts
@@ -183,7 +183,8 @@
 		entry.calls.add({
 			model: 'm',
 			adapter: 'a',
-			heldVersion: () =>
+			version: () =>
+				call.expected ??
 				entry.fleet.server(server)?.adapterVersion('m', 'a', now),
 			recall() {
 				call.isEnded = true;
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -646,7 +646,8 @@
 		attempt.sent = sentCalls.add({
 			model,
 			adapter,
-			heldVersion: () =>
+			version: () =>
+				attempt.expectedVersion ??
 				fleet.server(attempt.server)?.adapterVersion(model, adapter, clock()),
 			recall: () => {
 				if (this._attempt === attempt) {
--- a/packages/daemon/src/direct/sent-calls.test.ts
+++ b/packages/daemon/src/direct/sent-calls.test.ts
@@ -5,11 +5,11 @@
 let calls: SentCalls;
 let recalled: string[];
 
-function send(name: string, held: number | undefined) {
+function send(name: string, version: number | undefined) {
 	return calls.add({
 		model: 'm',
 		adapter: 'a',
-		heldVersion: () => held,
+		version: () => version,
 		recall() {
 			recalled.push(name);
 		},
@@ -23,7 +23,7 @@
 	});
 
 	// Guards against a request that waits at a server until its adapter version may no longer be used.
-	it('takes back requests at servers with an older version or an unknown one', () => {
+	it('takes back requests on an older version or an unknown one', () => {
 		send('old', 1);
 		send('current', 2);
 		send('unknown', undefined);
--- a/packages/daemon/src/direct/sent-calls.ts
+++ b/packages/daemon/src/direct/sent-calls.ts
@@ -4,8 +4,8 @@
 export type SentCall = {
 	readonly model: string;
 	readonly adapter: string;
-	/** Returns the version of the adapter that the server is known to hold; undefined if unknown. */
-	readonly heldVersion: () => number | undefined;
+	/** Returns the version that the request expects, or that the server is known to hold; undefined if unknown. */
+	readonly version: () => number | undefined;
 	/** Takes the request back from the server. */
 	readonly recall: () => void;
 };
@@ -31,13 +31,13 @@
 	}
 
 	/**
-	 * Takes back the requests at servers that hold too old a version, or an unknown one.
+	 * Takes back the requests on too old a version, or on an unknown one.
 	 *
 	 * @param minVersion returns the oldest version of an adapter on which requests may begin; 0 if any may
 	 */
 	recallOutdated(minVersion: (model: string, adapter: string) => number): void {
-		for (const {model, adapter, heldVersion, recall} of this._calls) {
-			if ((heldVersion() ?? 0) < minVersion(model, adapter)) {
+		for (const {model, adapter, version, recall} of this._calls) {
+			if ((version() ?? 0) < minVersion(model, adapter)) {
 				recall();
 			}
 		}
