Let a recalled request wait for a share of the time that it has left

What callers saw: a request that was taken back from a server after 4.5 s of its 12 s was answered 502 at once, though a load of the new version took 60 ms.

Cause: a request may wait for an adapter for 30% of its time limit, counted from its arrival, and that was over.

Evidence: 'is served after it was taken back, if it may be repeated and has half of its time left' failed before. Why it works: the share now counts from the recall. Open: the server that it was taken back from counts as tried, so a request without another server is refused.

--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -662,6 +662,8 @@
 		attempt.call?.abort();
 		this._mayHaveRun = true;
 		this._endAttempt('recalled: adapter version outdated');
+		const now = this._context.clock();
+		this._waitDeadlineAt = now + (this._deadlineAt - now) * maxWaitShare;
 		this._retry(badGateway('adapterOutdated'), this._isRepeatable);
 	}
 
