Check the limit on a cold server where a request is sent

Cause: the limit was checked when a server was chosen, and counted choices. Why it works: dispatches are counted too, and checked when a connection is assigned; what is beyond goes elsewhere or waits.

--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -309,6 +309,21 @@
 		});
 	});
 
+	describe('a server that turns cold after requests were assigned to it', () => {
+		// Guards against a limit on a cold server that is checked when the server is chosen, but not when the request is sent.
+		it('gets as many of them per second as it bears', () => {
+			list(record('x', {coldLeftMs: 10_000}));
+			const limit = Math.floor((12 * 1.5 + 5) / 5);
+			for (let i = 0; i < limit; i++) {
+				assert.equal(fleet.mayDispatch('x', 5000), true);
+				fleet.server('x')!.noteDispatched(5000);
+			}
+
+			assert.equal(fleet.mayDispatch('x', 5000), false);
+			assert.equal(fleet.mayDispatch('x', 6001), true);
+		});
+	});
+
 	describe('leaving servers', () => {
 		const plain = {model: undefined, adapter: undefined};
 
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -233,6 +233,16 @@
 		);
 	}
 
+	/** Whether a request may be dispatched to the server now, which it was assigned to some time before. */
+	mayDispatch(id: string, now: number): boolean {
+		const server = this._servers.get(id);
+		return (
+			server !== undefined &&
+			this.isUsable(id, now) &&
+			server.dispatchedWithinSecond(now) < this._coldLimit(server, now)
+		);
+	}
+
 	/** Whether the server may get requests. */
 	isUsable(id: string, now: number): boolean {
 		const server = this._servers.get(id);
@@ -392,22 +402,25 @@
 		return {kind: 'send', server: best.id};
 	}
 
-	/** Whether a server may get another request. A cold server gets at most this entry's share of the limit per second. */
 	private _isWithinColdLimit(server: ServerState, now: number): boolean {
+		return server.sentWithinSecond(now) < this._coldLimit(server, now);
+	}
+
+	/** Maximum requests of this entry per second to a server: its share of the limit of a cold one, or infinity. */
+	private _coldLimit(server: ServerState, now: number): number {
 		const spec = this._options.serviceOf(server.record.service);
 		if (
 			spec === undefined ||
 			spec.coldRequestsPerSecond <= 0 ||
 			!server.isCold(now)
 		) {
-			return true;
+			return Number.POSITIVE_INFINITY;
 		}
 
-		const limit = Math.max(
+		return Math.max(
 			1,
 			Math.floor(this._options.coldBound(spec) / this._options.entryCount()),
 		);
-		return server.sentWithinSecond(now) < limit;
 	}
 
 	private _zoneDistance({record}: ServerState): number {
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -36,6 +36,7 @@
 	private _report: EngineReport | undefined;
 	private _reportedAt = Number.NEGATIVE_INFINITY;
 	private _sentAt: number[] = [];
+	private _dispatchedAt: number[] = [];
 	/** Prompt tokens that this entry reserved since the last report, as of `_unreportedDebtAt`. */
 	private _unreportedDebt = 0;
 	private _unreportedDebtAt = 0;
@@ -169,11 +170,22 @@
 		return now < this._coldUntil;
 	}
 
-	/** Number of requests that this entry sent within the last second. */
+	/** Number of requests that this entry assigned to the server within the last second. */
 	sentWithinSecond(now: number): number {
 		return this._sentAt.filter(at => now - at <= 1000).length;
 	}
 
+	/** Number of requests that this entry dispatched within the last second, after any wait for prefill or a connection. */
+	dispatchedWithinSecond(now: number): number {
+		return this._dispatchedAt.filter(at => now - at <= 1000).length;
+	}
+
+	/** Records that a connection was assigned to a request. */
+	noteDispatched(now: number): void {
+		this._dispatchedAt = this._dispatchedAt.filter(at => now - at <= 1000);
+		this._dispatchedAt.push(now);
+	}
+
 	/** Estimated time until a prompt may be sent to the engine, in milliseconds. */
 	promptDelayMs(now: number, tokens: number = typicalPromptTokens): number {
 		return promptWaitMs(this._promptDebt(now), tokens, this._tokensPerMs);
@@ -282,7 +294,7 @@
 		this._suspectedAt = now;
 	}
 
-	/** Records a request that was sent to the server. */
+	/** Records a request that was assigned to the server. */
 	noteSent(key: string | undefined, now: number): void {
 		this.outstanding++;
 		this._sentAt = this._sentAt.filter(at => now - at <= 1000);
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -586,11 +586,12 @@
 			onSending: () => {
 				const late = this._checkDispatch();
 				const {fleet, clock} = this._context;
-				const isTaken = fleet.isUsable(attempt.server, clock());
+				const isTaken = fleet.mayDispatch(attempt.server, clock());
 				const isVersionAccepted = this._expectsAcceptedVersion(attempt);
 				if (isCurrent() && late === undefined && isTaken && isVersionAccepted) {
 					attempt.isSent = true;
 					attempt.sentAt = this._context.clock();
+					fleet.server(attempt.server)?.noteDispatched(clock());
 					this._watchVersion(attempt);
 					return true;
 				}
