Charge the retry budget only for requests that were sent before

What callers saw: 4 of 14 requests got 503 retryBudget without a second send, when a new adapter version ended the wait of all for a connection at once.

Cause: the budget was charged at the second dispatch, though a request may be turned back when its connection is assigned, before it is sent. A request that expects no version was turned back even where its server holds an accepted one.

Evidence: 'spends no retry budget on sends that never happened' failed before. Why it works: the first dispatch after a send is charged, once for each send; without an expected version, an accepted one at the server is enough.

--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -111,6 +111,10 @@
 	/** Whether some server may have run the request. */
 	private _mayHaveRun = false;
 	private _hasCountedRequest = false;
+	/** Whether some attempt was sent, so that another one is a retry. */
+	private _hasSent = false;
+	/** Whether the retry budget was charged for a send that has not happened yet. */
+	private _hasPaidRetry = false;
 	private _cachedFingerprint: string | undefined;
 	private readonly _attemptedServers = new Set<string>();
 	private readonly _record = CallRecord.create();
@@ -475,7 +479,7 @@
 		return (
 			toExpect.kind === 'any' ||
 			(toExpect.kind === 'exactly' &&
-				attempt.expectedVersion === toExpect.version)
+				(attempt.expectedVersion ?? toExpect.version) === toExpect.version)
 		);
 	}
 
@@ -508,12 +512,17 @@
 		if (!this._hasCountedRequest) {
 			this._hasCountedRequest = true;
 			retryAllowance(service).noteRequest(now);
-		} else if (!retryAllowance(service).tryTake(peers.entryCount, now)) {
+		} else if (
+			this._hasSent &&
+			!this._hasPaidRetry &&
+			!retryAllowance(service).tryTake(peers.entryCount, now)
+		) {
 			this._endAttempt('not sent: retry budget exhausted');
 			this._fail(unavailable('retryBudget'));
 			return;
 		}
 
+		this._hasPaidRetry = this._hasSent;
 		this._record.noteDispatch(now);
 		this._noteAdapterVersions(attempt.server, now);
 		this._attemptedServers.add(attempt.server);
@@ -590,6 +599,8 @@
 				const isVersionAccepted = this._expectsAcceptedVersion(attempt);
 				if (isCurrent() && late === undefined && isTaken && isVersionAccepted) {
 					attempt.isSent = true;
+					this._hasSent = true;
+					this._hasPaidRetry = false;
 					attempt.sentAt = this._context.clock();
 					fleet.server(attempt.server)?.noteDispatched(clock());
 					this._watchVersion(attempt);
