--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -98,7 +98,7 @@
  * Share of the time limit on older adapter versions for which requests are still sent to them. The rest is for the way to
  * the server and the wait there.
  */
-export const versionGraceShare = 0.7;
+export const versionGraceShare = 0.8;
 
 /** Share of that time limit after which requests that have not begun on an older version are taken back from its server. */
 export const versionRecallShare = 0.9;
