A rejected copy of a table is not counted as fetched

What callers see: a server that left, or a new member, may be noticed late by an entry that takes its tables from a peer, as its copy is confirmed as the newest although it is not.

Cause: RelayedTable recorded the revision of a fetched copy before it compared the copy's version with its own. A copy that was rejected as older counted as fetched, so the next announcement of that revision confirmed the entry's own rows as the newest, and the copy was never fetched again.

Evidence: by reading; the new test failed before (confirmed at 300 ms instead of 0).

Why the fix works: only a copy that was applied is recorded. A rejected one is fetched again at the next announcement, until its version has caught up.

--- a/packages/daemon/src/direct/relayed-table.test.ts
+++ b/packages/daemon/src/direct/relayed-table.test.ts
@@ -92,4 +92,24 @@
 		assert.deepEqual(rows, ['a', 'b']);
 		assert.equal(table.confirmedAt, 0);
 	});
+
+	// Regression: a copy that was rejected as older was confirmed as the newest by the next announcement of its revision.
+	it('does not count a rejected copy as fetched, and takes it once its version has caught up', async () => {
+		rows = ['a', 'b'];
+		table.noteRead(9, 0, true);
+		now = 100;
+		table.onAnnouncement(root, {revision: 7, ageMs: 0}, true);
+		await nextTurn();
+		now = 300;
+		table.onAnnouncement(root, {revision: 7, ageMs: 0}, true);
+		assert.equal(table.confirmedAt, 0);
+		await nextTurn();
+		assert.equal(table.confirmedAt, 0);
+		served = {...served, version: 9};
+		now = 500;
+		table.onAnnouncement(root, {revision: 7, ageMs: 0}, true);
+		await nextTurn();
+		assert.deepEqual(rows, ['a']);
+		assert.equal(table.confirmedAt, 450);
+	});
 });
--- a/packages/daemon/src/direct/relayed-table.ts
+++ b/packages/daemon/src/direct/relayed-table.ts
@@ -130,13 +130,13 @@
 			const startedAt = clock();
 			const copy = await fetch(peer.endpoint);
 			const now = clock();
-			this._fetched.set(peer.id, copy.revision);
 			if (copy.outageEndedMsAgo !== undefined) {
 				this._outageEndedAt = now - copy.outageEndedMsAgo;
 			}
 
 			if (copy.version >= this._version) {
 				this._version = copy.version;
+				this._fetched.set(peer.id, copy.revision);
 				const hasChanged = apply(copy, now);
 				this._confirm(startedAt - copy.ageMs);
 				if (hasChanged) {
