--- a/packages/core/src/authority/authority-view.test.ts
+++ b/packages/core/src/authority/authority-view.test.ts
@@ -31,7 +31,7 @@
 		it('keeps the configuration when a full read lacks it', () => {
 			const view = AuthorityView.create();
 			view.apply([configRow(5, 3)], 0);
-			view.applyAll([], 9, 1);
+			view.applyAll([], {era: 0, version: 9}, 1);
 			assert.equal(view.inForce?.config.version, 3);
 			assert.equal(view.rows().length, 1);
 		});
@@ -39,7 +39,7 @@
 		it('keeps a statement that is newer than a full read', () => {
 			const view = AuthorityView.create();
 			view.apply([zoneOut(8)], 0);
-			view.applyAll([], 7, 1);
+			view.applyAll([], {era: 0, version: 7}, 1);
 			assert.equal(view.isZoneOut('z1'), true);
 		});
 
@@ -75,7 +75,87 @@
 		it('are dropped by a full read that lacks them', () => {
 			const view = AuthorityView.create();
 			view.apply([zoneOut(2)], 0);
-			view.applyAll([], 3, 1);
+			view.applyAll([], {era: 0, version: 3}, 1);
+			assert.equal(view.isZoneOut('z1'), false);
+		});
+	});
+
+	describe('when the store came back from a copy', () => {
+		const declare = (
+			rowVersion: number,
+			version: number,
+			era: number,
+		): AuthorityRow => ({
+			key: 'v',
+			rowVersion,
+			era,
+			statement: {type: 'adapterVersion', model: 'm', adapter: 'a', version},
+		});
+
+		// Guards against row versions that are compared across eras: the statement was ignored (VERSION, CONFIG).
+		it('takes statements of the new era whose versions are not above those seen before', () => {
+			const view = AuthorityView.create();
+			view.apply([configRow(5, 3), declare(9, 4, 0)], 0);
+			view.beginEra([], 1, 1);
+			view.apply([{...configRow(5, 4), era: 1}, declare(2, 5, 1)], 2);
+			assert.equal(view.inForce?.config.version, 4);
+			assert.equal(view.declaredVersion('m', 'a')?.version, 5);
+			assert.deepEqual(view.version, {era: 1, version: 5});
+		});
+
+		it('keeps all statements at first, also those that the store has lost', () => {
+			const view = AuthorityView.create();
+			view.apply([configRow(5, 3), declare(6, 4, 0), zoneOut(7)], 0);
+			view.beginEra([{...configRow(2, 2), era: 1}], 1, 1);
+			assert.equal(view.inForce?.config.version, 3);
+			assert.equal(view.declaredVersion('m', 'a')?.version, 4);
+			assert.equal(view.isZoneOut('z1'), true);
+		});
+
+		it('passes no lower configuration on to peers', () => {
+			const view = AuthorityView.create();
+			view.apply([configRow(5, 3)], 0);
+			view.beginEra([{...configRow(2, 2), era: 1}], 1, 1);
+			const peer = AuthorityView.create();
+			peer.apply(view.rows(), 2);
+			assert.equal(peer.inForce?.config.version, 3);
+		});
+
+		it('drops a zone that is out when a full read of the settled era lacks it, and keeps the versions', () => {
+			const view = AuthorityView.create();
+			view.apply([configRow(5, 3), declare(6, 4, 0), zoneOut(7)], 0);
+			view.beginEra([], 1, 1);
+			view.applyAll([], {era: 1, version: 3}, 2);
+			assert.equal(view.isZoneOut('z1'), false);
+			assert.equal(view.inForce?.config.version, 3);
+			assert.equal(view.declaredVersion('m', 'a')?.version, 4);
+		});
+
+		it('lets a peer that only gets the rows follow, whatever it knew of the earlier era', () => {
+			const reader = AuthorityView.create();
+			const peer = AuthorityView.create();
+			peer.apply([configRow(5, 3), zoneOut(7)], 0);
+			reader.beginEra([], 1, 1);
+			peer.apply(reader.rows(), 2);
+			assert.deepEqual(peer.version, reader.version);
+			assert.equal(peer.isZoneOut('z1'), true);
+			reader.applyAll([], {era: 1, version: 3}, 3);
+			peer.apply(reader.rows(), 4);
+			assert.deepEqual(peer.version, {era: 1, version: 3});
+			assert.equal(peer.isZoneOut('z1'), false);
+			peer.apply([zoneOut(7)], 5);
+			assert.equal(peer.isZoneOut('z1'), false);
+		});
+
+		it('does not go back to rows of the earlier era', () => {
+			const view = AuthorityView.create();
+			view.beginEra([{...configRow(2, 2), era: 1}], 1, 1);
+			view.apply([zoneOut(8)], 2);
+			view.apply(
+				[{key: 'zone', rowVersion: 3, era: 1, statement: {type: 'withdrawn'}}],
+				3,
+			);
+			view.apply([zoneOut(9)], 4);
 			assert.equal(view.isZoneOut('z1'), false);
 		});
 	});
--- a/packages/core/src/authority/authority-view.ts
+++ b/packages/core/src/authority/authority-view.ts
@@ -1,6 +1,18 @@
 import {KeyDirectory} from './key-directory.js';
 import {RouteTable} from './route-table.js';
-import type {AuthorityConfig, AuthorityRow, ServiceSpec} from './types.js';
+import {
+	compareStoreVersions,
+	initialStoreVersion,
+	newerStoreVersion,
+	versionOfRow,
+	type StoreVersion,
+} from './store-version.js';
+import type {
+	AuthorityConfig,
+	AuthorityRow,
+	AuthorityStatement,
+	ServiceSpec,
+} from './types.js';
 
 /** Changes made by `AuthorityView.apply`. */
 export type AuthorityChange = {
@@ -22,9 +34,12 @@
 	readonly learnedAt: number;
 };
 
+/** Key of the row that begins an era. No row of the authority has it. */
+const eraKey = '';
+
 /**
- * This process's view of the authority's statements. Versions only increase: a row is replaced only by a newer row, and
- * the configuration and adapter versions only by higher versions.
+ * This process's view of the authority's statements. Versions only increase: a row is replaced only by a newer row, by the
+ * store's era and then by its version, and the configuration and adapter versions only by higher versions.
  */
 export class AuthorityView {
 	static create(): AuthorityView {
@@ -35,12 +50,14 @@
 	private readonly _zonesOut = new Set<string>();
 	private readonly _declared = new Map<string, DeclaredVersion>();
 	private _inForce: ConfigInForce | undefined;
-	private _version = 0;
+	private _version = initialStoreVersion;
+	/** Statements that were only read in earlier eras no longer count. */
+	private _settledEra = 0;
 
 	private constructor() {}
 
-	/** Highest row version among the statements, 0 before the first. */
-	get version(): number {
+	/** Highest version among the rows. */
+	get version(): StoreVersion {
 		return this._version;
 	}
 
@@ -67,7 +84,14 @@
 		const before = this._inForce;
 		let hasChanged = false;
 		for (const row of rows) {
-			if (row.rowVersion > (this._rows.get(row.key)?.rowVersion ?? 0)) {
+			const known = this._rows.get(row.key);
+			if (
+				compareStoreVersions(
+					versionOfRow(row),
+					known === undefined ? initialStoreVersion : versionOfRow(known),
+				) > 0 &&
+				!this._isOutdated(row)
+			) {
 				this._replace(row, now);
 				hasChanged = true;
 			}
@@ -76,34 +100,61 @@
 		return {hasChanged, hasNewConfig: before !== this._inForce};
 	}
 
+	/**
+	 * Applies all rows at the begin of an era. Rows that are missing still count, as the authority writes again what the
+	 * store has lost.
+	 */
+	beginEra(
+		rows: readonly AuthorityRow[],
+		era: number,
+		now: number,
+	): AuthorityChange {
+		return this.apply([eraRow({era, version: 0}, false), ...rows], now);
+	}
+
 	/** Applies all rows as of one store version. Older rows that are missing count as withdrawn. */
 	applyAll(
 		rows: readonly AuthorityRow[],
-		storeVersion: number,
+		storeVersion: StoreVersion,
 		now: number,
 	): AuthorityChange {
 		const keys = new Set(rows.map(({key}) => key));
+		const {era, version} = storeVersion;
 		const withdrawn = this.rows()
 			.filter(
-				({key, rowVersion}) => !keys.has(key) && rowVersion < storeVersion,
+				row =>
+					row.statement.type !== 'era' &&
+					!keys.has(row.key) &&
+					compareStoreVersions(versionOfRow(row), storeVersion) < 0,
 			)
 			.map(({key}): AuthorityRow => ({
 				key,
-				rowVersion: storeVersion,
+				rowVersion: version,
+				...(era > 0 && {era}),
 				statement: {type: 'withdrawn'},
 			}));
-		return this.apply([...withdrawn, ...rows], now);
+		const settled = era > this._settledEra ? [eraRow(storeVersion, true)] : [];
+		return this.apply([...withdrawn, ...rows, ...settled], now);
+	}
+
+	/** Whether a row is of an earlier era than the settled one, and not a statement that only rises. */
+	private _isOutdated({era = 0, statement}: AuthorityRow): boolean {
+		return (
+			era < this._settledEra &&
+			statement.type !== 'config' &&
+			statement.type !== 'adapterVersion'
+		);
 	}
 
 	private _replace(row: AuthorityRow, now: number): void {
 		const before = this._rows.get(row.key)?.statement;
-		this._version = Math.max(this._version, row.rowVersion);
+		this._version = newerStoreVersion(this._version, versionOfRow(row));
 		if (row.statement.type === 'withdrawn' && before?.type === 'config') {
 			// A configuration is only replaced, never withdrawn.
 			return;
 		}
 
-		this._rows.set(row.key, row);
+		this._rows.set(row.key, withNewestConfig(row, before));
 		if (before?.type === 'zoneOut') {
 			this._zonesOut.delete(before.zone);
 		}
@@ -125,12 +176,33 @@
 				break;
 			}
 
+			case 'era': {
+				if (statement.isSettled) {
+					this._settle(row.era ?? 0);
+				}
+
+				break;
+			}
+
 			case 'withdrawn': {
 				break;
 			}
 		}
 	}
 
+	/** Drops the statements that were only read in earlier eras. */
+	private _settle(era: number): void {
+		this._settledEra = era;
+		for (const row of this._rows.values()) {
+			if (this._isOutdated(row)) {
+				this._rows.delete(row.key);
+				if (row.statement.type === 'zoneOut') {
+					this._zonesOut.delete(row.statement.zone);
+				}
+			}
+		}
+	}
+
 	private _setConfig(config: AuthorityConfig): void {
 		if (config.version > (this._inForce?.config.version ?? -1)) {
 			this._inForce = {
@@ -160,3 +232,28 @@
 export function adapterKey(model: string, adapter: string): string {
 	return `${model}/${adapter}`;
 }
+
+function eraRow(
+	{era, version}: StoreVersion,
+	isSettled: boolean,
+): AuthorityRow {
+	return {
+		key: eraKey,
+		rowVersion: version,
+		era,
+		statement: {type: 'era', isSettled},
+	};
+}
+
+/** Returns the row with the higher configuration, so that peers never get a lower one than this process has. */
+function withNewestConfig(
+	row: AuthorityRow,
+	before: AuthorityStatement | undefined,
+): AuthorityRow {
+	const {statement} = row;
+	return statement.type === 'config' &&
+		before?.type === 'config' &&
+		before.config.version > statement.config.version
+		? {...row, statement: before}
+		: row;
+}
--- a/packages/core/src/authority/types.ts
+++ b/packages/core/src/authority/types.ts
@@ -103,6 +103,11 @@
 			readonly adapter: string;
 			readonly version: number;
 	  }
+	/**
+	 * Not of the authority: begins an era of the store. Once the era is settled, statements that were only read in earlier
+	 * eras no longer count.
+	 */
+	| {readonly type: 'era'; readonly isSettled: boolean}
 	/** Replaces a statement that the authority withdrew. */
 	| {readonly type: 'withdrawn'};
 
@@ -110,5 +115,7 @@
 export type AuthorityRow = {
 	readonly key: string;
 	readonly rowVersion: number;
+	/** Era of the store in which the row was read. 0 if absent. */
+	readonly era?: number;
 	readonly statement: AuthorityStatement;
 };
--- a/packages/core/src/freshness/freshness-lease.ts
+++ b/packages/core/src/freshness/freshness-lease.ts
@@ -12,6 +12,7 @@
 
 	private _provenAt = Number.NEGATIVE_INFINITY;
 	private _epoch = 0;
+	private _era = 0;
 
 	private constructor(private readonly _boundMs: () => number | undefined) {}
 
@@ -20,13 +21,25 @@
 		return this._provenAt;
 	}
 
+	/** Time of the newest proof if it applies to the era of the store; negative infinity otherwise. */
+	provenAtIn(era: number): number {
+		return era === this._era ? this._provenAt : Number.NEGATIVE_INFINITY;
+	}
+
 	/**
-	 * Renews the lease, unless the proof is older than the current one or from another epoch.
+	 * Renews the lease, unless the proof is older than the current one, from another epoch or from an earlier era. A proof
+	 * from a newer era replaces those of earlier eras, which prove nothing about it.
 	 *
 	 * @param epoch epoch of the `SuspensionDetector` at the time of the proof
+	 * @param era era of the store to which the proof applies
 	 */
-	prove(provenAt: number, epoch: number): void {
-		if (epoch === this._epoch && provenAt > this._provenAt) {
+	prove(provenAt: number, epoch: number, era: number): void {
+		if (epoch !== this._epoch || era < this._era) {
+			return;
+		}
+
+		if (era > this._era || provenAt > this._provenAt) {
+			this._era = era;
 			this._provenAt = provenAt;
 		}
 	}
--- a/packages/core/src/freshness/freshness.test.ts
+++ b/packages/core/src/freshness/freshness.test.ts
@@ -8,7 +8,7 @@
 	it('expires before the time limit by the margin', () => {
 		const lease = FreshnessLease.create(() => 5000);
 		assert.equal(lease.isFresh(0), false);
-		lease.prove(100, 0);
+		lease.prove(100, 0, 0);
 		assert.equal(lease.isFresh(100 + 5000 - freshnessMarginMs - 1), true);
 		assert.equal(lease.isFresh(100 + 5000 - freshnessMarginMs), false);
 	});
@@ -16,7 +16,7 @@
 	it('applies a changed time limit at once, and never expires without one', () => {
 		let boundMs: number | undefined = 5000;
 		const lease = FreshnessLease.create(() => boundMs);
-		lease.prove(0, 0);
+		lease.prove(0, 0, 0);
 		boundMs = 2000;
 		assert.equal(lease.isFresh(2000), false);
 		boundMs = undefined;
@@ -25,21 +25,33 @@
 
 	it('ignores an older proof', () => {
 		const lease = FreshnessLease.create(() => 5000);
-		lease.prove(200, 0);
-		lease.prove(100, 0);
+		lease.prove(200, 0, 0);
+		lease.prove(100, 0, 0);
 		assert.equal(lease.provenAt, 200);
 	});
 
 	it('drops proofs from before a suspension, including late ones', () => {
 		const lease = FreshnessLease.create(() => 5000);
-		lease.prove(100, 0);
+		lease.prove(100, 0, 0);
 		lease.invalidate(1);
 		assert.equal(lease.isFresh(101), false);
-		lease.prove(102, 0);
+		lease.prove(102, 0, 0);
 		assert.equal(lease.isFresh(103), false);
-		lease.prove(104, 1);
+		lease.prove(104, 1, 0);
 		assert.equal(lease.isFresh(105), true);
 	});
+
+	// Guards against a proof that is kept over an era of the store.
+	it('is dated by proofs of the newest era only, though they are older', () => {
+		const lease = FreshnessLease.create(() => 5000);
+		lease.prove(200, 0, 0);
+		assert.equal(lease.provenAtIn(0), 200);
+		lease.prove(150, 0, 1);
+		assert.equal(lease.provenAt, 150);
+		assert.equal(lease.provenAtIn(0), Number.NEGATIVE_INFINITY);
+		lease.prove(300, 0, 0);
+		assert.equal(lease.provenAt, 150);
+	});
 });
 
 describe('maxProofWaitMs', () => {
@@ -47,7 +59,7 @@
 		for (const boundMs of [3000, 5000, 8000]) {
 			const lease = FreshnessLease.create(() => boundMs);
 			const readMs = maxProofWaitMs(boundMs, 900) + 900;
-			lease.prove(0, 0);
+			lease.prove(0, 0, 0);
 			assert.equal(lease.isFresh(2 * readMs - 1), true);
 		}
 
--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
 import type {DeclaredVersion} from '../authority/authority-view.js';
+import {eraGraceMs} from '../authority/constants.js';
 import type {ServiceSpec} from '../authority/types.js';
 import {
 	postOutageWindowMs,
@@ -76,6 +77,20 @@
 let zonesOut: Set<string>;
 let declared: DeclaredVersion | undefined;
 
+function createFleet(): FleetView {
+	return FleetView.create({
+		zone: 'z1',
+		isZoneOut: zone => zonesOut.has(zone),
+		declaredVersion: () => declared,
+		serviceOf: name => (name === 's' ? spec : undefined),
+		coldBound: ({coldRequestsPerSecond}) => coldRequestsPerSecond * 1.5 + 5,
+		entryCount: () => 5,
+		onNewWant(server) {
+			wanted.push(server);
+		},
+	});
+}
+
 function list(...records: readonly ServerRecord[]): void {
 	fleet.apply(
 		records.map(item => ({id: item.id, rowVersion: 1, record: item})),
@@ -96,17 +111,7 @@
 		wanted = [];
 		zonesOut = new Set();
 		declared = undefined;
-		fleet = FleetView.create({
-			zone: 'z1',
-			isZoneOut: zone => zonesOut.has(zone),
-			declaredVersion: () => declared,
-			serviceOf: name => (name === 's' ? spec : undefined),
-			coldBound: ({coldRequestsPerSecond}) => coldRequestsPerSecond * 1.5 + 5,
-			entryCount: () => 5,
-			onNewWant(server) {
-				wanted.push(server);
-			},
-		});
+		fleet = createFleet();
 	});
 
 	describe('adapters', () => {
@@ -329,6 +334,75 @@
 		});
 	});
 
+	describe('when the store came back from a copy', () => {
+		const plain = {model: undefined, adapter: undefined};
+		const change = (
+			rowVersion: number,
+			era: number,
+			changes: Partial<ServerRecord> = {},
+			id = 'x',
+		) => ({id, rowVersion, era, record: record(id, changes)});
+
+		// Guards against row versions that are compared across eras: the server stayed in use (DRAIN).
+		it('takes rows of the new era whose versions are not above those seen before', () => {
+			fleet.apply([change(9, 0)], 0);
+			fleet.noteEra(1);
+			fleet.applyAll([change(3, 1)], {era: 1, version: 3}, 1);
+			fleet.apply([change(5, 1, {isDraining: true})], 2);
+			assert.equal(chosen(plain, 2), 'noServer');
+			assert.deepEqual(
+				fleet.listedRows().map(({rowVersion, era}) => ({rowVersion, era})),
+				[{rowVersion: 5, era: 1}],
+			);
+		});
+
+		it('keeps a server for a grace period whose row the store has lost, and takes it when it is written again', () => {
+			fleet.apply([change(9, 0)], 0);
+			fleet.noteEra(1);
+			fleet.applyAll([], {era: 1, version: 3}, 1);
+			assert.equal(chosen(plain, vanishedGraceMs), 'x');
+			assert.equal(chosen(plain, 1 + vanishedGraceMs), 'noServer');
+			fleet.applyAll([change(4, 1)], {era: 1, version: 4}, 2000);
+			assert.equal(chosen(plain, 2000), 'x');
+		});
+
+		it('keeps a server whose row was lost twice in series', () => {
+			fleet.apply([change(9, 0)], 0);
+			fleet.noteEra(1);
+			fleet.applyAll([], {era: 1, version: 3}, 1);
+			fleet.noteEra(500);
+			fleet.applyAll([change(2, 2)], {era: 2, version: 2}, 500);
+			assert.equal(chosen(plain, 500), 'x');
+		});
+
+		// Guards against a row from before a server left that comes back with the copy (DRAIN).
+		it('does not use a server that has left by a row of the copy, until the row is written again or the era is settled', () => {
+			for (const exit of [
+				change(9, 0, {isDraining: true}),
+				{id: 'x', rowVersion: 9, record: undefined},
+				change(9, 0, {address: 'x'}, 'successor'),
+			]) {
+				fleet = createFleet();
+				fleet.apply([change(4, 0)], 0);
+				fleet.apply([exit], 1);
+				fleet.noteEra(2);
+				fleet.applyAll([change(4, 1)], {era: 1, version: 4}, 2);
+				assert.notEqual(chosen(plain, 3), 'x');
+				fleet.apply([change(5, 1)], 3);
+				assert.equal(chosen(plain, 3), 'x');
+			}
+
+			fleet = createFleet();
+			fleet.apply([change(9, 0, {isDraining: true})], 1);
+			fleet.noteEra(2);
+			const settledAt = 2 + eraGraceMs;
+			fleet.applyAll([change(4, 1)], {era: 1, version: 4}, settledAt - 1);
+			assert.equal(chosen(plain, settledAt), 'noServer');
+			fleet.applyAll([change(4, 1)], {era: 1, version: 4}, settledAt);
+			assert.equal(chosen(plain, settledAt), 'x');
+		});
+	});
+
 	describe('cold servers', () => {
 		it('get at most the cold limit per second from all entries together', () => {
 			list(record('x', {coldLeftMs: 5000}));
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -1,4 +1,11 @@
 import type {DeclaredVersion} from '../authority/authority-view.js';
+import {eraGraceMs} from '../authority/constants.js';
+import {
+	compareStoreVersions,
+	initialStoreVersion,
+	versionOfRow,
+	type StoreVersion,
+} from '../authority/store-version.js';
 import type {ServiceSpec} from '../authority/types.js';
 import {AdapterPlacement, type AdapterNeed} from './adapter-placement.js';
 import {
@@ -49,16 +56,19 @@
 	}
 
 	private readonly _servers = new Map<string, ServerState>();
-	private readonly _rowVersions = new Map<string, number>();
+	private readonly _rowVersions = new Map<string, StoreVersion>();
 	/** Server that caches each session's prompt, least recently used session first. */
 	private readonly _sessions = new Map<string, string>();
-	/** Most recently listed server of each address, with its row version. An address has one server at a time. */
+	/** Most recently listed server of each address, with the version of its row. An address has one server at a time. */
 	private readonly _currentServers = new Map<
 		string,
-		{readonly id: string; readonly rowVersion: number}
+		{readonly id: string; readonly version: StoreVersion}
 	>();
 
+	/** Servers that were listed when the store lost their rows by going back. */
+	private readonly _lostByStore = new Set<string>();
 	private _outageEndedAt = Number.NEGATIVE_INFINITY;
+	private _eraSettledAt = Number.NEGATIVE_INFINITY;
 	private readonly _placement: AdapterPlacement;
 
 	private constructor(private readonly _options: FleetViewOptions) {
@@ -78,11 +88,16 @@
 	listedRows(): readonly ServerChange[] {
 		return [...this._servers.values()]
 			.filter(({vanishedAt}) => vanishedAt === undefined)
-			.map(({record}) => ({
-				id: record.id,
-				rowVersion: this._rowVersions.get(record.id) ?? 0,
-				record,
-			}));
+			.map(({record}) => {
+				const {era, version} =
+					this._rowVersions.get(record.id) ?? initialStoreVersion;
+				return {
+					id: record.id,
+					rowVersion: version,
+					...(era > 0 && {era}),
+					record,
+				};
+			});
 	}
 
 	/**
@@ -106,19 +121,23 @@
 
 	/** Applies changes of the platform's list. Rows that are not newer than the known ones are ignored. */
 	apply(changes: readonly ServerChange[], now: number): void {
-		for (const {id, rowVersion, record} of changes) {
-			if (rowVersion <= (this._rowVersions.get(id) ?? 0)) {
+		for (const change of changes) {
+			const {id, record} = change;
+			const version = versionOfRow(change);
+			const known = this._rowVersions.get(id) ?? initialStoreVersion;
+			if (compareStoreVersions(version, known) <= 0) {
 				continue;
 			}
 
-			this._rowVersions.set(id, rowVersion);
+			this._rowVersions.set(id, version);
+			this._lostByStore.delete(id);
 			const server = this._servers.get(id);
 			if (record === undefined) {
 				this._markVanished(server, now);
 				continue;
 			}
 
-			this._noteCurrentServer(record, rowVersion);
+			this._noteCurrentServer(record, version);
 			if (server === undefined) {
 				this._servers.set(id, ServerState.create(record, now));
 			} else {
@@ -130,14 +149,37 @@
 	/** Replaces the whole list. Its rows are as of one store version. */
 	applyAll(
 		changes: readonly ServerChange[],
-		storeVersion: number,
+		{era, version}: StoreVersion,
 		now: number,
 	): void {
 		const listed = new Set(changes.map(({id}) => id));
 		const removed = [...this._servers.keys()]
 			.filter(id => !listed.has(id))
-			.map(id => ({id, rowVersion: storeVersion, record: undefined}));
-		this.apply([...removed, ...changes], now);
+			.map(id => ({
+				id,
+				rowVersion: version,
+				...(era > 0 && {era}),
+				record: undefined,
+			}));
+		const current = changes.filter(
+			change => !this._isFromBeforeExit(change, now),
+		);
+		const lost =
+			now < this._eraSettledAt
+				? removed.filter(
+						({id}) => this._servers.get(id)?.vanishedAt === undefined,
+					)
+				: [];
+		this.apply([...removed, ...current], now);
+		for (const {id} of lost) {
+			this._lostByStore.add(id);
+		}
+	}
+
+	/** Notes that the store came back from a copy. It may have lost servers, and list some that have left. */
+	noteEra(now: number): void {
+		this._eraSettledAt = now + eraGraceMs;
+		this.noteOutageEnd(now);
 	}
 
 	/** Notes that the store answers again. It may have dropped servers during the outage that are still alive. */
@@ -241,13 +283,43 @@
 		);
 	}
 
+	/**
+	 * Whether a row of a whole list may be older than the exit of its server, which this entry read in an earlier era: the
+	 * store has lost the exit, and the server may not have written it again yet.
+	 */
+	private _isFromBeforeExit(change: ServerChange, now: number): boolean {
+		const {id, era = 0, record} = change;
+		const known = this._rowVersions.get(id);
+		if (
+			known === undefined ||
+			known.era >= era ||
+			record === undefined ||
+			record.isDraining ||
+			now >= this._eraSettledAt ||
+			this._lostByStore.has(id)
+		) {
+			return false;
+		}
+
+		const server = this._servers.get(id);
+		const hasExited =
+			server === undefined ||
+			server.vanishedAt !== undefined ||
+			server.record.isDraining ||
+			this.isReplaced(server);
+		return hasExited && !isNewerStart(record, server?.record);
+	}
+
 	private _noteCurrentServer(
 		{id, address}: ServerRecord,
-		rowVersion: number,
+		version: StoreVersion,
 	): void {
 		const current = this._currentServers.get(address);
-		if (current === undefined || rowVersion > current.rowVersion) {
-			this._currentServers.set(address, {id, rowVersion});
+		if (
+			current === undefined ||
+			compareStoreVersions(version, current.version) > 0
+		) {
+			this._currentServers.set(address, {id, version});
 		}
 	}
 
@@ -257,7 +329,8 @@
 		}
 
 		const {id, address} = server.record;
-		if (this._currentServers.get(address)?.id === id) {
+		const isCurrent = this._currentServers.get(address)?.id === id;
+		if (isCurrent && now >= this._eraSettledAt) {
 			this._currentServers.delete(address);
 		}
 
@@ -401,3 +474,11 @@
 		? 0
 		: Math.min(...servers.map(server => server.suspendedForMs(now)));
 }
+
+/** Whether a record is of a later start of the server than the known one, by its own account. */
+function isNewerStart(
+	{born = 0}: ServerRecord,
+	known: ServerRecord | undefined,
+): boolean {
+	return known !== undefined && born > (known.born ?? born);
+}
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -31,6 +31,8 @@
 export type ServerChange = {
 	readonly id: string;
 	readonly rowVersion: number;
+	/** Era of the store in which the row was read. 0 if absent. */
+	readonly era?: number;
 	readonly record: ServerRecord | undefined;
 };
 
--- a/packages/daemon/src/direct/agent-client.test.ts
+++ b/packages/daemon/src/direct/agent-client.test.ts
@@ -73,7 +73,11 @@
 			coldLeftMs: 0,
 			models: [],
 		};
-		fleet.applyAll([{id: 's', rowVersion: 1, record}], 1, now);
+		fleet.applyAll(
+			[{id: 's', rowVersion: 1, record}],
+			{era: 0, version: 1},
+			now,
+		);
 		client = AgentClient.create({
 			fleet,
 			clock: () => now,
--- a/packages/daemon/src/direct/entry-peers.test.ts
+++ b/packages/daemon/src/direct/entry-peers.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
-import {QuotaLedger, type CustomerRule} from '@balsamtray/core';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {
+	QuotaLedger,
+	type CustomerRule,
+	type StoreVersion,
+} from '@balsamtray/core';
 import type {EntryHeartbeat, GossipMessage} from '@balsamtray/protocol';
 import {peerTimeoutMs} from './constants.js';
 import {EntryPeers} from './entry-peers.js';
@@ -30,6 +35,12 @@
 let now: number;
 let sent: Array<{readonly message: GossipMessage; readonly to: string}>;
 
+let known: StoreVersion;
+let served: StoreVersion;
+let heardEra: number;
+let fetches: string[];
+let proofs: Array<{readonly provenAt: number; readonly era: number}>;
+
 function createPeers(hostId: string): EntryPeers {
 	return EntryPeers.create({
 		hostId,
@@ -45,16 +56,27 @@
 		send(message, {host}) {
 			sent.push({message, to: host});
 		},
-		authorityVersion: () => 0,
+		authorityVersion: () => known,
+		storeEra: () => Math.max(known.era, heardEra),
+		onEra(era) {
+			heardEra = Math.max(heardEra, era);
+		},
 		isServing: () => true,
 		provenAt: () => 0,
 		customers: () => customers.map(({name}) => name),
 		tables: () => ({}),
 		onTables: () => undefined,
 		onRootChanged: () => undefined,
-		onProof: () => undefined,
-		fetchStatements: async () => [],
-		onStatements: () => undefined,
+		onProof(provenAt, _epoch, era) {
+			proofs.push({provenAt, era});
+		},
+		async fetchStatements({host}) {
+			fetches.push(host);
+			return [];
+		},
+		onStatements() {
+			known = served;
+		},
 		onQueryEnded: () => undefined,
 		onLost: () => undefined,
 		onRegained: () => undefined,
@@ -70,6 +92,11 @@
 	beforeEach(() => {
 		now = 0;
 		sent = [];
+		known = {era: 0, version: 0};
+		served = known;
+		heardEra = 0;
+		fetches = [];
+		proofs = [];
 	});
 
 	describe('entries that start concurrently', () => {
@@ -132,4 +159,60 @@
 			assert.equal(peers.entryCount, 1);
 		});
 	});
+
+	describe('proofs of freshness from peers', () => {
+		const heartbeat = {
+			...heartbeatOf('b'),
+			echo: {sentAt: 100, heldForMs: 10},
+			proofAgeMs: 30,
+		};
+
+		it('count if the peer knows nothing newer', async () => {
+			const peers = createPeers('a');
+			known = {era: 1, version: 5};
+			peers.onHeartbeat(
+				{...heartbeat, authorityEra: 1, authorityVersion: 5},
+				endpointOf('b'),
+			);
+			assert.deepEqual(proofs, [{provenAt: 80, era: 1}]);
+		});
+
+		// Guards against a proof that is kept over an era.
+		it('of an earlier era do not count, though its versions are higher', async () => {
+			const peers = createPeers('a');
+			known = {era: 1, version: 5};
+			peers.onHeartbeat({...heartbeat, authorityVersion: 9}, endpointOf('b'));
+			await nextTurn();
+			assert.deepEqual(proofs, []);
+			assert.deepEqual(fetches, []);
+		});
+
+		it('of an earlier era do not count once a peer has told of a newer one', async () => {
+			const peers = createPeers('a');
+			served = {era: 0, version: 9};
+			known = served;
+			peers.onHeartbeat(
+				{...heartbeatOf('c'), authorityEra: 1, authorityVersion: 2},
+				endpointOf('c'),
+			);
+			peers.onHeartbeat({...heartbeat, authorityVersion: 9}, endpointOf('b'));
+			await nextTurn();
+			assert.deepEqual(proofs, []);
+		});
+
+		// Guards against row versions that are compared across eras.
+		it('of a newer era let the statements be fetched, and count once these are known', async () => {
+			const peers = createPeers('a');
+			known = {era: 0, version: 9};
+			served = {era: 1, version: 2};
+			peers.onHeartbeat(
+				{...heartbeat, authorityEra: 1, authorityVersion: 2},
+				endpointOf('b'),
+			);
+			assert.deepEqual(proofs, []);
+			await nextTurn();
+			assert.deepEqual(fetches, ['b']);
+			assert.deepEqual(proofs, [{provenAt: 80, era: 1}]);
+		});
+	});
 });
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -1,9 +1,11 @@
 import {
+	compareStoreVersions,
 	EntryTopology,
 	type AuthorityRow,
 	type CustomerRule,
 	type QuotaGrant,
 	type QuotaLedger,
+	type StoreVersion,
 } from '@balsamtray/core';
 import type {
 	EntryHeartbeat,
@@ -34,7 +36,12 @@
 	readonly epoch: () => number;
 	readonly ledger: QuotaLedger;
 	readonly send: (message: GossipMessage, to: Endpoint) => void;
-	readonly authorityVersion: () => number;
+	/** Newest version among this entry's authority statements. */
+	readonly authorityVersion: () => StoreVersion;
+	/** Newest known era of the store. */
+	readonly storeEra: () => number;
+	/** Called with the era of each heartbeat. */
+	readonly onEra: (era: number, from: string) => void;
 	readonly provenAt: () => number;
 	/** Whether this entry accepts requests and is not stopping. */
 	readonly isServing: () => boolean;
@@ -51,8 +58,8 @@
 		heartbeat: EntryHeartbeat,
 		isParent: boolean,
 	) => void;
-	/** Called when a peer proves that this entry's authority statements were the newest at `provenAt`. */
-	readonly onProof: (provenAt: number, epoch: number) => void;
+	/** Called when a peer proves that this entry's authority statements were the newest of an era at `provenAt`. */
+	readonly onProof: (provenAt: number, epoch: number, era: number) => void;
 	readonly fetchStatements: (
 		from: Endpoint,
 	) => Promise<readonly AuthorityRow[]>;
@@ -535,6 +542,7 @@
 	): void {
 		const {ledger, send, hostId, zone, authorityVersion, provenAt} =
 			this._options;
+		const {era: authorityEra, version} = authorityVersion();
 		const {lastHeartbeat, endpoint} = peer;
 		const proofAgeMs = now - provenAt();
 		const zoneLost =
@@ -550,7 +558,8 @@
 				zone,
 				isLink,
 				sentAt: roundMs(now),
-				authorityVersion: authorityVersion(),
+				authorityVersion: version,
+				...(authorityEra > 0 && {authorityEra}),
 				isServing: this._options.isServing(),
 				levels: ledger
 					.levels(now)
@@ -574,42 +583,63 @@
 		);
 	}
 
-	/**
-	 * Converts a peer's freshness proof to this entry's clock. The echoed heartbeat gives a safe bound: the peer wrote its
-	 * heartbeat at least `heldForMs` after this entry sent the echoed one, whatever the network delay.
-	 */
+	/** Takes a peer's freshness proof, or its statements if they are newer. */
 	private _applyProof(heartbeat: EntryHeartbeat, peer: Peer): void {
-		const {echo, proofAgeMs, authorityVersion} = heartbeat;
-		if (authorityVersion > this._options.authorityVersion()) {
-			void this._fetchStatements(heartbeat.from, peer);
+		const {authorityVersion, storeEra, onEra, onProof} = this._options;
+		const {from, authorityVersion: version, authorityEra: era = 0} = heartbeat;
+		onEra(era, from);
+		if (compareStoreVersions({era, version}, authorityVersion()) > 0) {
+			void this._fetchStatements(heartbeat, peer);
 			return;
 		}
 
-		if (
-			echo !== undefined &&
+		const provenAt = this._provenAt(heartbeat);
+		if (provenAt !== undefined && era >= storeEra()) {
+			onProof(provenAt, this._heartbeatEpoch, era);
+		}
+	}
+
+	/**
+	 * Converts a peer's freshness proof to this entry's clock. The echoed heartbeat gives a safe bound: the peer wrote its
+	 * heartbeat at least `heldForMs` after this entry sent the echoed one, whatever the network delay.
+	 */
+	private _provenAt({echo, proofAgeMs}: EntryHeartbeat): number | undefined {
+		return echo !== undefined &&
 			proofAgeMs !== undefined &&
 			echo.sentAt >= this._epochStartedAt
-		) {
-			const provenAt = echo.sentAt + echo.heldForMs - proofAgeMs;
-			this._options.onProof(provenAt, this._heartbeatEpoch);
-		}
+			? echo.sentAt + echo.heldForMs - proofAgeMs
+			: undefined;
 	}
 
 	/** Fetches the authority statements of a peer that has a newer version. */
 	private async _fetchStatements(
-		from: string,
+		heartbeat: EntryHeartbeat,
 		{endpoint}: Peer,
 	): Promise<void> {
 		if (this._isFetching) {
 			return;
 		}
 
+		const {fetchStatements, authorityVersion, onStatements, onProof, onError} =
+			this._options;
+		const {from, authorityVersion: version, authorityEra: era = 0} = heartbeat;
+		const provenAt = this._provenAt(heartbeat);
+		const epoch = this._heartbeatEpoch;
 		this._isFetching = true;
 		try {
-			const rows = await this._options.fetchStatements(endpoint);
-			this._options.onStatements(rows, from);
+			const rows = await fetchStatements(endpoint);
+			const eraBefore = authorityVersion().era;
+			onStatements(rows, from);
+			const now = authorityVersion();
+			if (
+				now.era > eraBefore &&
+				compareStoreVersions(now, {era, version}) >= 0
+			) {
+				// The proofs of the earlier era are void. The statements are at least as new as those of the heartbeat.
+				onProof(provenAt ?? Number.NEGATIVE_INFINITY, epoch, now.era);
+			}
 		} catch (error) {
-			this._options.onError(`statements of ${from}`, error);
+			onError(`statements of ${from}`, error);
 		} finally {
 			this._isFetching = false;
 		}
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -3,6 +3,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	AuthorityView,
+	eraGraceMs,
 	FleetView,
 	maxProofWaitMs,
 	maxRelayedMembersAgeMs,
@@ -11,6 +12,8 @@
 	msUntilRead,
 	QuotaLedger,
 	RetryAllowance,
+	rowsOfEra,
+	StoreEra,
 	SuspectRegistry,
 	type AuthorityChange,
 	type AuthorityRow,
@@ -110,6 +113,7 @@
 	private readonly _retryAllowances = new Map<string, RetryAllowance>();
 	private readonly _ingress: Ingress;
 	private readonly _watches: Disposable[] = [];
+	private readonly _era = StoreEra.create();
 	private _serversWatch: TableWatch<ServerChange> | undefined;
 	private _membersWatch: TableWatch<MemberRow> | undefined;
 	/** What peers are told of the server list; a change makes a new revision. */
@@ -312,8 +316,12 @@
 				this._send(message, to);
 			},
 			authorityVersion: () => this._authority.version,
+			storeEra: () => this._era.current,
+			onEra: (era, from) => {
+				this._noteEra(era, from);
+			},
 			isServing: () => this._notReadyReason() === undefined,
-			provenAt: () => this._freshness.provenAt,
+			provenAt: () => this._freshness.provenAtIn(this._authority.version.era),
 			customers: () => this._limitedCustomers(),
 			tables: () => this._announcedTables(),
 			onTables: (peer, heartbeat, isParent) => {
@@ -326,13 +334,14 @@
 					this._members.onAnnouncement(peer, members, isParent);
 				}
 			},
-			onProof: (provenAt, epoch) => {
-				this._freshness.prove(provenAt, epoch);
+			onProof: (provenAt, epoch, era) => {
+				this._freshness.prove(provenAt, epoch, era);
 			},
 			fetchStatements: async endpoint =>
 				this._exchange.fetchStatements(endpoint),
 			onStatements: (rows, from) => {
 				this._onAuthorityChange(this._authority.apply(rows, clock()), from);
+				this._noteEra(this._authority.version.era, from);
 			},
 			onRootChanged: (isRoot, parent) => {
 				this._options.log.write({
@@ -361,13 +370,14 @@
 			name: 'servers',
 			clock,
 			rows: () => this._fleet.listedRows(),
-			apply: (copy, now) => {
+			apply: (copy, version, now) => {
+				this._noteEra(version.era, 'servers');
 				if (copy.outageEndedMsAgo !== undefined) {
 					this._fleet.noteOutageEnd(now - copy.outageEndedMsAgo);
 				}
 
-				this._serversWatch?.noteVersion(copy.version);
-				this._fleet.applyAll(copy.rows, copy.version, now);
+				this._serversWatch?.noteVersion(version);
+				this._fleet.applyAll(copy.rows, version, now);
 				return this._onServersChanged();
 			},
 			fetch: async from => this._exchange.fetchServers(from),
@@ -386,9 +396,10 @@
 			name: 'members',
 			clock,
 			rows: () => this._peers.memberRows(),
-			apply: copy => {
-				this._membersWatch?.noteVersion(copy.version);
-				return this._peers.setMembers(copy.rows, true);
+			apply: (copy, version, now) => {
+				this._noteEra(version.era, 'members');
+				this._membersWatch?.noteVersion(version);
+				return this._peers.setMembers(copy.rows, now >= this._era.settledAt);
 			},
 			fetch: async from => this._exchange.fetchMembers(from),
 			staleAgeMs: staleMembersAgeMs,
@@ -464,9 +475,11 @@
 			intervalMs: membersIntervalMs,
 			untilDueMs: () =>
 				this._msUntilRead(this._members.confirmedAt, maxRelayedMembersAgeMs),
-			onRead: ({rows, version}, isSnapshot, startedAt) => {
-				const hasChanged = this._peers.setMembers(rows, isSnapshot);
-				this._members.noteRead(version, startedAt, hasChanged);
+			onRead: (read, isSnapshot, startedAt) => {
+				// Members whose rows the store has lost write them again.
+				const isComplete = isSnapshot && startedAt >= this._era.settledAt;
+				const hasChanged = this._peers.setMembers(read.rows, isComplete);
+				this._members.noteRead(read, startedAt, hasChanged);
 			},
 		});
 	}
@@ -480,6 +493,10 @@
 		const watch = TableWatch.create<Row>({
 			...tableOptions,
 			clock,
+			era: this._era,
+			onEra: era => {
+				this._noteEra(era, tableOptions.name);
+			},
 			epoch: () => this._freshness.epoch,
 			minFailurePauseMs: () => (this._peers.isRoot ? 0 : relayedReadRetryMs),
 			onRead: (...read) => {
@@ -510,16 +527,54 @@
 		epoch: number,
 	): void {
 		const now = clock();
-		const change = isSnapshot
-			? this._authority.applyAll(read.rows, read.version, now)
-			: this._authority.apply(read.rows, now);
-		this._freshness.prove(startedAt, epoch);
+		const rows = rowsOfEra(read.rows, read.era);
+		this._freshness.prove(startedAt, epoch, read.era);
+		const change = this._applyAuthorityRows(
+			{...read, rows},
+			isSnapshot,
+			startedAt,
+			now,
+		);
 		this._onAuthorityChange(change, 'store');
 	}
 
+	private _applyAuthorityRows(
+		read: TableRead<AuthorityRow>,
+		isSnapshot: boolean,
+		startedAt: number,
+		now: number,
+	): AuthorityChange {
+		if (!isSnapshot) {
+			return this._authority.apply(read.rows, now);
+		}
+
+		return startedAt < this._era.settledAt
+			? this._authority.beginEra(read.rows, read.era, now)
+			: this._authority.applyAll(read.rows, read, now);
+	}
+
+	/** Notes an era of the store, known from a table or a peer. */
+	private _noteEra(era: number, source: string): void {
+		const now = clock();
+		if (!this._era.note(era, now)) {
+			return;
+		}
+
+		this._options.log.write({event: 'storeEra', era, source});
+		this._fleet.noteEra(now);
+		this._servers.noteOutageEnd(now);
+		setTimeout(() => {
+			this._servers.noteSettled();
+			this._members.noteSettled();
+		}, eraGraceMs).unref();
+	}
+
 	private _onAuthorityChange(change: AuthorityChange, source: string): void {
 		const {log} = this._options;
-		const {inForce, version} = this._authority;
+		const {
+			inForce,
+			version: {era, version: rowVersion},
+		} = this._authority;
 		if (change.hasNewConfig && inForce !== undefined) {
 			this._ingress.setLimits(inForce.config.limits);
 			log.write({
@@ -528,7 +583,7 @@
 				source,
 			});
 		} else if (change.hasChanged) {
-			log.write({event: 'authorityChanged', rowVersion: version, source});
+			log.write({event: 'authorityChanged', era, rowVersion, source});
 		}
 
 		if (change.hasChanged) {
@@ -538,18 +593,19 @@
 	}
 
 	private _onServersRead(
-		{rows, version}: TableRead<ServerChange>,
+		read: TableRead<ServerChange>,
 		isSnapshot: boolean,
 		startedAt: number,
 	): void {
 		const now = clock();
+		const rows = rowsOfEra(read.rows, read.era);
 		if (isSnapshot) {
-			this._fleet.applyAll(rows, version, now);
+			this._fleet.applyAll(rows, read, now);
 		} else {
 			this._fleet.apply(rows, now);
 		}
 
-		this._servers.noteRead(version, startedAt, this._onServersChanged());
+		this._servers.noteRead(read, startedAt, this._onServersChanged());
 	}
 
 	/** Returns whether the server list differs in something that other entries have to know. */
--- a/packages/daemon/src/direct/freshness-monitor.ts
+++ b/packages/daemon/src/direct/freshness-monitor.ts
@@ -36,9 +36,14 @@
 		return this._lease.provenAt;
 	}
 
-	/** Adds a proof. `provenAt` is monotonic time taken in the given epoch. */
-	prove(provenAt: number, epoch: number): void {
-		this._lease.prove(provenAt, epoch);
+	/** Time of the newest proof if it applies to the era of the store; negative infinity otherwise. */
+	provenAtIn(era: number): number {
+		return this._lease.provenAtIn(era);
+	}
+
+	/** Adds a proof of an era of the store. `provenAt` is monotonic time taken in the given epoch. */
+	prove(provenAt: number, epoch: number, era: number): void {
+		this._lease.prove(provenAt, epoch, era);
 	}
 
 	/** Checks the clocks for a suspension. Called on each event. */
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -33,9 +33,13 @@
 	/** Authority statements other than the configuration changed. */
 	| {
 			readonly event: 'authorityChanged';
+			/** Era of the store to which the row version belongs. */
+			readonly era: number;
 			readonly rowVersion: number;
 			readonly source: string;
 	  }
+	/** The store came back from a copy, which may have lost its last writes; `source` is the table or entry that told it. */
+	| {readonly event: 'storeEra'; readonly era: number; readonly source: string}
 	/** This entry began to read the store for its zone, or follows another entry (`reader`) that does. */
 	| {
 			readonly event: 'readerChanged';
--- a/packages/daemon/src/direct/relayed-table.test.ts
+++ b/packages/daemon/src/direct/relayed-table.test.ts
@@ -62,16 +62,16 @@
 	});
 
 	it('announces another revision after each change only', () => {
-		table.noteRead(1, 0, true);
+		table.noteRead({era: 0, version: 1}, 0, true);
 		const first = table.announcement(0)!.revision;
-		table.noteRead(2, 10, false);
+		table.noteRead({era: 0, version: 2}, 10, false);
 		assert.equal(table.announcement(10)!.revision, first);
-		table.noteRead(3, 20, true);
+		table.noteRead({era: 0, version: 3}, 20, true);
 		assert.notEqual(table.announcement(20)!.revision, first);
 	});
 
 	it('fetches from an entry that is not its parent only when its copy is stale', async () => {
-		table.noteRead(1, 0, true);
+		table.noteRead({era: 0, version: 1}, 0, true);
 		now = 500;
 		table.onAnnouncement(other, {revision: 7, ageMs: 0}, false);
 		assert.deepEqual(fetches, []);
@@ -85,7 +85,7 @@
 
 	it('does not go back to an older version of the store', async () => {
 		rows = ['a', 'b'];
-		table.noteRead(9, 0, true);
+		table.noteRead({era: 0, version: 9}, 0, true);
 		now = 100;
 		table.onAnnouncement(root, {revision: 7, ageMs: 0}, true);
 		await nextTurn();
@@ -96,7 +96,7 @@
 	// Regression: a copy that was rejected as older was confirmed as the newest by the next announcement of its revision.
 	it('does not count a rejected copy as fetched, and takes it once its version has caught up', async () => {
 		rows = ['a', 'b'];
-		table.noteRead(9, 0, true);
+		table.noteRead({era: 0, version: 9}, 0, true);
 		now = 100;
 		table.onAnnouncement(root, {revision: 7, ageMs: 0}, true);
 		await nextTurn();
@@ -112,4 +112,58 @@
 		assert.deepEqual(rows, ['a']);
 		assert.equal(table.confirmedAt, 450);
 	});
+
+	describe('when the store came back from a copy', () => {
+		beforeEach(() => {
+			rows = ['a', 'b'];
+			table.noteRead({era: 0, version: 9}, 0, true);
+			now = 100;
+		});
+
+		// Guards against row versions that are compared across eras.
+		it('takes a copy of the new era from any peer, though its version is lower', async () => {
+			served = {...served, era: 1};
+			table.onAnnouncement(other, {revision: 7, ageMs: 50, era: 1}, false);
+			await nextTurn();
+			assert.deepEqual(rows, ['a']);
+			assert.deepEqual(table.version, {era: 1, version: 3});
+			assert.equal(table.confirmedAt, 50);
+			assert.equal(table.copy(now)?.era, 1);
+		});
+
+		it('fetches a known revision again that is of the new era now', async () => {
+			served = {...served, version: 9};
+			table.onAnnouncement(root, {revision: 7, ageMs: 0}, true);
+			await nextTurn();
+			served = {...served, era: 1, version: 2};
+			table.onAnnouncement(root, {revision: 7, ageMs: 0, era: 1}, true);
+			await nextTurn();
+			assert.deepEqual(fetches, ['root', 'root']);
+			assert.deepEqual(table.version, {era: 1, version: 2});
+		});
+
+		// Guards against a proof from an earlier era.
+		it('takes neither rows nor a proof from a copy of an earlier era', async () => {
+			table.noteRead({era: 1, version: 2}, 100, false);
+			now = 300;
+			table.onAnnouncement(root, {revision: 7, ageMs: 0}, true);
+			await nextTurn();
+			assert.deepEqual(fetches, []);
+			assert.equal(table.confirmedAt, 100);
+		});
+
+		it('fetches copies again when the era is settled', async () => {
+			served = {...served, era: 1};
+			const announcement = {revision: 7, ageMs: 0, era: 1};
+			table.onAnnouncement(root, announcement, true);
+			await nextTurn();
+			table.onAnnouncement(root, announcement, true);
+			await nextTurn();
+			assert.equal(fetches.length, 1);
+			table.noteSettled();
+			table.onAnnouncement(root, announcement, true);
+			await nextTurn();
+			assert.equal(fetches.length, 2);
+		});
+	});
 });
--- a/packages/daemon/src/direct/relayed-table.ts
+++ b/packages/daemon/src/direct/relayed-table.ts
@@ -1,3 +1,4 @@
+import {compareStoreVersions, type StoreVersion} from '@balsamtray/core';
 import type {Endpoint} from './types.js';
 
 /** What an entry tells its peers about its copy of a table. */
@@ -6,12 +7,14 @@
 	readonly revision: number;
 	/** Time since the copy was last known to be the newest, in milliseconds. */
 	readonly ageMs: number;
+	/** Era of the store that the copy is as of. 0 if absent. */
+	readonly era?: number;
 };
 
 /** A copy of a table as entries send it to each other. */
 export type TableCopy<Row> = TableAnnouncement & {
 	readonly rows: readonly Row[];
-	/** Store version that the rows are as of. */
+	/** Store version, in the announced era, that the rows are as of. */
 	readonly version: number;
 	/** Time since the last outage of the store ended, in milliseconds. Absent without an outage. */
 	readonly outageEndedMsAgo?: number;
@@ -21,8 +24,12 @@
 	readonly name: string;
 	readonly clock: () => number;
 	readonly rows: () => readonly Row[];
-	/** Replaces the table. Returns whether it has changed. */
-	readonly apply: (copy: TableCopy<Row>, now: number) => boolean;
+	/** Replaces the table by a copy of a store version. Returns whether it has changed. */
+	readonly apply: (
+		copy: TableCopy<Row>,
+		version: StoreVersion,
+		now: number,
+	) => boolean;
 	readonly fetch: (from: Endpoint) => Promise<TableCopy<Row>>;
 	/** Age of the copy from which it is fetched from any entry that has a newer one, in milliseconds. */
 	readonly staleAgeMs: number;
@@ -43,7 +50,7 @@
 	/** Last revision that was fetched from each peer. */
 	private readonly _fetched = new Map<string, number>();
 	private _revision = Date.now();
-	private _version = -1;
+	private _version: StoreVersion = {era: 0, version: -1};
 	private _confirmedAt = Number.NEGATIVE_INFINITY;
 	private _outageEndedAt: number | undefined;
 	private _isFetching = false;
@@ -56,14 +63,17 @@
 	}
 
 	/** Store version of the copy; negative before the first. */
-	get version(): number {
+	get version(): StoreVersion {
 		return this._version;
 	}
 
 	/** Records a read of the store that began at `startedAt`. The rows are already applied. */
-	noteRead(version: number, startedAt: number, hasChanged: boolean): void {
-		this._version = Math.max(this._version, version);
-		this._confirm(startedAt);
+	noteRead(
+		version: StoreVersion,
+		startedAt: number,
+		hasChanged: boolean,
+	): void {
+		this._confirm(startedAt, version);
 		if (hasChanged) {
 			this._noteChange();
 		}
@@ -73,12 +83,18 @@
 		this._outageEndedAt = now;
 	}
 
+	/** Fetches the copies of peers again, since what became of rows that the store has lost is decided now. */
+	noteSettled(): void {
+		this._fetched.clear();
+	}
+
 	/** What to tell peers; undefined before the first read. */
 	announcement(now: number): TableAnnouncement | undefined {
 		return Number.isFinite(this._confirmedAt)
 			? {
 					revision: this._revision,
 					ageMs: Math.round(now - this._confirmedAt),
+					...(this._version.era > 0 && {era: this._version.era}),
 				}
 			: undefined;
 	}
@@ -90,7 +106,7 @@
 			announcement && {
 				...announcement,
 				rows: this._options.rows(),
-				version: this._version,
+				version: this._version.version,
 				...(this._outageEndedAt !== undefined && {
 					outageEndedMsAgo: Math.round(now - this._outageEndedAt),
 				}),
@@ -101,17 +117,23 @@
 	/** @param isParent whether this entry relies on the peer for changes; other peers only help when the copy is stale */
 	onAnnouncement(
 		peer: {readonly id: string; readonly endpoint: Endpoint},
-		{revision, ageMs}: TableAnnouncement,
+		{revision, ageMs, era = 0}: TableAnnouncement,
 		isParent: boolean,
 	): void {
 		const now = this._options.clock();
-		if (this._fetched.get(peer.id) === revision) {
-			this._confirm(now - ageMs);
+		if (era < this._version.era) {
+			// A copy of an earlier era proves nothing about this one.
+			return;
+		}
+
+		const isNewEra = era > this._version.era;
+		if (!isNewEra && this._fetched.get(peer.id) === revision) {
+			this._confirm(now - ageMs, this._version);
 			return;
 		}
 
 		const isStale = now - this._confirmedAt > this._options.staleAgeMs;
-		if (isParent || (isStale && now - ageMs > this._confirmedAt)) {
+		if (isParent || isNewEra || (isStale && now - ageMs > this._confirmedAt)) {
 			void this._fetch(peer);
 		}
 	}
@@ -134,11 +156,11 @@
 				this._outageEndedAt = now - copy.outageEndedMsAgo;
 			}
 
-			if (copy.version >= this._version) {
-				this._version = copy.version;
+			const version = {era: copy.era ?? 0, version: copy.version};
+			if (compareStoreVersions(version, this._version) >= 0) {
 				this._fetched.set(peer.id, copy.revision);
-				const hasChanged = apply(copy, now);
-				this._confirm(startedAt - copy.ageMs);
+				const hasChanged = apply(copy, version, now);
+				this._confirm(startedAt - copy.ageMs, version);
 				if (hasChanged) {
 					this._noteChange();
 				}
@@ -150,8 +172,13 @@
 		}
 	}
 
-	private _confirm(at: number): void {
-		this._confirmedAt = Math.max(this._confirmedAt, at);
+	/** Notes that the rows were the newest of a version's era at a time. What was known of an earlier era no longer counts. */
+	private _confirm(at: number, version: StoreVersion): void {
+		this._confirmedAt =
+			version.era > this._version.era ? at : Math.max(this._confirmedAt, at);
+		if (compareStoreVersions(version, this._version) > 0) {
+			this._version = version;
+		}
 	}
 
 	private _noteChange(): void {
--- a/packages/daemon/src/direct/table-exchange.ts
+++ b/packages/daemon/src/direct/table-exchange.ts
@@ -116,6 +116,7 @@
 		'ageMs' in value &&
 		typeof value.ageMs === 'number' &&
 		'version' in value &&
-		typeof value.version === 'number'
+		typeof value.version === 'number' &&
+		(!('era' in value) || typeof value.era === 'number')
 	);
 }
--- a/packages/daemon/src/direct/table-watch.test.ts
+++ b/packages/daemon/src/direct/table-watch.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {eraGraceMs, StoreEra} from '@balsamtray/core';
 import {TableWatch} from './table-watch.js';
 import type {TableRead} from './types.js';
 
@@ -8,12 +9,14 @@
 /** Watches a table with the given responses and returns the events in order. */
 async function watchResponses(
 	responses: readonly StoreResponse[],
+	msPerRead = 1,
 ): Promise<readonly string[]> {
 	const events: string[] = [];
 	const remaining = [...responses];
 	let now = 0;
+	const era = StoreEra.create();
 	const next = async (kind: string): Promise<Exclude<StoreResponse, Error>> => {
-		now++;
+		now += msPerRead;
 		events.push(kind);
 		const response = remaining.shift();
 		if (remaining.length === 0) {
@@ -42,6 +45,10 @@
 		untilDueMs: () => 0,
 		minFailurePauseMs: () => 0,
 		clock: () => now,
+		era,
+		onEra(value) {
+			era.note(value, now);
+		},
 		epoch: () => 0,
 		onRead(read, isSnapshot) {
 			events.push(`${isSnapshot ? 'whole' : 'changes'} ${read.version}`);
@@ -58,7 +65,11 @@
 	return events;
 }
 
-const read = (version: number): TableRead<string> => ({rows: [], version});
+const read = (version: number, era = 0): TableRead<string> => ({
+	rows: [],
+	version,
+	era,
+});
 
 describe('TableWatch', () => {
 	it('reads the whole table first, then only changes', async () => {
@@ -94,6 +105,71 @@
 		]);
 	});
 
+	describe('when the store came back from a copy', () => {
+		// Guards against changes that are read from a version of an earlier era.
+		it('reads the whole table, though the versions have caught up', async () => {
+			const events = await watchResponses([
+				read(7),
+				read(9, 1),
+				read(9, 1),
+				read(9, 1),
+			]);
+			assert.deepEqual(events.slice(2, 6), [
+				'after 7',
+				'all',
+				'whole 9',
+				'after 9',
+			]);
+		});
+
+		it('takes versions below those seen before', async () => {
+			const events = await watchResponses([
+				read(7),
+				'historyLost',
+				read(3, 1),
+				read(4, 1),
+				read(4, 1),
+			]);
+			assert.deepEqual(events.slice(2, 7), [
+				'after 7',
+				'all',
+				'whole 3',
+				'after 3',
+				'changes 4',
+			]);
+		});
+
+		// Guards against a proof from an earlier era.
+		it('drops a response of an earlier era', async () => {
+			const events = await watchResponses([
+				read(2, 1),
+				read(9, 0),
+				read(3, 1),
+				read(3, 1),
+			]);
+			assert.deepEqual(events.slice(2, 5), ['after 2', 'after 2', 'changes 3']);
+		});
+
+		it('reads the whole table once more when the era is settled', async () => {
+			const events = await watchResponses(
+				[2, 3, 4, 5, 6, 6].map(version => read(version, 1)),
+				eraGraceMs / 2,
+			);
+			assert.deepEqual(
+				events.filter(event => !event.startsWith('after')),
+				[
+					'all',
+					'whole 2',
+					'changes 3',
+					'changes 4',
+					'all',
+					'whole 5',
+					'changes 6',
+				],
+			);
+		});
+	});
+
 	it('reports an outage of the store once, and its end', async () => {
 		const down = new Error('down');
 		const events = await watchResponses([
--- a/packages/daemon/src/direct/table-watch.ts
+++ b/packages/daemon/src/direct/table-watch.ts
@@ -1,4 +1,10 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {
+	compareStoreVersions,
+	initialStoreVersion,
+	type StoreEra,
+	type StoreVersion,
+} from '@balsamtray/core';
 import {readDutyCheckMs, storeBackoffMs, storeTimeoutMs} from './constants.js';
 import type {TableRead, TableSource} from './types.js';
 
@@ -14,6 +20,10 @@
 	/** Minimum pause after a failed read other than the first, in milliseconds. */
 	readonly minFailurePauseMs: () => number;
 	readonly clock: () => number;
+	/** Newest known era of the store. Reads of earlier ones are dropped. */
+	readonly era: StoreEra;
+	/** Called with the era of each response, before it is used. */
+	readonly onEra: (era: number) => void;
 	/**
 	 * Called after each successful read.
 	 *
@@ -35,13 +45,20 @@
 	readonly onRegained: (table: string, lostForMs: number) => void;
 };
 
-/** Watches a table of the store by long polling. Reads the whole table again if its change history was lost. */
+/**
+ * Watches a table of the store by long polling. Reads the whole table again if its change history was lost, when a new
+ * era of the store begins, and once more when the rows of that era are written again.
+ */
 export class TableWatch<Row> {
 	static create<Row>(options: TableWatchOptions<Row>): TableWatch<Row> {
 		return new TableWatch(options);
 	}
 
-	private _version: number | undefined;
+	private _position = initialStoreVersion;
+	/** Whether the rows up to `_position` are known. */
+	private _hasRows = false;
+	/** Newest era of which the whole table was read after its rows were written again. */
+	private _settledEra = 0;
 	private _lostAt: number | undefined;
 	private _isStopped = false;
 
@@ -67,10 +84,9 @@
 				backoffMs = storeBackoffMs.initial;
 				pauseMs = intervalMs - (clock() - startedAt);
 			} else {
-				pauseMs =
-					this._version === undefined
-						? backoffMs
-						: Math.max(backoffMs, this._options.minFailurePauseMs());
+				pauseMs = this._hasRows
+					? Math.max(backoffMs, this._options.minFailurePauseMs())
+					: backoffMs;
 				backoffMs = Math.min(backoffMs * 2, storeBackoffMs.max);
 			}
 
@@ -86,14 +102,14 @@
 	}
 
 	/** Skips changes up to a version, because this process got them from elsewhere. */
-	noteVersion(version: number): void {
-		if (this._version !== undefined && version > this._version) {
-			this._version = version;
+	noteVersion(version: StoreVersion): void {
+		if (this._hasRows && compareStoreVersions(version, this._position) > 0) {
+			this._position = version;
 		}
 	}
 
 	private async _untilDue(): Promise<void> {
-		while (!this._isStopped && this._version !== undefined) {
+		while (!this._isStopped && this._hasRows) {
 			const untilDueMs = this._options.untilDueMs();
 			if (untilDueMs <= 0) {
 				return;
@@ -107,15 +123,18 @@
 
 	/** Reads once and returns whether the store gave a usable response. */
 	private async _read(startedAt: number): Promise<boolean> {
-		const {source, waitMs, epoch, clock, onRead, onTimed} = this._options;
+		const {source, epoch, clock, onTimed} = this._options;
 		const startEpoch = epoch();
-		const isSnapshot = this._version === undefined;
-		// The first read after an outage does not long-poll, which renews the freshness proof at once.
-		const wait = this._lostAt === undefined ? waitMs() : 0;
+		const isSnapshot = this._needsSnapshot(startedAt);
+		const waitMs = this._waitMs(startedAt);
 		try {
 			const read = isSnapshot
 				? await source.readAll(storeTimeoutMs)
-				: await source.readChanges(this._version!, wait, wait + storeTimeoutMs);
+				: await source.readChanges(
+						this._position.version,
+						waitMs,
+						waitMs + storeTimeoutMs,
+					);
 			if (this._isStopped) {
 				return true;
 			}
@@ -123,18 +142,11 @@
 			this._noteSuccess();
 			onTimed('answered', clock() - startedAt);
 			if (read === 'historyLost') {
-				this._version = undefined;
+				this._hasRows = false;
 				return true;
 			}
 
-			if (read.version < (this._version ?? 0)) {
-				// A version older than one already seen is stale and proves no freshness.
-				return false;
-			}
-
-			this._version = read.version;
-			onRead(read, isSnapshot, startedAt, startEpoch);
-			return true;
+			return this._onResponse(read, isSnapshot, startedAt, startEpoch);
 		} catch (error) {
 			onTimed('failed', clock() - startedAt);
 			this._noteFailure(error);
@@ -142,6 +154,61 @@
 		}
 	}
 
+	private _needsSnapshot(now: number): boolean {
+		const {current, settledAt} = this._options.era;
+		return (
+			!this._hasRows ||
+			this._position.era < current ||
+			(this._settledEra < current && now >= settledAt)
+		);
+	}
+
+	private _waitMs(now: number): number {
+		const {waitMs, era} = this._options;
+		if (this._lostAt !== undefined) {
+			// The first read after an outage does not long-poll, which renews the freshness proof at once.
+			return 0;
+		}
+
+		return this._settledEra < era.current
+			? Math.max(0, Math.min(waitMs(), Math.ceil(era.settledAt - now)))
+			: waitMs();
+	}
+
+	/** Uses a response if it is no older than what is known. Returns whether it is. */
+	private _onResponse(
+		read: TableRead<Row>,
+		isSnapshot: boolean,
+		startedAt: number,
+		startEpoch: number,
+	): boolean {
+		const {era, onEra, onRead} = this._options;
+		onEra(read.era);
+		if (read.era < era.current) {
+			return false;
+		}
+
+		if (!isSnapshot && read.era > this._position.era) {
+			// The changes since a version of an earlier era leave out what was written before that version.
+			this._hasRows = false;
+			return true;
+		}
+
+		if (this._hasRows && compareStoreVersions(read, this._position) < 0) {
+			// A version older than one already seen is stale and proves no freshness.
+			return false;
+		}
+
+		if (isSnapshot && startedAt >= era.settledAt) {
+			this._settledEra = read.era;
+		}
+
+		this._position = {era: read.era, version: read.version};
+		this._hasRows = true;
+		onRead(read, isSnapshot, startedAt, startEpoch);
+		return true;
+	}
+
 	private _noteSuccess(): void {
 		if (this._lostAt !== undefined) {
 			const lostForMs = this._options.clock() - this._lostAt;
--- a/packages/daemon/src/direct/types.ts
+++ b/packages/daemon/src/direct/types.ts
@@ -7,16 +7,14 @@
 	RetryLimit,
 	ServerChange,
 	ServiceSpec,
+	StoreVersion,
 } from '@balsamtray/core';
 
 /** Host and port of a socket. */
 export type Endpoint = {readonly host: string; readonly port: number};
 
 /** Rows read from a table, and the store version of the read. */
-export type TableRead<Row> = {
-	readonly rows: readonly Row[];
-	readonly version: number;
-};
+export type TableRead<Row> = StoreVersion & {readonly rows: readonly Row[]};
 
 /** A store table that can be read completely and watched for changes. */
 export type TableSource<Row> = {
--- a/packages/protocol/src/gossip/messages.ts
+++ b/packages/protocol/src/gossip/messages.ts
@@ -10,6 +10,8 @@
 export type GossipTable = {
 	readonly revision: number;
 	readonly ageMs: number;
+	/** Era of the store that the copy is as of. 0 if absent. */
+	readonly era?: number;
 };
 
 /** Heartbeat that an entry sends several times per second to the entries that it is linked with. */
@@ -35,6 +37,8 @@
 	readonly echo?: {readonly sentAt: number; readonly heldForMs: number};
 	/** Highest row version among the operator's statements that the sender knows. */
 	readonly authorityVersion: number;
+	/** Era of that version. 0 if absent, as from older senders. */
+	readonly authorityEra?: number;
 	/** Age of the sender's proof that it knows the newest statements, in milliseconds. Absent without a proof. */
 	readonly proofAgeMs?: number;
 	/** Whether the sender accepts requests and is not shutting down. */
