Entries write their own rows again when the store came back from a copy

What callers see: an entry that joined within the seconds that the store lost is not listed any more. Entries that start later don't know it until a heartbeat reaches them, and share rates and connections without it.

Cause: an entry wrote its row once, at its start.

Why the fix works: the era of the answer to the write is kept. When a newer era is heard of, from a table or a peer, the entry writes its row again until it is taken in that era, or the entry stops. The writes are spread over a second by a random number that is handed in.

Ruled out: writing only if the row is missing. Entries that see relayed rows can't tell, as the copies keep members whose rows were lost.

--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -64,6 +64,9 @@
 /** Minimum time between reads of the server list, in milliseconds. A leaving server must be noticed within 2 s. */
 export const serversIntervalMs = 800;
 
+/** Range over which the entries spread the writes of their own rows in a new era of the store, in milliseconds. */
+export const maxRewriteDelayMs = 1000;
+
 /** Long-poll wait for a change of the members table, in milliseconds. */
 export const membersWaitMs = 10_000;
 
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -26,6 +26,7 @@
 import {
 	authorityWaitMs,
 	graceMarginMs,
+	maxRewriteDelayMs,
 	membersIntervalMs,
 	membersWaitMs,
 	relayedReadRetryMs,
@@ -67,6 +68,8 @@
 	readonly store: EntryStore;
 	readonly codec: CallCodec;
 	readonly log: EventLog;
+	/** Returns a random number in [0, 1). */
+	readonly random: () => number;
 };
 
 /** Monotonic clock, in milliseconds. */
@@ -114,6 +117,9 @@
 	private readonly _ingress: Ingress;
 	private readonly _watches: Disposable[] = [];
 	private readonly _era = StoreEra.create();
+	/** Era in which the store took this entry's row; undefined before the first. */
+	private _listedEra: number | undefined;
+	private _isJoining = false;
 	private _serversWatch: TableWatch<ServerChange> | undefined;
 	private _membersWatch: TableWatch<MemberRow> | undefined;
 	/** What peers are told of the server list; a change makes a new revision. */
@@ -282,7 +288,7 @@
 			onServerChanged: () => {
 				this._serverLog.update(this._fleet.servers());
 			},
-			random: Math.random,
+			random: this._options.random,
 			shutdown: () => this._shutdown.progress,
 		};
 	}
@@ -553,7 +559,7 @@
 			: this._authority.applyAll(read.rows, read, now);
 	}
 
-	/** Notes an era of the store, known from a table or a peer. */
+	/** Notes an era of the store, known from a table or a peer. In a new one, this entry's row may be lost. */
 	private _noteEra(era: number, source: string): void {
 		const now = clock();
 		if (!this._era.note(era, now)) {
@@ -567,6 +573,9 @@
 			this._servers.noteSettled();
 			this._members.noteSettled();
 		}, eraGraceMs).unref();
+		if (this._listedEra !== undefined) {
+			void this._keepListed(this._options.random() * maxRewriteDelayMs);
+		}
 	}
 
 	private _onAuthorityChange(change: AuthorityChange, source: string): void {
@@ -624,25 +633,47 @@
 
 	/** Writes this entry's row before reading the others, so if two entries start at once, the later one sees the other. */
 	private async _joinPeers(): Promise<void> {
-		let isListed = await this._tryJoin();
+		const isListed = await this._tryJoin();
 		this._watchMembers();
-		while (!isListed) {
+		await this._keepListed(isListed ? 0 : storeBackoffMs.max);
+	}
+
+	/** Writes this entry's row until the store has it in its newest era. */
+	private async _keepListed(delayMs: number): Promise<void> {
+		if (this._isJoining) {
+			return;
+		}
+
+		this._isJoining = true;
+		await delay(delayMs);
+		while (!this._isListed && this._shutdown.progress === undefined) {
 			// Retries until the store responds.
 			// eslint-disable-next-line no-await-in-loop
-			await delay(storeBackoffMs.max);
-			// eslint-disable-next-line no-await-in-loop
-			isListed = await this._tryJoin();
+			if (!(await this._tryJoin())) {
+				// eslint-disable-next-line no-await-in-loop
+				await delay(storeBackoffMs.max);
+			}
 		}
+
+		this._isJoining = false;
+	}
+
+	private get _isListed(): boolean {
+		return (
+			this._listedEra !== undefined && this._listedEra >= this._era.current
+		);
 	}
 
 	private async _tryJoin(): Promise<boolean> {
 		const {store, settings} = this._options;
 		try {
-			await store.join({
+			const {era} = await store.join({
 				id: settings.hostId,
 				endpoint: settings.peer,
 				zone: settings.zone,
 			});
+			this._listedEra = Math.max(this._listedEra ?? 0, era);
+			this._noteEra(era, 'join');
 			this._peers.noteListed();
 			return true;
 		} catch (error) {
--- a/packages/daemon/src/direct/types.ts
+++ b/packages/daemon/src/direct/types.ts
@@ -43,7 +43,8 @@
 	readonly authority: TableSource<AuthorityRow>;
 	readonly servers: TableSource<ServerChange>;
 	readonly members: TableSource<MemberRow>;
-	readonly join: (member: MemberRow) => Promise<void>;
+	/** Writes a member's row. Resolves with the version of the row. */
+	readonly join: (member: MemberRow) => Promise<StoreVersion>;
 	readonly leave: (id: string) => Promise<void>;
 };
 
