The decisions of TableWatch move to TableCursor in core

No change of behaviour: what decides when the whole table is read and whether a response counts is now without I/O, so that schedules of rewinds can be played in virtual time.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -45,6 +45,7 @@
 export * from './authority/constants.js';
 export * from './authority/store-era.js';
 export * from './authority/store-version.js';
+export * from './authority/table-cursor.js';
 export {pickShare} from './authority/route-table.js';
 export * from './freshness/suspension-detector.js';
 export * from './freshness/freshness-lease.js';
--- a/packages/daemon/src/direct/table-watch.ts
+++ b/packages/daemon/src/direct/table-watch.ts
@@ -1,10 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {
-	compareStoreVersions,
-	initialStoreVersion,
-	type StoreEra,
-	type StoreVersion,
-} from '@balsamtray/core';
+import {TableCursor, type StoreEra, type StoreVersion} from '@balsamtray/core';
 import {readDutyCheckMs, storeBackoffMs, storeTimeoutMs} from './constants.js';
 import type {TableRead, TableSource} from './types.js';
 
@@ -45,24 +40,19 @@
 	readonly onRegained: (table: string, lostForMs: number) => void;
 };
 
-/**
- * Watches a table of the store by long polling. Reads the whole table again if its change history was lost, when a new
- * era of the store begins, and once more when the rows of that era are written again.
- */
+/** Watches a table of the store by long polling. Reads the whole table again where its `TableCursor` says so. */
 export class TableWatch<Row> {
 	static create<Row>(options: TableWatchOptions<Row>): TableWatch<Row> {
 		return new TableWatch(options);
 	}
 
-	private _position = initialStoreVersion;
-	/** Whether the rows up to `_position` are known. */
-	private _hasRows = false;
-	/** Newest era of which the whole table was read after its rows were written again. */
-	private _settledEra = 0;
+	private readonly _cursor: TableCursor;
 	private _lostAt: number | undefined;
 	private _isStopped = false;
 
-	private constructor(private readonly _options: TableWatchOptions<Row>) {}
+	private constructor(private readonly _options: TableWatchOptions<Row>) {
+		this._cursor = TableCursor.create(_options.era);
+	}
 
 	/** Whether the last call to the store failed. */
 	get isLost(): boolean {
@@ -84,7 +74,7 @@
 				backoffMs = storeBackoffMs.initial;
 				pauseMs = intervalMs - (clock() - startedAt);
 			} else {
-				pauseMs = this._hasRows
+				pauseMs = this._cursor.hasRows
 					? Math.max(backoffMs, this._options.minFailurePauseMs())
 					: backoffMs;
 				backoffMs = Math.min(backoffMs * 2, storeBackoffMs.max);
@@ -103,13 +93,11 @@
 
 	/** Skips changes up to a version, because this process got them from elsewhere. */
 	noteVersion(version: StoreVersion): void {
-		if (this._hasRows && compareStoreVersions(version, this._position) > 0) {
-			this._position = version;
-		}
+		this._cursor.noteVersion(version);
 	}
 
 	private async _untilDue(): Promise<void> {
-		while (!this._isStopped && this._hasRows) {
+		while (!this._isStopped && this._cursor.hasRows) {
 			const untilDueMs = this._options.untilDueMs();
 			if (untilDueMs <= 0) {
 				return;
@@ -125,13 +113,13 @@
 	private async _read(startedAt: number): Promise<boolean> {
 		const {source, epoch, clock, onTimed} = this._options;
 		const startEpoch = epoch();
-		const isSnapshot = this._needsSnapshot(startedAt);
+		const isSnapshot = this._cursor.needsSnapshot(startedAt);
 		const waitMs = this._waitMs(startedAt);
 		try {
 			const read = isSnapshot
 				? await source.readAll(storeTimeoutMs)
 				: await source.readChanges(
-						this._position.version,
+						this._cursor.version,
 						waitMs,
 						waitMs + storeTimeoutMs,
 					);
@@ -142,7 +130,7 @@
 			this._noteSuccess();
 			onTimed('answered', clock() - startedAt);
 			if (read === 'historyLost') {
-				this._hasRows = false;
+				this._cursor.noteHistoryLost();
 				return true;
 			}
 
@@ -154,59 +142,31 @@
 		}
 	}
 
-	private _needsSnapshot(now: number): boolean {
-		const {current, settledAt} = this._options.era;
-		return (
-			!this._hasRows ||
-			this._position.era < current ||
-			(this._settledEra < current && now >= settledAt)
-		);
-	}
-
 	private _waitMs(now: number): number {
-		const {waitMs, era} = this._options;
 		if (this._lostAt !== undefined) {
 			// The first read after an outage does not long-poll, which renews the freshness proof at once.
 			return 0;
 		}
 
-		return this._settledEra < era.current
-			? Math.max(0, Math.min(waitMs(), Math.ceil(era.settledAt - now)))
-			: waitMs();
+		const untilSettledMs = Math.ceil(this._cursor.msUntilSettled(now));
+		return Math.max(0, Math.min(this._options.waitMs(), untilSettledMs));
 	}
 
-	/** Uses a response if it is no older than what is known. Returns whether it is. */
+	/** Uses a response if its rows count. Returns whether it is not stale. */
 	private _onResponse(
 		read: TableRead<Row>,
 		isSnapshot: boolean,
 		startedAt: number,
 		startEpoch: number,
 	): boolean {
-		const {era, onEra, onRead} = this._options;
+		const {onEra, onRead} = this._options;
 		onEra(read.era);
-		if (read.era < era.current) {
-			return false;
-		}
-
-		if (!isSnapshot && read.era > this._position.era) {
-			// The changes since a version of an earlier era leave out what was written before that version.
-			this._hasRows = false;
-			return true;
-		}
-
-		if (this._hasRows && compareStoreVersions(read, this._position) < 0) {
-			// A version older than one already seen is stale and proves no freshness.
-			return false;
-		}
-
-		if (isSnapshot && startedAt >= era.settledAt) {
-			this._settledEra = read.era;
+		const verdict = this._cursor.judge(read, isSnapshot, startedAt);
+		if (verdict === 'current') {
+			onRead(read, isSnapshot, startedAt, startEpoch);
 		}
 
-		this._position = {era: read.era, version: read.version};
-		this._hasRows = true;
-		onRead(read, isSnapshot, startedAt, startEpoch);
-		return true;
+		return verdict !== 'stale';
 	}
 
 	private _noteSuccess(): void {
