Entries that see relayed rows hear that an era is settled

What callers see: after the store came back from a copy, a zone stays out of use at entries that don't read the store, although the operator had ended that in what the store lost or wrote it again before the copy was read.

Cause: three seconds after an era began, a full read decides which rows are gone. If nothing was written meanwhile, its store version is the one that the statements had already, so heartbeats told peers nothing new.

Why the fix works: heartbeats name the newest settled era besides the version, and an entry fetches from a peer whose settled era is newer.

--- a/packages/core/src/authority/authority-view.ts
+++ b/packages/core/src/authority/authority-view.ts
@@ -61,6 +61,11 @@
 		return this._version;
 	}
 
+	/** Newest era of which it is decided what the store has lost. */
+	get settledEra(): number {
+		return this._settledEra;
+	}
+
 	/** Configuration with the highest version, with its lookup tables; undefined before the first. */
 	get inForce(): ConfigInForce | undefined {
 		return this._inForce;
--- a/packages/daemon/src/direct/entry-fleet.testing.ts
+++ b/packages/daemon/src/direct/entry-fleet.testing.ts
@@ -184,6 +184,7 @@
 			ledger,
 			send,
 			authorityVersion: () => ({era: 0, version: 1}),
+			settledEra: () => 0,
 			storeEra: () => 0,
 			onEra: () => undefined,
 			isServing: () => true,
--- a/packages/daemon/src/direct/entry-peers.test.ts
+++ b/packages/daemon/src/direct/entry-peers.test.ts
@@ -57,6 +57,7 @@
 			sent.push({message, to: host});
 		},
 		authorityVersion: () => known,
+		settledEra: () => 0,
 		storeEra: () => Math.max(known.era, heardEra),
 		onEra(era) {
 			heardEra = Math.max(heardEra, era);
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -38,6 +38,8 @@
 	readonly send: (message: GossipMessage, to: Endpoint) => void;
 	/** Newest version among this entry's authority statements. */
 	readonly authorityVersion: () => StoreVersion;
+	/** Newest era of which this entry's statements tell what the store has lost. */
+	readonly settledEra: () => number;
 	/** Newest known era of the store. */
 	readonly storeEra: () => number;
 	/** Called with the era of each heartbeat. */
@@ -543,6 +545,7 @@
 		const {ledger, send, hostId, zone, authorityVersion, provenAt} =
 			this._options;
 		const {era: authorityEra, version} = authorityVersion();
+		const settledEra = this._options.settledEra();
 		const {lastHeartbeat, endpoint} = peer;
 		const proofAgeMs = now - provenAt();
 		const zoneLost =
@@ -560,6 +563,7 @@
 				sentAt: roundMs(now),
 				authorityVersion: version,
 				...(authorityEra > 0 && {authorityEra}),
+				...(settledEra > 0 && {settledEra}),
 				isServing: this._options.isServing(),
 				levels: ledger
 					.levels(now)
@@ -588,7 +592,10 @@
 		const {authorityVersion, storeEra, onEra, onProof} = this._options;
 		const {from, authorityVersion: version, authorityEra: era = 0} = heartbeat;
 		onEra(era, from);
-		if (compareStoreVersions({era, version}, authorityVersion()) > 0) {
+		if (
+			compareStoreVersions({era, version}, authorityVersion()) > 0 ||
+			(heartbeat.settledEra ?? 0) > this._options.settledEra()
+		) {
 			void this._fetchStatements(heartbeat, peer);
 			return;
 		}
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -322,6 +322,7 @@
 				this._send(message, to);
 			},
 			authorityVersion: () => this._authority.version,
+			settledEra: () => this._authority.settledEra,
 			storeEra: () => this._era.current,
 			onEra: (era, from) => {
 				this._noteEra(era, from);
--- a/packages/protocol/src/gossip/messages.ts
+++ b/packages/protocol/src/gossip/messages.ts
@@ -39,6 +39,8 @@
 	readonly authorityVersion: number;
 	/** Era of that version. 0 if absent, as from older senders. */
 	readonly authorityEra?: number;
+	/** Newest era of which the sender knows what the store has lost. 0 if absent. */
+	readonly settledEra?: number;
 	/** Age of the sender's proof that it knows the newest statements, in milliseconds. Absent without a proof. */
 	readonly proofAgeMs?: number;
 	/** Whether the sender accepts requests and is not shutting down. */
