A read that shows a gap is followed by a full read at once

What callers see: after the store came back from a copy, or lost its change history, a server that leaves is noticed up to 0.8 s later than usual by the entry that reads the list, which leaves little of the 2 s; members up to 1 s.

Cause: the full read waited for the next interval.

Evidence: the new test, which timed out before the change.

Why the fix works: there is no pause while rows are missing. A full read that fails still waits for the backoff, and one that succeeds ends the state, so this can't become a loop of reads.

--- a/packages/daemon/src/direct/table-watch.test.ts
+++ b/packages/daemon/src/direct/table-watch.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {performance} from 'node:perf_hooks';
 import {describe, it} from 'node:test';
 import {eraGraceMs, StoreEra} from '@balsamtray/core';
 import {TableWatch} from './table-watch.js';
@@ -9,14 +10,14 @@
 /** Watches a table with the given responses and returns the events in order. */
 async function watchResponses(
 	responses: readonly StoreResponse[],
-	msPerRead = 1,
+	{msPerRead = 1, intervalMs = 0, instantRead = -1} = {},
 ): Promise<readonly string[]> {
 	const events: string[] = [];
 	const remaining = [...responses];
 	let now = 0;
 	const era = StoreEra.create();
 	const next = async (kind: string): Promise<Exclude<StoreResponse, Error>> => {
-		now += msPerRead;
+		now += responses.length - remaining.length === instantRead ? 0 : msPerRead;
 		events.push(kind);
 		const response = remaining.shift();
 		if (remaining.length === 0) {
@@ -41,7 +42,7 @@
 			readChanges: async after => next(`after ${after}`),
 		},
 		waitMs: () => 100,
-		intervalMs: 0,
+		intervalMs,
 		untilDueMs: () => 0,
 		minFailurePauseMs: () => 0,
 		clock: () => now,
@@ -139,6 +140,26 @@
 			]);
 		});
 
+		// Guards against a leaving server that is noticed an interval later than usual (DRAIN).
+		it(
+			'does not wait for the next interval before it reads the whole table',
+			{timeout: 5000},
+			async () => {
+				const intervalMs = 60_000;
+				const startedAt = performance.now();
+				for (const dropped of [read(9, 1), 'historyLost'] as const) {
+					// eslint-disable-next-line no-await-in-loop
+					const events = await watchResponses(
+						[read(7), dropped, read(9, 1), read(9, 1)],
+						{msPerRead: intervalMs, intervalMs, instantRead: 1},
+					);
+					assert.deepEqual(events.slice(2, 5), ['after 7', 'all', 'whole 9']);
+				}
+
+				assert.ok(performance.now() - startedAt < intervalMs);
+			},
+		);
+
 		// Guards against a proof from an earlier era.
 		it('drops a response of an earlier era', async () => {
 			const events = await watchResponses([
@@ -153,7 +174,7 @@
 		it('reads the whole table once more when the era is settled', async () => {
 			const events = await watchResponses(
 				[2, 3, 4, 5, 6, 6].map(version => read(version, 1)),
-				eraGraceMs / 2,
+				{msPerRead: eraGraceMs / 2},
 			);
 			assert.deepEqual(
 				events.filter(event => !event.startsWith('after')),
--- a/packages/daemon/src/direct/table-watch.ts
+++ b/packages/daemon/src/direct/table-watch.ts
@@ -8,7 +8,7 @@
 	readonly source: TableSource<Row>;
 	/** Long-poll wait for a change, in milliseconds. */
 	readonly waitMs: () => number;
-	/** Minimum time between the starts of two reads, in milliseconds. */
+	/** Minimum time between the starts of two reads, in milliseconds. A read that shows a gap is followed by another at once. */
 	readonly intervalMs: number;
 	/** Time until this process has to read the table itself, in milliseconds. The first read is due at once. */
 	readonly untilDueMs: () => number;
@@ -72,7 +72,8 @@
 			// eslint-disable-next-line no-await-in-loop
 			if (await this._read(startedAt)) {
 				backoffMs = storeBackoffMs.initial;
-				pauseMs = intervalMs - (clock() - startedAt);
+				// If the rows are incomplete, the whole table is read at once.
+				pauseMs = this._cursor.hasRows ? intervalMs - (clock() - startedAt) : 0;
 			} else {
 				pauseMs = this._cursor.hasRows
 					? Math.max(backoffMs, this._options.minFailurePauseMs())
