A server that was leaving when the store lost its row stays out of use

What callers see: a request may reach a server that leaves, if the store comes back from a copy twice in series and lists it as ready the second time (DRAIN).

Cause: a server whose row is missing in a new era counted as lost by the store, also if it was known to leave, and what the store has lost is taken back at once.

Why the fix works: only servers that were in use count as lost.

--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -166,9 +166,7 @@
 		);
 		const lost =
 			now < this._eraSettledAt
-				? removed.filter(
-						({id}) => this._servers.get(id)?.vanishedAt === undefined,
-					)
+				? removed.filter(({id}) => !this._hasExited(this._servers.get(id)))
 				: [];
 		this.apply([...removed, ...current], now);
 		for (const {id} of lost) {
@@ -302,12 +300,18 @@
 		}
 
 		const server = this._servers.get(id);
-		const hasExited =
+		return this._hasExited(server) && !isNewerStart(record, server?.record);
+	}
+
+	/** Whether a server is known to leave, or to be gone. */
+	private _hasExited(server: ServerState | undefined): boolean {
+		return (
 			server === undefined ||
 			server.vanishedAt !== undefined ||
 			server.record.isDraining ||
-			this.isReplaced(server);
-		return hasExited && !isNewerStart(record, server?.record);
+			server.isLeaving ||
+			this.isReplaced(server)
+		);
 	}
 
 	private _noteCurrentServer(
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -207,8 +207,8 @@
 		rule: 'DRAIN',
 		what: 'a row of a copy from before a server left brings it back into use',
 		file: `${core}/placement/fleet-view.ts`,
-		from: 'return hasExited && !isNewerStart(record, server?.record);',
-		to: 'return hasExited && isNewerStart(record, server?.record);',
+		from: 'return this._hasExited(server) && !isNewerStart(record, server?.record);',
+		to: 'return this._hasExited(server) && isNewerStart(record, server?.record);',
 		test: fleetView,
 	},
 	{
