--- a/packages/daemon/src/direct/adapter-version-schedules.test.ts
+++ b/packages/daemon/src/direct/adapter-version-schedules.test.ts
@@ -93,7 +93,7 @@
 				statement: {type: 'adapterVersion', model: 'm', adapter: 'a', version},
 			}));
 		const change = this.authority.apply(rows, this.lease.provenAt);
-		this.lease.prove(readAt, 0);
+		this.lease.prove(readAt, 0, 0);
 		for (const {since} of change.declared) {
 			this.recallTimes.push(
 				Math.max(now, since + versionMs * versionRecallShare),
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -3,6 +3,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	AuthorityView,
+	eraGraceMs,
 	FleetView,
 	maxProofWaitMs,
 	maxRelayedMembersAgeMs,
@@ -11,6 +12,8 @@
 	msUntilRead,
 	QuotaLedger,
 	RetryAllowance,
+	rowsOfEra,
+	StoreEra,
 	SuspectRegistry,
 	versionGraceShare,
 	versionRecallShare,
@@ -25,6 +28,7 @@
 import {
 	authorityWaitMs,
 	graceMarginMs,
+	maxRewriteDelayMs,
 	membersIntervalMs,
 	membersWaitMs,
 	recallCheckMs,
@@ -68,6 +72,8 @@
 	readonly store: EntryStore;
 	readonly codec: CallCodec;
 	readonly log: EventLog;
+	/** Returns a random number in [0, 1). */
+	readonly random: () => number;
 };
 
 /** Monotonic clock, in milliseconds. */
@@ -115,6 +121,10 @@
 	private readonly _retryAllowances = new Map<string, RetryAllowance>();
 	private readonly _ingress: Ingress;
 	private readonly _watches: Disposable[] = [];
+	private readonly _era = StoreEra.create();
+	/** Era in which the store took this entry's row; undefined before the first. */
+	private _listedEra: number | undefined;
+	private _isJoining = false;
 	private _serversWatch: TableWatch<ServerChange> | undefined;
 	private _membersWatch: TableWatch<MemberRow> | undefined;
 	/** What peers are told of the server list; a change makes a new revision. */
@@ -286,7 +296,7 @@
 			onServerChanged: () => {
 				this._serverLog.update(this._fleet.servers());
 			},
-			random: Math.random,
+			random: this._options.random,
 			shutdown: () => this._shutdown.progress,
 		};
 	}
@@ -322,8 +332,13 @@
 				this._send(message, to);
 			},
 			authorityVersion: () => this._authority.version,
+			settledEra: () => this._authority.settledEra,
+			storeEra: () => this._era.current,
+			onEra: (era, from) => {
+				this._noteEra(era, from);
+			},
 			isServing: () => this._notReadyReason() === undefined,
-			provenAt: () => this._freshness.provenAt,
+			provenAt: () => this._freshness.provenAtIn(this._authority.version.era),
 			customers: () => this._limitedCustomers(),
 			tables: () => this._announcedTables(),
 			onTables: (peer, heartbeat, isParent) => {
@@ -336,8 +351,8 @@
 					this._members.onAnnouncement(peer, members, isParent);
 				}
 			},
-			onProof: (provenAt, epoch) => {
-				this._freshness.prove(provenAt, epoch);
+			onProof: (provenAt, epoch, era) => {
+				this._freshness.prove(provenAt, epoch, era);
 			},
 			fetchStatements: async endpoint =>
 				this._exchange.fetchStatements(endpoint),
@@ -346,6 +361,7 @@
 					this._authority.apply(rows, this._freshness.provenAt),
 					from,
 				);
+				this._noteEra(this._authority.version.era, from);
 			},
 			onRootChanged: (isRoot, parent) => {
 				this._options.log.write({
@@ -374,13 +390,14 @@
 			name: 'servers',
 			clock,
 			rows: () => this._fleet.listedRows(),
-			apply: (copy, now) => {
+			apply: (copy, version, now) => {
+				this._noteEra(version.era, 'servers');
 				if (copy.outageEndedMsAgo !== undefined) {
 					this._fleet.noteOutageEnd(now - copy.outageEndedMsAgo);
 				}
 
-				this._serversWatch?.noteVersion(copy.version);
-				this._fleet.applyAll(copy.rows, copy.version, now);
+				this._serversWatch?.noteVersion(version);
+				this._fleet.applyAll(copy.rows, version, now);
 				return this._onServersChanged();
 			},
 			fetch: async from => this._exchange.fetchServers(from),
@@ -399,9 +416,10 @@
 			name: 'members',
 			clock,
 			rows: () => this._peers.memberRows(),
-			apply: copy => {
-				this._membersWatch?.noteVersion(copy.version);
-				return this._peers.setMembers(copy.rows, true);
+			apply: (copy, version, now) => {
+				this._noteEra(version.era, 'members');
+				this._membersWatch?.noteVersion(version);
+				return this._peers.setMembers(copy.rows, now >= this._era.settledAt);
 			},
 			fetch: async from => this._exchange.fetchMembers(from),
 			staleAgeMs: staleMembersAgeMs,
@@ -477,9 +495,11 @@
 			intervalMs: membersIntervalMs,
 			untilDueMs: () =>
 				this._msUntilRead(this._members.confirmedAt, maxRelayedMembersAgeMs),
-			onRead: ({rows, version}, isSnapshot, startedAt) => {
-				const hasChanged = this._peers.setMembers(rows, isSnapshot);
-				this._members.noteRead(version, startedAt, hasChanged);
+			onRead: (read, isSnapshot, startedAt) => {
+				// Members whose rows the store has lost write them again.
+				const isComplete = isSnapshot && startedAt >= this._era.settledAt;
+				const hasChanged = this._peers.setMembers(read.rows, isComplete);
+				this._members.noteRead(read, startedAt, hasChanged);
 			},
 		});
 	}
@@ -493,6 +513,10 @@
 		const watch = TableWatch.create<Row>({
 			...tableOptions,
 			clock,
+			era: this._era,
+			onEra: era => {
+				this._noteEra(era, tableOptions.name);
+			},
 			epoch: () => this._freshness.epoch,
 			minFailurePauseMs: () => (this._peers.isRoot ? 0 : relayedReadRetryMs),
 			onRead: (...read) => {
@@ -523,13 +547,51 @@
 		epoch: number,
 	): void {
 		const {provenAt} = this._freshness;
-		const change = isSnapshot
-			? this._authority.applyAll(read.rows, read.version, provenAt)
-			: this._authority.apply(read.rows, provenAt);
-		this._freshness.prove(startedAt, epoch);
+		const rows = rowsOfEra(read.rows, read.era);
+		this._freshness.prove(startedAt, epoch, read.era);
+		const change = this._applyAuthorityRows(
+			{...read, rows},
+			isSnapshot,
+			startedAt,
+			provenAt,
+		);
 		this._onAuthorityChange(change, 'store');
 	}
 
+	private _applyAuthorityRows(
+		read: TableRead<AuthorityRow>,
+		isSnapshot: boolean,
+		startedAt: number,
+		provenAt: number,
+	): AuthorityChange {
+		if (!isSnapshot) {
+			return this._authority.apply(read.rows, provenAt);
+		}
+
+		return startedAt < this._era.settledAt
+			? this._authority.beginEra(read.rows, read.era, provenAt)
+			: this._authority.applyAll(read.rows, read, provenAt);
+	}
+
+	/** Notes an era of the store, known from a table or a peer. In a new one, this entry's row may be lost. */
+	private _noteEra(era: number, source: string): void {
+		const now = clock();
+		if (!this._era.note(era, now)) {
+			return;
+		}
+
+		this._options.log.write({event: 'storeEra', era, source});
+		this._fleet.noteEra(now);
+		this._servers.noteOutageEnd(now);
+		setTimeout(() => {
+			this._servers.noteSettled();
+			this._members.noteSettled();
+		}, eraGraceMs).unref();
+		if (this._listedEra !== undefined) {
+			void this._keepListed(this._options.random() * maxRewriteDelayMs);
+		}
+	}
+
 	/** Takes outdated requests back once a version that was declared after `since` ends the use of older ones. */
 	private _scheduleRecall(since: number): void {
 		const untilDueMs =
@@ -569,7 +631,10 @@
 
 	private _onAuthorityChange(change: AuthorityChange, source: string): void {
 		const {log} = this._options;
-		const {inForce, version} = this._authority;
+		const {
+			inForce,
+			version: {era, version: rowVersion},
+		} = this._authority;
 		for (const {adapter, version: declared, since} of change.declared) {
 			const provenMsAgo = clock() - since;
 			log.write({
@@ -592,7 +657,7 @@
 				source,
 			});
 		} else if (change.hasChanged) {
-			log.write({event: 'authorityChanged', rowVersion: version, source});
+			log.write({event: 'authorityChanged', era, rowVersion, source});
 		}
 
 		if (change.hasChanged) {
@@ -602,18 +667,19 @@
 	}
 
 	private _onServersRead(
-		{rows, version}: TableRead<ServerChange>,
+		read: TableRead<ServerChange>,
 		isSnapshot: boolean,
 		startedAt: number,
 	): void {
 		const now = clock();
+		const rows = rowsOfEra(read.rows, read.era);
 		if (isSnapshot) {
-			this._fleet.applyAll(rows, version, now);
+			this._fleet.applyAll(rows, read, now);
 		} else {
 			this._fleet.apply(rows, now);
 		}
 
-		this._servers.noteRead(version, startedAt, this._onServersChanged());
+		this._servers.noteRead(read, startedAt, this._onServersChanged());
 	}
 
 	/** Returns whether the server list differs in something that other entries have to know. */
@@ -632,25 +698,47 @@
 
 	/** Writes this entry's row before reading the others, so if two entries start at once, the later one sees the other. */
 	private async _joinPeers(): Promise<void> {
-		let isListed = await this._tryJoin();
+		const isListed = await this._tryJoin();
 		this._watchMembers();
-		while (!isListed) {
+		await this._keepListed(isListed ? 0 : storeBackoffMs.max);
+	}
+
+	/** Writes this entry's row until the store has it in its newest era. */
+	private async _keepListed(delayMs: number): Promise<void> {
+		if (this._isJoining) {
+			return;
+		}
+
+		this._isJoining = true;
+		await delay(delayMs);
+		while (!this._isListed && this._shutdown.progress === undefined) {
 			// Retries until the store responds.
 			// eslint-disable-next-line no-await-in-loop
-			await delay(storeBackoffMs.max);
-			// eslint-disable-next-line no-await-in-loop
-			isListed = await this._tryJoin();
+			if (!(await this._tryJoin())) {
+				// eslint-disable-next-line no-await-in-loop
+				await delay(storeBackoffMs.max);
+			}
 		}
+
+		this._isJoining = false;
+	}
+
+	private get _isListed(): boolean {
+		return (
+			this._listedEra !== undefined && this._listedEra >= this._era.current
+		);
 	}
 
 	private async _tryJoin(): Promise<boolean> {
 		const {store, settings} = this._options;
 		try {
-			await store.join({
+			const {era} = await store.join({
 				id: settings.hostId,
 				endpoint: settings.peer,
 				zone: settings.zone,
 			});
+			this._listedEra = Math.max(this._listedEra ?? 0, era);
+			this._noteEra(era, 'join');
 			this._peers.noteListed();
 			return true;
 		} catch (error) {
--- a/packages/daemon/src/direct/table-watch.ts
+++ b/packages/daemon/src/direct/table-watch.ts
@@ -1,4 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {TableCursor, type StoreEra, type StoreVersion} from '@balsamtray/core';
 import {readDutyCheckMs, storeBackoffMs, storeTimeoutMs} from './constants.js';
 import type {TableRead, TableSource} from './types.js';
 
@@ -7,13 +8,17 @@
 	readonly source: TableSource<Row>;
 	/** Long-poll wait for a change, in milliseconds. */
 	readonly waitMs: () => number;
-	/** Minimum time between the starts of two reads, in milliseconds. */
+	/** Minimum time between the starts of two reads, in milliseconds. A read that shows a gap is followed by another at once. */
 	readonly intervalMs: number;
 	/** Time until this process has to read the table itself, in milliseconds. The first read is due at once. */
 	readonly untilDueMs: () => number;
 	/** Minimum pause after a failed read other than the first, in milliseconds. */
 	readonly minFailurePauseMs: () => number;
 	readonly clock: () => number;
+	/** Newest known era of the store. Reads of earlier ones are dropped. */
+	readonly era: StoreEra;
+	/** Called with the era of each response, before it is used. */
+	readonly onEra: (era: number) => void;
 	/**
 	 * Called after each successful read.
 	 *
@@ -35,17 +40,19 @@
 	readonly onRegained: (table: string, lostForMs: number) => void;
 };
 
-/** Watches a table of the store by long polling. Reads the whole table again if its change history was lost. */
+/** Watches a table of the store by long polling. Reads the whole table again where its `TableCursor` says so. */
 export class TableWatch<Row> {
 	static create<Row>(options: TableWatchOptions<Row>): TableWatch<Row> {
 		return new TableWatch(options);
 	}
 
-	private _version: number | undefined;
+	private readonly _cursor: TableCursor;
 	private _lostAt: number | undefined;
 	private _isStopped = false;
 
-	private constructor(private readonly _options: TableWatchOptions<Row>) {}
+	private constructor(private readonly _options: TableWatchOptions<Row>) {
+		this._cursor = TableCursor.create(_options.era);
+	}
 
 	/** Whether the last call to the store failed. */
 	get isLost(): boolean {
@@ -65,12 +72,12 @@
 			// eslint-disable-next-line no-await-in-loop
 			if (await this._read(startedAt)) {
 				backoffMs = storeBackoffMs.initial;
-				pauseMs = intervalMs - (clock() - startedAt);
+				// If the rows are incomplete, the whole table is read at once.
+				pauseMs = this._cursor.hasRows ? intervalMs - (clock() - startedAt) : 0;
 			} else {
-				pauseMs =
-					this._version === undefined
-						? backoffMs
-						: Math.max(backoffMs, this._options.minFailurePauseMs());
+				pauseMs = this._cursor.hasRows
+					? Math.max(backoffMs, this._options.minFailurePauseMs())
+					: backoffMs;
 				backoffMs = Math.min(backoffMs * 2, storeBackoffMs.max);
 			}
 
@@ -86,14 +93,12 @@
 	}
 
 	/** Skips changes up to a version, because this process got them from elsewhere. */
-	noteVersion(version: number): void {
-		if (this._version !== undefined && version > this._version) {
-			this._version = version;
-		}
+	noteVersion(version: StoreVersion): void {
+		this._cursor.noteVersion(version);
 	}
 
 	private async _untilDue(): Promise<void> {
-		while (!this._isStopped && this._version !== undefined) {
+		while (!this._isStopped && this._cursor.hasRows) {
 			const untilDueMs = this._options.untilDueMs();
 			if (untilDueMs <= 0) {
 				return;
@@ -107,15 +112,18 @@
 
 	/** Reads once and returns whether the store gave a usable response. */
 	private async _read(startedAt: number): Promise<boolean> {
-		const {source, waitMs, epoch, clock, onRead, onTimed} = this._options;
+		const {source, epoch, clock, onTimed} = this._options;
 		const startEpoch = epoch();
-		const isSnapshot = this._version === undefined;
-		// The first read after an outage does not long-poll, which renews the freshness proof at once.
-		const wait = this._lostAt === undefined ? waitMs() : 0;
+		const isSnapshot = this._cursor.needsSnapshot(startedAt);
+		const waitMs = this._waitMs(startedAt);
 		try {
 			const read = isSnapshot
 				? await source.readAll(storeTimeoutMs)
-				: await source.readChanges(this._version!, wait, wait + storeTimeoutMs);
+				: await source.readChanges(
+						this._cursor.version,
+						waitMs,
+						waitMs + storeTimeoutMs,
+					);
 			if (this._isStopped) {
 				return true;
 			}
@@ -123,18 +131,11 @@
 			this._noteSuccess();
 			onTimed('answered', clock() - startedAt);
 			if (read === 'historyLost') {
-				this._version = undefined;
+				this._cursor.noteHistoryLost();
 				return true;
 			}
 
-			if (read.version < (this._version ?? 0)) {
-				// A version older than one already seen is stale and proves no freshness.
-				return false;
-			}
-
-			this._version = read.version;
-			onRead(read, isSnapshot, startedAt, startEpoch);
-			return true;
+			return this._onResponse(read, isSnapshot, startedAt, startEpoch);
 		} catch (error) {
 			onTimed('failed', clock() - startedAt);
 			this._noteFailure(error);
@@ -142,6 +143,33 @@
 		}
 	}
 
+	private _waitMs(now: number): number {
+		if (this._lostAt !== undefined) {
+			// The first read after an outage does not long-poll, which renews the freshness proof at once.
+			return 0;
+		}
+
+		const untilSettledMs = Math.ceil(this._cursor.msUntilSettled(now));
+		return Math.max(0, Math.min(this._options.waitMs(), untilSettledMs));
+	}
+
+	/** Uses a response if its rows count. Returns whether it is not stale. */
+	private _onResponse(
+		read: TableRead<Row>,
+		isSnapshot: boolean,
+		startedAt: number,
+		startEpoch: number,
+	): boolean {
+		const {onEra, onRead} = this._options;
+		onEra(read.era);
+		const verdict = this._cursor.judge(read, isSnapshot, startedAt);
+		if (verdict === 'current') {
+			onRead(read, isSnapshot, startedAt, startEpoch);
+		}
+
+		return verdict !== 'stale';
+	}
+
 	private _noteSuccess(): void {
 		if (this._lostAt !== undefined) {
 			const lostForMs = this._options.clock() - this._lostAt;
--- a/packages/daemon/src/direct/types.ts
+++ b/packages/daemon/src/direct/types.ts
@@ -7,16 +7,14 @@
 	RetryLimit,
 	ServerChange,
 	ServiceSpec,
+	StoreVersion,
 } from '@balsamtray/core';
 
 /** Host and port of a socket. */
 export type Endpoint = {readonly host: string; readonly port: number};
 
 /** Rows read from a table, and the store version of the read. */
-export type TableRead<Row> = {
-	readonly rows: readonly Row[];
-	readonly version: number;
-};
+export type TableRead<Row> = StoreVersion & {readonly rows: readonly Row[]};
 
 /** A store table that can be read completely and watched for changes. */
 export type TableSource<Row> = {
@@ -45,7 +43,8 @@
 	readonly authority: TableSource<AuthorityRow>;
 	readonly servers: TableSource<ServerChange>;
 	readonly members: TableSource<MemberRow>;
-	readonly join: (member: MemberRow) => Promise<void>;
+	/** Writes a member's row. Resolves with the version of the row. */
+	readonly join: (member: MemberRow) => Promise<StoreVersion>;
 	readonly leave: (id: string) => Promise<void>;
 };
 
