Log lines name software versions and what a caller resumes

Nothing told whether a stream had gone on at another software version: the version in a server's row wasn't decoded, and neither was Resumes. Now the line of a request names the software versions of the servers that wrote its events, the stream that its caller resumed and the last event it had; the line of a server names its software version. No decision changes.

Resumes is forwarded, as PROTOCOL.md says of all headers that it doesn't name.

--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -19,6 +19,8 @@
 	readonly address: string;
 	readonly zone: string;
 	readonly slots: number;
+	/** Version of the server's software; absent if it does not say. Unrelated to the versions of adapters. */
+	readonly softwareVersion?: string;
 	readonly isDraining: boolean;
 	/** Remaining time for which the server is cold when the record is written, in milliseconds. */
 	readonly coldLeftMs: number;
--- a/packages/daemon/src/direct/call-record.ts
+++ b/packages/daemon/src/direct/call-record.ts
@@ -15,6 +15,9 @@
 	readonly adapter: string | undefined;
 	readonly configVersion: number | undefined;
 	readonly proofAgeMs: number | undefined;
+	/** The stream that the caller resumed; undefined if it named none. */
+	readonly resumes: string | undefined;
+	readonly resumedAfter: string | undefined;
 };
 
 /** Collects the data for the log line of one request. */
@@ -24,6 +27,7 @@
 	}
 
 	private readonly _sends: string[] = [];
+	private readonly _softwareVersions: string[] = [];
 	private _sentAt: number | undefined;
 	private _waitedFor: string | undefined;
 	private _firstByteAt: number | undefined;
@@ -62,6 +66,11 @@
 		this._sends.push(`${server}: ${outcome}`);
 	}
 
+	/** Records that a server began to write events of the stream. */
+	noteWriter(softwareVersion: string): void {
+		this._softwareVersions.push(softwareVersion);
+	}
+
 	/** Records that a chunk of the response body arrived. */
 	noteBytes(now: number): void {
 		this._firstByteAt ??= now;
@@ -75,6 +84,7 @@
 	toEvent(outcome: CallOutcome): RequestEvent {
 		const {refusal, route, customer, adapter, configVersion, proofAgeMs} =
 			outcome;
+		const {resumes, resumedAfter} = outcome;
 		const sinceArrival = (at: number) => Math.round(at - outcome.arrivedAt);
 		return {
 			event: 'request',
@@ -101,6 +111,11 @@
 			}),
 			...(configVersion !== undefined && {configVersion}),
 			...(proofAgeMs !== undefined && {proofAgeMs: Math.round(proofAgeMs)}),
+			...(this._softwareVersions.length > 0 && {
+				softwareVersions: this._softwareVersions,
+			}),
+			...(resumes !== undefined && {resumes}),
+			...(resumedAfter !== undefined && {resumedAfter}),
 		};
 	}
 }
--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -185,6 +185,7 @@
 	tokens: undefined,
 	session: undefined,
 	lastEventId: undefined,
+	resumes: undefined,
 };
 
 function headBytesOf(req: IncomingMessage): number {
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -55,6 +55,8 @@
 			readonly event: 'serverChanged';
 			readonly server: string;
 			readonly state: string;
+			/** Version of the server's software. Absent if the server does not say. */
+			readonly softwareVersion?: string;
 	  }
 	/** A server turned a request away and wants none from this host for a time; an invalid time (`value`) is ignored. */
 	| {
@@ -122,4 +124,9 @@
 	/** The entry that refused the customer's units (`none` if no owner replied), and the units that were left. */
 	readonly rateOwner?: string;
 	readonly rateLevel?: number;
+	/** Software versions of the servers that wrote events of the stream, in order; empty text if one does not say. */
+	readonly softwareVersions?: readonly string[];
+	/** The call whose stream the caller resumed, and the last event that it had. */
+	readonly resumes?: string;
+	readonly resumedAfter?: string;
 };
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -58,6 +58,8 @@
 	isSent: boolean;
 	/** Undefined until the response headers arrive. */
 	framing: ResponseFraming | undefined;
+	/** Whether a complete event of the stream has arrived. */
+	hasEvents: boolean;
 };
 
 /** Headers that apply to a single connection and are not forwarded. */
@@ -395,6 +397,7 @@
 			isAwaitingPrefill: false,
 			isSent: false,
 			framing: undefined,
+			hasEvents: false,
 		};
 		this._attempt = attempt;
 		clearTimeout(this._deadlineTimer);
@@ -700,9 +703,19 @@
 
 		const {bytes, lastEventId} = this._eventSplitter.push(chunk);
 		this._lastEventId = lastEventId ?? this._lastEventId;
+		if (bytes.length > 0 && !attempt.hasEvents) {
+			attempt.hasEvents = true;
+			this._onFirstEvent(attempt);
+		}
+
 		return bytes.length === 0 || this._write(bytes);
 	}
 
+	private _onFirstEvent({server}: Attempt): void {
+		const record = this._context.fleet.server(server)?.record;
+		this._record.noteWriter(record?.softwareVersion ?? '');
+	}
+
 	/** Reports the time to the first part of the response to the server's agent, once for each attempt. */
 	private _notePrefill(attempt: Attempt, now: number): void {
 		const {server, sentAt, tokensAhead} = attempt;
@@ -926,6 +939,8 @@
 			adapter: this._adapterKey,
 			configVersion: authority.inForce?.config.version,
 			proofAgeMs: proofAgeMs(),
+			resumes: this._metadata.resumes,
+			resumedAfter: this._metadata.lastEventId,
 		});
 		log.write(event);
 		metrics.noteRequest(event);
--- a/packages/daemon/src/direct/server-log.ts
+++ b/packages/daemon/src/direct/server-log.ts
@@ -1,13 +1,18 @@
 import type {ServerState} from '@balsamtray/core';
 import type {EventLog} from './event-log.js';
 
+type ServerDescription = {
+	readonly state: string;
+	readonly softwareVersion: string | undefined;
+};
+
 /** Logs each server that joins, changes state or leaves. */
 export class ServerLog {
 	static create(log: EventLog): ServerLog {
 		return new ServerLog(log);
 	}
 
-	private _states: ReadonlyMap<string, string> = new Map();
+	private _states: ReadonlyMap<string, ServerDescription> = new Map();
 
 	private constructor(private readonly _log: EventLog) {}
 
@@ -15,11 +20,20 @@
 	update(servers: Iterable<ServerState>): void {
 		const previous = this._states;
 		this._states = new Map(
-			[...servers].map(server => [server.record.id, stateOf(server)]),
+			[...servers].map(server => [server.record.id, describeServer(server)]),
 		);
-		for (const [server, state] of this._states) {
-			if (previous.get(server) !== state) {
-				this._log.write({event: 'serverChanged', server, state});
+		for (const [server, {state, softwareVersion}] of this._states) {
+			const before = previous.get(server);
+			if (
+				before?.state !== state ||
+				before.softwareVersion !== softwareVersion
+			) {
+				this._log.write({
+					event: 'serverChanged',
+					server,
+					state,
+					...(softwareVersion !== undefined && {softwareVersion}),
+				});
 			}
 		}
 
@@ -31,6 +45,11 @@
 	}
 }
 
+function describeServer(server: ServerState): ServerDescription {
+	const {softwareVersion} = server.record;
+	return {state: stateOf(server), softwareVersion};
+}
+
 function stateOf({record, vanishedAt, isLeaving}: ServerState): string {
 	if (vanishedAt !== undefined) {
 		return 'vanished';
--- a/packages/daemon/src/direct/types.ts
+++ b/packages/daemon/src/direct/types.ts
@@ -65,6 +65,8 @@
 	readonly session: string | undefined;
 	/** Id of the last event that the caller received of an interrupted stream. */
 	readonly lastEventId: string | undefined;
+	/** Identifier of the call that brought the first event of the stream that the caller resumes. */
+	readonly resumes: string | undefined;
 };
 
 /** Metadata that an entry adds to a forwarded request. */
