A response resumes only at the software version that began it

The cause: nothing that chooses a server knew a server's software version.

The first event now binds a stream to the service and software version of the server that wrote it; before it, any server will do. FleetView offers only servers of that version, so adapters are loaded there as well, and full, draining or suspended servers are waited for as usual. If no server of the version is listed, or the route has left the service, the stream is cut at once as streamVersionGone. A server that says no version, or whose agent reports a later start than its row, counts as one of a version of its own.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -62,3 +62,4 @@
 export * from './topology/constants.js';
 export * from './topology/entry-topology.js';
 export * from './topology/read-duty.js';
+export type * from './streams/types.js';
--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -109,6 +109,90 @@
 		});
 	});
 
+	describe('a stream that one software version began', () => {
+		const versions = (...items: ReadonlyArray<string | undefined>) => {
+			list(
+				...items.map((softwareVersion, i) =>
+					record(`s${i}`, {
+						...(softwareVersion !== undefined && {softwareVersion}),
+						models: [{name: 'm', adapters: {a: 1}}],
+					}),
+				),
+			);
+		};
+
+		// Guards against a resumption at a less busy server of another software version (ORDER).
+		it('goes on only at servers of that version', () => {
+			versions('v1', 'v2', 'v1', undefined);
+			fleet.server('s2')!.noteSent(undefined, 0);
+			assert.equal(
+				chosen({softwareVersion: 'v1', tried: new Set(['s0'])}),
+				's2',
+			);
+			assert.equal(chosen({softwareVersion: 'v2'}), 's1');
+			assert.equal(chosen({softwareVersion: ''}), 's3');
+			assert.equal(chosen({softwareVersion: 'v3'}), 'noServer');
+		});
+
+		it('may begin at any of them', () => {
+			versions('v1', 'v2');
+			assert.equal(chosen({tried: new Set(['s0'])}), 's1');
+		});
+
+		it('waits until its adapter is loaded at that version, though another holds it', () => {
+			list(
+				record('s0', {softwareVersion: 'v1'}),
+				record('s1', {
+					softwareVersion: 'v2',
+					models: [{name: 'm', adapters: {a: 1}}],
+				}),
+			);
+			fleet.noteReport('s0', report({}), 0);
+			assert.equal(chosen({softwareVersion: 'v1'}), 'awaitAdapter');
+			assert.deepEqual(wanted, ['s0']);
+		});
+
+		it('waits for a server of that version that turns requests away, though another takes them', () => {
+			versions('v1', 'v2');
+			fleet.server('s0')!.suspend(500, 0, 0);
+			assert.equal(chosen({softwareVersion: 'v1'}), 'serversSuspended');
+		});
+
+		// Guards against a server that has started again, under its identifier, with other software than listed (ORDER).
+		it('does not go on at a server that has restarted since it said its version', () => {
+			list(
+				record('s0', {
+					softwareVersion: 'v1',
+					born: 5,
+					models: [{name: 'm', adapters: {a: 1}}],
+				}),
+			);
+			fleet.noteReport('s0', report({a: 1}, {born: 5}), 0);
+			assert.equal(chosen({softwareVersion: 'v1'}), 's0');
+			fleet.noteReport('s0', report({a: 1}, {born: 6}), 10);
+			assert.equal(chosen({softwareVersion: 'v1'}, 10), 'noServer');
+		});
+
+		it('finds out whether a server of that version is listed, draining or not', () => {
+			versions('v1', 'v2');
+			assert.equal(fleet.hasSoftwareVersion('s', 'v1'), true);
+			assert.equal(fleet.hasSoftwareVersion('other', 'v1'), false);
+			fleet.apply(
+				[
+					{
+						id: 's0',
+						rowVersion: 2,
+						record: record('s0', {softwareVersion: 'v1', isDraining: true}),
+					},
+				],
+				1,
+			);
+			assert.equal(fleet.hasSoftwareVersion('s', 'v1'), true);
+			fleet.apply([{id: 's0', rowVersion: 3, record: undefined}], 2);
+			assert.equal(fleet.hasSoftwareVersion('s', 'v1'), false);
+		});
+	});
+
 	describe('adapters', () => {
 		it('run on a server that holds them', () => {
 			list(record('x'), record('y'));
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -175,6 +175,16 @@
 		return count;
 	}
 
+	/** Whether the platform lists a server of the service with this software version, draining or not. */
+	hasSoftwareVersion(service: string, softwareVersion: string): boolean {
+		return [...this._servers.values()].some(
+			server =>
+				server.record.service === service &&
+				server.softwareVersion === softwareVersion &&
+				server.vanishedAt === undefined,
+		);
+	}
+
 	/** Whether a newer server is listed at the server's address. The server no longer exists then. */
 	isReplaced({record: {id, address}}: ServerState): boolean {
 		const current = this._currentServers.get(address);
@@ -287,10 +297,13 @@
 	}
 
 	private _usable(need: ServerNeed, now: number): readonly ServerState[] {
+		const {softwareVersion} = need;
 		const usable = [...this._servers.values()].filter(
 			server =>
 				server.record.service === need.service &&
 				!need.tried.has(server.record.id) &&
+				(softwareVersion === undefined ||
+					server.softwareVersion === softwareVersion) &&
 				this._isUsable(server, now),
 		);
 		const unsuspected = usable.filter(server => !server.isSuspected(now));
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -65,6 +65,15 @@
 		return this._record;
 	}
 
+	/**
+	 * Version of the server's software. Empty if the server does not say, or has restarted since its record was written: a
+	 * server may start again under its identifier with other software.
+	 */
+	get softwareVersion(): string {
+		const {softwareVersion = '', born} = this._record;
+		return born !== undefined && this._born > born ? '' : softwareVersion;
+	}
+
 	/** Number of times that the server turned cold, by its records. */
 	get coldStarts(): number {
 		return this._coldStarts;
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -81,6 +81,8 @@
 	readonly maxPromptWaitMs: number;
 	/** Servers to which the request was already sent. */
 	readonly tried: ReadonlySet<string>;
+	/** Software version that the server must have, empty for servers that don't say; absent if any will do. */
+	readonly softwareVersion?: string;
 };
 
 /** Result of choosing a server for a request. */
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -14,6 +14,7 @@
 	type RouteRule,
 	type ServerChoice,
 	type ServerNeed,
+	type StreamOrigin,
 } from '@balsamtray/core';
 import {badGateway, unavailable, type CallRefusal} from './call-refusal.js';
 import {
@@ -96,6 +97,8 @@
 	private _attempt: Attempt | undefined;
 	private _eventSplitter: EventStreamSplitter | undefined;
 	private _lastEventId: string | undefined;
+	/** Where the stream began; undefined until its first event. */
+	private _origin: StreamOrigin | undefined;
 	private _waiter: Waiter | undefined;
 	private _waitDeadlineAt = 0;
 	private _deadlineTimer: NodeJS.Timeout | undefined;
@@ -271,7 +274,10 @@
 
 		this._route = route;
 		this._customer = customer;
-		this._service = pickShare(route.shares, this._randomShare);
+		const origin = this._origin?.service;
+		this._service = route.shares.some(({service}) => service === origin)
+			? origin
+			: pickShare(route.shares, this._randomShare);
 		return undefined;
 	}
 
@@ -301,6 +307,11 @@
 		}
 
 		const choice = this._chooseServer(now);
+		if (this._isOriginGone(choice)) {
+			this._fail(unavailable('streamVersionGone'));
+			return;
+		}
+
 		if (choice.kind === 'send') {
 			this._startAttempt(choice.server, choice.version, now);
 			return;
@@ -314,6 +325,23 @@
 		this._waitForServer(choice, now);
 	}
 
+	/**
+	 * Whether the stream can't go on: its route has left the service where it began, or no server of the software version
+	 * that began it is listed.
+	 */
+	private _isOriginGone(choice: ServerChoice): boolean {
+		if (this._origin === undefined) {
+			return false;
+		}
+
+		const {service, softwareVersion} = this._origin;
+		return (
+			service !== this._service ||
+			(choice.kind === 'noServer' &&
+				!this._context.fleet.hasSoftwareVersion(service, softwareVersion))
+		);
+	}
+
 	private _chooseServer(now: number): ServerChoice {
 		return this._context.fleet.choose(this._serverNeed(now), now);
 	}
@@ -329,6 +357,7 @@
 			promptTokens: promptTokens ?? 0,
 			maxPromptWaitMs: this._maxPrefillWaitMs(now),
 			tried: this._attemptedServers,
+			...(this._origin && {softwareVersion: this._origin.softwareVersion}),
 		};
 	}
 
@@ -711,9 +740,15 @@
 		return bytes.length === 0 || this._write(bytes);
 	}
 
+	/** From its first event on, a stream may go on only at the software version that wrote it. */
 	private _onFirstEvent({server}: Attempt): void {
-		const record = this._context.fleet.server(server)?.record;
-		this._record.noteWriter(record?.softwareVersion ?? '');
+		const state = this._context.fleet.server(server);
+		const softwareVersion = state?.softwareVersion ?? '';
+		this._record.noteWriter(softwareVersion);
+		this._origin ??= {
+			service: state?.record.service ?? this._service ?? '',
+			softwareVersion,
+		};
 	}
 
 	/** Reports the time to the first part of the response to the server's agent, once for each attempt. */
