A stream that a caller resumes goes on only at the software version that began it

The cause: Resumes was forwarded and not understood, and no entry but the first could know where a stream began.

The entry that passes a stream's first event on now keeps its origin and sends it to three entries in rendezvous order of the call's identifier, in different zones, before the event goes out. An entry that a resumption reaches looks in its memory and otherwise asks the first six in that order. A stream that nobody knows goes on only if the service has had one software version for as long as a stream may last; otherwise it is refused, 503 streamVersionUnknown. An entry that is stopped hands its origins over.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -63,3 +63,7 @@
 export * from './topology/entry-topology.js';
 export * from './topology/read-duty.js';
 export type * from './streams/types.js';
+export * from './streams/constants.js';
+export * from './streams/decide-resumption.js';
+export * from './streams/software-versions.js';
+export * from './streams/stream-origins.js';
--- a/packages/core/src/topology/constants.ts
+++ b/packages/core/src/topology/constants.ts
@@ -7,6 +7,9 @@
 /** Entries that keep a customer's levels in a large fleet: the owner and those that take over from it, in order. */
 export const ownerCandidates = 3;
 
+/** Entries in the order for a stream that may keep its origin, including the one that began it. */
+export const streamCandidates = 6;
+
 /** Number of entries up to which all of them keep all customers' levels. */
 export const maxMutualEntries = 8;
 
--- a/packages/core/src/topology/entry-topology.ts
+++ b/packages/core/src/topology/entry-topology.ts
@@ -3,7 +3,12 @@
 	rendezvousScore,
 	topByRendezvous,
 } from '../common/rendezvous.js';
-import {extraLinks, maxZoneChildren, readSpreadMs} from './constants.js';
+import {
+	extraLinks,
+	maxZoneChildren,
+	readSpreadMs,
+	streamCandidates,
+} from './constants.js';
 import {OwnerOrder} from './owner-order.js';
 import type {IsLost, Member} from './types.js';
 
@@ -130,6 +135,11 @@
 		return this._owners.candidates(customer);
 	}
 
+	/** Entries that may keep the origin of a stream, in order; in different zones as far as there are zones. */
+	streamCandidates(stream: string): readonly string[] {
+		return this._owners.first(stream, streamCandidates);
+	}
+
 	/** Whether this entry relays the reports of the server's agent to its zone. */
 	isRelay(server: string, isLost: IsLost): boolean {
 		const live = this._liveZone(isLost);
--- a/packages/core/src/topology/topology.test.ts
+++ b/packages/core/src/topology/topology.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {extraLinks, maxZoneChildren, ownerCandidates} from './constants.js';
+import {
+	extraLinks,
+	maxZoneChildren,
+	ownerCandidates,
+	streamCandidates,
+} from './constants.js';
 import {EntryTopology} from './entry-topology.js';
 import {msUntilRead} from './read-duty.js';
 import type {Member} from './types.js';
@@ -141,6 +146,31 @@
 		}
 	});
 
+	it('has the same candidates for a stream at all entries, in different zones, few of which change with a member', () => {
+		const members = membersOf(68, 5);
+		const topologies = [...topologiesOf(members).values()];
+		const zoneOf = new Map(members.map(({id, zone}) => [id, zone]));
+		const grown = EntryTopology.create(members[0]!);
+		grown.setMembers([...members, {id: 'new', zone: 'zone-3'}]);
+		for (let i = 0; i < 50; i++) {
+			const candidates = topologies[0]!.streamCandidates(`stream-${i}`);
+			assert.equal(new Set(candidates).size, streamCandidates);
+			const zones = candidates.slice(0, 5).map(id => zoneOf.get(id));
+			assert.equal(new Set(zones).size, 5);
+			for (const topology of topologies) {
+				assert.deepEqual(topology.streamCandidates(`stream-${i}`), candidates);
+			}
+
+			const after = grown.streamCandidates(`stream-${i}`);
+			assert.ok(candidates.filter(id => !after.includes(id)).length <= 1);
+		}
+	});
+
+	it('has all entries of a small fleet as candidates for a stream', () => {
+		const [topology] = topologiesOf(membersOf(4, 1)).values();
+		assert.equal(new Set(topology!.streamCandidates('stream')).size, 4);
+	});
+
 	it('links the candidates of a customer with each other', () => {
 		const members = membersOf(30, 3);
 		const topologies = topologiesOf(members);
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -10,6 +10,7 @@
 import type {EntryPeers} from './entry-peers.js';
 import type {EventLog} from './event-log.js';
 import type {KeyCounts} from './key-counts.js';
+import type {StreamDirectory} from './stream-directory.js';
 import type {CallCodec} from './types.js';
 import type {Upstream} from './upstream.js';
 import type {WaitQueue} from './wait-queue.js';
@@ -21,6 +22,7 @@
 	readonly authority: AuthorityView;
 	readonly fleet: FleetView;
 	readonly peers: EntryPeers;
+	readonly streams: StreamDirectory;
 	readonly agentClient: AgentClient;
 	/** Requests that were running on a server when its connection broke, and may have crashed it. */
 	readonly suspects: SuspectRegistry;
--- a/packages/daemon/src/direct/call-record.ts
+++ b/packages/daemon/src/direct/call-record.ts
@@ -1,3 +1,4 @@
+import type {Resumption} from '@balsamtray/core';
 import type {CallRefusal} from './call-refusal.js';
 import type {RequestEvent} from './log-events.js';
 
@@ -28,6 +29,7 @@
 
 	private readonly _sends: string[] = [];
 	private readonly _softwareVersions: string[] = [];
+	private _resumption: Resumption | undefined;
 	private _sentAt: number | undefined;
 	private _waitedFor: string | undefined;
 	private _firstByteAt: number | undefined;
@@ -66,6 +68,11 @@
 		this._sends.push(`${server}: ${outcome}`);
 	}
 
+	/** Records where a stream that the caller resumes may go on. */
+	noteResumption(resumption: Resumption): void {
+		this._resumption = resumption;
+	}
+
 	/** Records that a server began to write events of the stream. */
 	noteWriter(softwareVersion: string): void {
 		this._softwareVersions.push(softwareVersion);
@@ -116,6 +123,18 @@
 			}),
 			...(resumes !== undefined && {resumes}),
 			...(resumedAfter !== undefined && {resumedAfter}),
+			...(this._resumption && describeResumption(this._resumption)),
 		};
 	}
 }
+
+function describeResumption(
+	resumption: Resumption,
+): Pick<RequestEvent, 'originBy' | 'originVersion'> {
+	return resumption.kind === 'known'
+		? {
+				originBy: resumption.by,
+				originVersion: resumption.origin.softwareVersion,
+			}
+		: {originBy: 'unknown'};
+}
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -43,6 +43,21 @@
 /** Time for which an owner recognizes a query that it has replied to, in milliseconds. */
 export const quotaReplyLifetimeMs = 1000;
 
+/** Number of other entries to which the origin of a stream is sent. */
+export const streamCopies = 3;
+
+/** Maximum number of origins in one datagram, so that it fits into one packet. */
+export const maxStreamsPerNote = 8;
+
+/** Time until a query for the origin of a stream is given up, in milliseconds. */
+export const streamQueryTimeoutMs = 300;
+
+/** Times after which the entries that have not replied are asked again, in milliseconds. */
+export const streamQueryRetryMs = [60, 140] as const;
+
+/** `retry-after` of a stream whose origin no entry told, in milliseconds: the entries that know it may be back then. */
+export const unknownStreamRetryAfterMs = 300;
+
 /** Prefill delay below which a request is sent without a timer, in milliseconds. */
 export const minPrefillDelayMs = 1;
 
--- a/packages/daemon/src/direct/direct-metrics.ts
+++ b/packages/daemon/src/direct/direct-metrics.ts
@@ -92,7 +92,11 @@
 	}
 
 	/** @param kind `rate` for quota queries to entries, `turn` for prefill queries to agents */
-	noteQuery(kind: 'rate' | 'turn', outcome: string, durationMs: number): void {
+	noteQuery(
+		kind: 'rate' | 'turn' | 'stream',
+		outcome: string,
+		durationMs: number,
+	): void {
 		this._peerCall.observe({kind, outcome}, durationMs / 1000);
 	}
 
--- a/packages/daemon/src/direct/entry-fleet.testing.ts
+++ b/packages/daemon/src/direct/entry-fleet.testing.ts
@@ -253,6 +253,9 @@
 		}
 
 		case 'quotaReturn':
+		case 'streamNote':
+		case 'streamAsk':
+		case 'streamAnswer':
 		case 'demand':
 		case 'report':
 		case 'turnAsk':
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -23,6 +23,7 @@
 	unresponsiveOwnerMs,
 } from './constants.js';
 import {PendingQueries, type PendingQueriesOptions} from './pending-queries.js';
+import type {StreamKeeper} from './stream-directory.js';
 import type {Endpoint, MemberRow} from './types.js';
 
 export type EntryPeersOptions = {
@@ -299,6 +300,16 @@
 		return true;
 	}
 
+	/** Other entries that may keep the origin of a stream, in order. */
+	streamKeepers(stream: string): readonly StreamKeeper[] {
+		return this._topology.streamCandidates(stream).flatMap(id => {
+			const peer = this._peers.get(id);
+			return peer === undefined
+				? []
+				: [{id, endpoint: peer.endpoint, isLost: peer.isLost}];
+		});
+	}
+
 	/** Number of entries of this entry's zone that are not lost, including this one. */
 	get zoneSize(): number {
 		return this._topology.zonePeers(this._isLostInZone).length + 1;
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -11,6 +11,8 @@
 	msUntilRead,
 	QuotaLedger,
 	RetryAllowance,
+	SoftwareVersions,
+	StreamOrigins,
 	SuspectRegistry,
 	type AuthorityChange,
 	type AuthorityRow,
@@ -44,6 +46,7 @@
 import {QuotaResponder} from './quota-responder.js';
 import {RelayedTable} from './relayed-table.js';
 import {ServerLog} from './server-log.js';
+import {StreamDirectory} from './stream-directory.js';
 import {TableExchange} from './table-exchange.js';
 import {TableWatch, type TableWatchOptions} from './table-watch.js';
 import {TextServer, type TextResponse} from './text-server.js';
@@ -101,6 +104,8 @@
 	private readonly _servers: RelayedTable<ServerChange>;
 	private readonly _members: RelayedTable<MemberRow>;
 	private readonly _quotaResponder: QuotaResponder;
+	private readonly _softwareVersions = SoftwareVersions.create();
+	private readonly _streams: StreamDirectory;
 	private readonly _shutdown: EntryShutdown;
 	private readonly _serverLog: ServerLog;
 	private readonly _metrics = DirectMetrics.create({
@@ -133,6 +138,7 @@
 			revokeMs: () => this._bounds.revokeMs,
 			onSuspended: (epoch, now) => {
 				this._ledger.resetAfterPause(now);
+				this._softwareVersions.resetFollowing(now);
 				log.write({event: 'suspended', epoch});
 			},
 		});
@@ -163,6 +169,7 @@
 			},
 		});
 		this._fleet = this._createFleet();
+		this._streams = this._createStreams();
 		this._agentClient = AgentClient.create({
 			fleet: this._fleet,
 			clock,
@@ -226,6 +233,7 @@
 		const {settings, log, store} = this._options;
 		const startedAt = clock();
 		log.write({event: 'stopping', running: this._ingress.running});
+		this._streams.handOver();
 		await this._shutdown.run(this._ingress);
 		for (const watch of this._watches) {
 			watch.dispose();
@@ -259,6 +267,7 @@
 			authority: this._authority,
 			fleet: this._fleet,
 			peers: this._peers,
+			streams: this._streams,
 			agentClient: this._agentClient,
 			suspects: this._suspects,
 			upstream: this._upstream,
@@ -299,6 +308,29 @@
 		});
 	}
 
+	private _createStreams(): StreamDirectory {
+		return StreamDirectory.create({
+			hostId: this._options.settings.hostId,
+			clock,
+			listedAt: () => this._servers.confirmedAt,
+			origins: StreamOrigins.create(),
+			versions: this._softwareVersions,
+			keepers: stream => this._peers.streamKeepers(stream),
+			send: (message, to) => {
+				this._send(message, to);
+			},
+			schedule(run, delayMs) {
+				const timer = setTimeout(run, delayMs);
+				return () => {
+					clearTimeout(timer);
+				};
+			},
+			onQueryEnded: (outcome, durationMs) => {
+				this._metrics.noteQuery('stream', outcome, durationMs);
+			},
+		});
+	}
+
 	private _createPeers(): EntryPeers {
 		const {settings} = this._options;
 		return EntryPeers.create({
@@ -555,6 +587,11 @@
 	/** Returns whether the server list differs in something that other entries have to know. */
 	private _onServersChanged(): boolean {
 		this._hasServerList = true;
+		this._softwareVersions.update(
+			this._fleet.listedRows().flatMap(({record}) => record ?? []),
+			this._servers.confirmedAt,
+			clock(),
+		);
 		this._serverLog.update(this._fleet.servers());
 		this._upstream.keepOnly(
 			new Set([...this._fleet.servers()].map(({record}) => record.id)),
@@ -632,6 +669,21 @@
 				break;
 			}
 
+			case 'streamNote': {
+				this._streams.onNote(message);
+				break;
+			}
+
+			case 'streamAsk': {
+				this._streams.onQuery(message, from);
+				break;
+			}
+
+			case 'streamAnswer': {
+				this._streams.onReply(message);
+				break;
+			}
+
 			case 'turnAnswer': {
 				const {askId, delayMs, tokensAhead = 0} = message;
 				this._agentClient.onPrefillReply(askId, {delayMs, tokensAhead});
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -129,4 +129,10 @@
 	/** The call whose stream the caller resumed, and the last event that it had. */
 	readonly resumes?: string;
 	readonly resumedAfter?: string;
+	/**
+	 * How the entry knew the software version that began the resumed stream: by an entry's record, because the service has
+	 * had only that version, because its servers say none (`unversioned`), or not at all (`unknown`).
+	 */
+	readonly originBy?: string;
+	readonly originVersion?: string;
 };
--- a/packages/daemon/src/direct/metric-definitions.ts
+++ b/packages/daemon/src/direct/metric-definitions.ts
@@ -45,7 +45,7 @@
 	peerCall: {
 		kind: 'histogram',
 		name: 'balsamtray_peer_call_seconds',
-		help: "Questions to other entries about a customer's rate and to agents about a prompt's turn, by how they ended (`answered`, `silent`).",
+		help: "Questions to other entries about a customer's rate and about a resumed stream, and to agents about a prompt's turn, by how they ended (`answered`, `silent`).",
 		labels: ['kind', 'outcome'],
 	},
 	proofAge: {
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -22,6 +22,7 @@
 	maxWaitShare,
 	minPrefillDelayMs,
 	otherEntryRetryAfterMs,
+	unknownStreamRetryAfterMs,
 } from './constants.js';
 import type {CallContext} from './call-context.js';
 import {CallRecord} from './call-record.js';
@@ -202,7 +203,9 @@
 			this._reservedUnits = units;
 		}
 
-		this._assignServer();
+		if (await this._findOrigin()) {
+			this._assignServer();
+		}
 	}
 
 	/** Ends the request with an error, or cuts the response if its headers are already sent. */
@@ -235,6 +238,32 @@
 		this._res.end(JSON.stringify({error: {code: reason, not_run: isNotRun}}));
 	}
 
+	/** Finds out where a stream began that the caller resumes. Returns whether the request can go on. */
+	private async _findOrigin(): Promise<boolean> {
+		const {resumes, lastEventId} = this._metadata;
+		const isResumption = resumes !== undefined || lastEventId !== undefined;
+		if (!this._route!.isResumable || !isResumption) {
+			return true;
+		}
+
+		const resumption = await this._context.streams.find({
+			id: resumes,
+			service: this._service ?? '',
+			limitMs: this._limitMs,
+		});
+		this._record.noteResumption(resumption);
+		if (resumption.kind === 'known') {
+			this._origin = resumption.origin;
+		} else {
+			this.refuse({
+				...unavailable('streamVersionUnknown'),
+				retryAfterMs: unknownStreamRetryAfterMs,
+			});
+		}
+
+		return !this._isEnded;
+	}
+
 	private async _reserve(
 		customer: CustomerRule,
 		units: number,
@@ -740,7 +769,10 @@
 		return bytes.length === 0 || this._write(bytes);
 	}
 
-	/** From its first event on, a stream may go on only at the software version that wrote it. */
+	/**
+	 * From its first event on, a stream may go on only at the software version that wrote it, also at other entries. One
+	 * that the caller resumed is recorded again, as entries that knew its origin may be gone.
+	 */
 	private _onFirstEvent({server}: Attempt): void {
 		const state = this._context.fleet.server(server);
 		const softwareVersion = state?.softwareVersion ?? '';
@@ -749,6 +781,14 @@
 			service: state?.record.service ?? this._service ?? '',
 			softwareVersion,
 		};
+		const id = this._metadata.resumes ?? this._metadata.callId;
+		if (
+			this._route!.isResumable &&
+			id !== undefined &&
+			this._origin.softwareVersion !== ''
+		) {
+			this._context.streams.noteFirstEvent(id, this._origin, this._limitMs);
+		}
 	}
 
 	/** Reports the time to the first part of the response to the server's agent, once for each attempt. */
@@ -1002,6 +1042,11 @@
 		return query === -1 ? url : url.slice(0, query);
 	}
 
+	/** Longest time for which the caller may wait for its stream, in milliseconds. */
+	private get _limitMs(): number {
+		return Math.max(this._route!.timeoutMs, this._metadata.deadlineMs ?? 0);
+	}
+
 	private get _priority(): number {
 		return this._customer?.priority ?? this._route?.priority ?? 0;
 	}
--- a/packages/protocol/src/gossip/messages.ts
+++ b/packages/protocol/src/gossip/messages.ts
@@ -4,6 +4,8 @@
 	EngineReport,
 	QuotaGrant,
 	QuotaLevel,
+	StreamKnowledge,
+	StreamOriginEntry,
 } from '@balsamtray/core';
 
 /** An entry's copy of a table: its revision, and the time since it was known to be the newest, in milliseconds. */
@@ -126,6 +128,31 @@
 	readonly reportId?: string;
 };
 
+/** Origins of streams, sent to entries that keep them as well. */
+export type StreamNote = {
+	readonly type: 'streamNote';
+	readonly streams: readonly StreamOriginEntry[];
+};
+
+/** Query for the origin of a stream, sent to the entries that may keep it. */
+export type StreamQuery = {
+	readonly type: 'streamAsk';
+	readonly askId: number;
+	/** The call that brought the first event. */
+	readonly id: string;
+	/** Service that the resumed stream would run on. */
+	readonly service: string;
+	/** Time for which the service must have had a single software version, in milliseconds, if the stream is not known. */
+	readonly spanMs: number;
+};
+
+/** Reply to the `StreamQuery` with the same `askId`. Absent fields are not known. */
+export type StreamReply = {
+	readonly type: 'streamAnswer';
+	readonly askId: number;
+	readonly from: string;
+} & Partial<StreamKnowledge>;
+
 /** A datagram between entries, or between an entry and an agent. */
 export type GossipMessage =
 	| EntryHeartbeat
@@ -137,7 +164,10 @@
 	| PrefillQuery
 	| PrefillReply
 	| PrefillRelease
-	| ReportMessage;
+	| ReportMessage
+	| StreamNote
+	| StreamQuery
+	| StreamReply;
 
 const messageTypes: ReadonlySet<string> = new Set([
 	'entry',
@@ -150,6 +180,9 @@
 	'turnAnswer',
 	'turnReturn',
 	'report',
+	'streamNote',
+	'streamAsk',
+	'streamAnswer',
 ] satisfies ReadonlyArray<GossipMessage['type']>);
 
 /** Parses a datagram. Returns undefined if it is not JSON with a known `type`. Other fields are not checked. */
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -9,6 +9,8 @@
 const fleetView = 'packages/core/dist/placement/fleet-view.test.js';
 const codec = 'platform/dist/call-codec.test.js';
 const planner = 'packages/core/dist/orders/order-planner.test.js';
+const streamDirectory = 'packages/daemon/dist/direct/stream-directory.test.js';
+const streamVersions = 'platform/dist/stream-versions.test.js';
 
 export const mutations = [
 	{
@@ -51,6 +53,54 @@
 		to: 'if ((this._eventSplitter?.partialEventBytes ?? 0) < 0) {',
 		test: path,
 	},
+	{
+		rule: 'ORDER',
+		what: 'a stream is resumed at a server of any software version',
+		file: `${core}/placement/fleet-view.ts`,
+		from: 'server.softwareVersion === softwareVersion) &&',
+		to: 'true) &&',
+		test: fleetView,
+	},
+	{
+		rule: 'ORDER',
+		what: 'the first event of a stream does not bind it to a software version',
+		file: `${direct}/proxied-call.ts`,
+		from: '...(this._origin && {softwareVersion: this._origin.softwareVersion}),',
+		to: '',
+		test: streamVersions,
+	},
+	{
+		rule: 'ORDER',
+		what: 'a stream that no entry knows goes on at a software version that is listed',
+		file: `${core}/streams/decide-resumption.ts`,
+		from: 'return isCertain && versions.size === 1',
+		to: 'return versions.size > 0 || isCertain',
+		test: 'packages/core/dist/streams/streams.test.js',
+	},
+	{
+		rule: 'ORDER',
+		what: 'an entry that has just started is certain that a service has had one software version',
+		file: `${core}/streams/software-versions.ts`,
+		from: 'now - this._followedSince < spanMs',
+		to: 'now < this._followedSince',
+		test: streamDirectory,
+	},
+	{
+		rule: 'LOST',
+		what: 'the origin of a stream is known only to the entry that began it',
+		file: `${direct}/stream-directory.ts`,
+		from: 'for (const {endpoint} of this._receivers(id)) {',
+		to: 'for (const {endpoint} of this._receivers(id).slice(streamCopies)) {',
+		test: streamDirectory,
+	},
+	{
+		rule: 'LOST',
+		what: 'an entry that is stopped does not hand over the origins of streams',
+		file: `${direct}/stream-directory.ts`,
+		from: 'this._receivers(entry.id)) {',
+		to: 'this._receivers(entry.id).slice(streamCopies)) {',
+		test: streamDirectory,
+	},
 	{
 		rule: 'DRAIN',
 		what: 'a server that says in its responses that it is leaving receives calls',
