--- a/packages/core/src/authority/authority-view.test.ts
+++ b/packages/core/src/authority/authority-view.test.ts
@@ -43,7 +43,7 @@
 			assert.equal(view.isZoneOut('z1'), true);
 		});
 
-		it('keeps the highest adapter version and the time it was learned', () => {
+		it('keeps the highest adapter version and the time at which its limit began', () => {
 			const view = AuthorityView.create();
 			const declare = (rowVersion: number, version: number): AuthorityRow => ({
 				key: 'v',
@@ -52,10 +52,48 @@
 			});
 			view.apply([declare(1, 4)], 10);
 			view.apply([declare(2, 3)], 20);
-			assert.deepEqual(view.declaredVersion('m', 'a'), {
-				version: 4,
-				learnedAt: 10,
-			});
+			assert.equal(view.newestVersion('m', 'a'), 4);
+			assert.equal(view.minVersion('m', 'a', 100, 109), 0);
+			assert.equal(view.minVersion('m', 'a', 100, 110), 4);
+		});
+	});
+
+	describe('adapter versions', () => {
+		const declaration: AuthorityRow = {
+			key: 'v',
+			rowVersion: 1,
+			statement: {
+				type: 'adapterVersion',
+				model: 'm',
+				adapter: 'a',
+				version: 2,
+			},
+		};
+		const graceMs = 3500;
+
+		// Guards against a time in use that begins when this process hears of a version, however late.
+		it('end the use of older ones by the time at which they may have been declared', () => {
+			const view = AuthorityView.create();
+			const provenAt = 1000;
+			view.apply([declaration], provenAt);
+			assert.equal(view.minVersion('m', 'a', graceMs, 4499), 0);
+			assert.equal(view.minVersion('m', 'a', graceMs, 4500), 2);
+		});
+
+		// Guards against a restarted process that counts the time in use from its own start.
+		it('end it at once in a process that did not know the statements before', () => {
+			const view = AuthorityView.create();
+			view.applyAll([declaration], 1, Number.NEGATIVE_INFINITY);
+			assert.equal(view.minVersion('m', 'a', graceMs, 0), 2);
+		});
+
+		// Guards against a time in use that is measured by a clock that stopped during a suspension.
+		it('end it at once after a suspension', () => {
+			const view = AuthorityView.create();
+			view.apply([declaration], 1000);
+			view.forgetVersionTimes();
+			assert.equal(view.minVersion('m', 'a', graceMs, 1001), 2);
+			assert.equal(view.newestVersion('m', 'a'), 2);
 		});
 	});
 
--- a/packages/core/src/authority/authority-view.ts
+++ b/packages/core/src/authority/authority-view.ts
@@ -1,3 +1,4 @@
+import {AdapterVersions} from './adapter-versions.js';
 import {KeyDirectory} from './key-directory.js';
 import {RouteTable} from './route-table.js';
 import type {AuthorityConfig, AuthorityRow, ServiceSpec} from './types.js';
@@ -6,6 +7,17 @@
 export type AuthorityChange = {
 	readonly hasNewConfig: boolean;
 	readonly hasChanged: boolean;
+	/** Adapter versions that are newer than those known before. */
+	readonly declared: readonly DeclaredAdapter[];
+};
+
+/** A declared version of an adapter. */
+export type DeclaredAdapter = {
+	/** `adapterKey` of the adapter. */
+	readonly adapter: string;
+	readonly version: number;
+	/** Monotonic time after which it was declared, in milliseconds; negative infinity if that is unknown. */
+	readonly since: number;
 };
 
 /** A configuration with its lookup tables. */
@@ -16,12 +28,6 @@
 	readonly services: ReadonlyMap<string, ServiceSpec>;
 };
 
-/** A declared adapter version, with the time at which this process learned it. */
-export type DeclaredVersion = {
-	readonly version: number;
-	readonly learnedAt: number;
-};
-
 /**
  * This process's view of the authority's statements. Versions only increase: a row is replaced only by a newer row, and
  * the configuration and adapter versions only by higher versions.
@@ -33,7 +39,7 @@
 
 	private readonly _rows = new Map<string, AuthorityRow>();
 	private readonly _zonesOut = new Set<string>();
-	private readonly _declared = new Map<string, DeclaredVersion>();
+	private readonly _versions = AdapterVersions.create();
 	private _inForce: ConfigInForce | undefined;
 	private _version = 0;
 
@@ -53,8 +59,24 @@
 		return this._zonesOut.has(zone);
 	}
 
-	declaredVersion(model: string, adapter: string): DeclaredVersion | undefined {
-		return this._declared.get(adapterKey(model, adapter));
+	/** Newest declared version of an adapter; undefined if none was declared. */
+	newestVersion(model: string, adapter: string): number | undefined {
+		return this._versions.newest(adapterKey(model, adapter));
+	}
+
+	/** Oldest version of an adapter that may be used if newer ones end its use after `graceMs`; 0 if any may. */
+	minVersion(
+		model: string,
+		adapter: string,
+		graceMs: number,
+		now: number,
+	): number {
+		return this._versions.minimum(adapterKey(model, adapter), graceMs, now);
+	}
+
+	/** Forgets when versions were declared, since the monotonic clock may have stopped meanwhile. */
+	forgetVersionTimes(): void {
+		this._versions.forgetTimes();
 	}
 
 	/** Returns all rows, for sending them to a peer. */
@@ -62,25 +84,31 @@
 		return [...this._rows.values()];
 	}
 
-	/** Applies changed rows, in any order. */
-	apply(rows: readonly AuthorityRow[], now: number): AuthorityChange {
+	/**
+	 * Applies changed rows, in any order.
+	 *
+	 * @param provenAt monotonic time at which this process last knew the newest statements. The authority made those that
+	 *   it did not know then later; negative infinity if it may have made them at any time
+	 */
+	apply(rows: readonly AuthorityRow[], provenAt: number): AuthorityChange {
 		const before = this._inForce;
+		const declared: DeclaredAdapter[] = [];
 		let hasChanged = false;
 		for (const row of rows) {
 			if (row.rowVersion > (this._rows.get(row.key)?.rowVersion ?? 0)) {
-				this._replace(row, now);
+				declared.push(...this._replace(row, provenAt));
 				hasChanged = true;
 			}
 		}
 
-		return {hasChanged, hasNewConfig: before !== this._inForce};
+		return {hasChanged, hasNewConfig: before !== this._inForce, declared};
 	}
 
-	/** Applies all rows as of one store version. Older rows that are missing count as withdrawn. */
+	/** Applies all rows as of one store version, like `apply`. Older rows that are missing count as withdrawn. */
 	applyAll(
 		rows: readonly AuthorityRow[],
 		storeVersion: number,
-		now: number,
+		provenAt: number,
 	): AuthorityChange {
 		const keys = new Set(rows.map(({key}) => key));
 		const withdrawn = this.rows()
@@ -92,15 +120,19 @@
 				rowVersion: storeVersion,
 				statement: {type: 'withdrawn'},
 			}));
-		return this.apply([...withdrawn, ...rows], now);
+		return this.apply([...withdrawn, ...rows], provenAt);
 	}
 
-	private _replace(row: AuthorityRow, now: number): void {
+	/** Returns the adapter version that the row declares, if it is a newer one. */
+	private _replace(
+		row: AuthorityRow,
+		provenAt: number,
+	): readonly DeclaredAdapter[] {
 		const before = this._rows.get(row.key)?.statement;
 		this._version = Math.max(this._version, row.rowVersion);
 		if (row.statement.type === 'withdrawn' && before?.type === 'config') {
 			// A configuration is only replaced, never withdrawn.
-			return;
+			return [];
 		}
 
 		this._rows.set(row.key, row);
@@ -121,14 +153,15 @@
 			}
 
 			case 'adapterVersion': {
-				this._declare(statement, now);
-				break;
+				return this._declare(statement, provenAt);
 			}
 
 			case 'withdrawn': {
 				break;
 			}
 		}
+
+		return [];
 	}
 
 	private _setConfig(config: AuthorityConfig): void {
@@ -146,13 +179,13 @@
 
 	private _declare(
 		declared: {model: string; adapter: string; version: number},
-		now: number,
-	): void {
-		const key = adapterKey(declared.model, declared.adapter);
+		provenAt: number,
+	): readonly DeclaredAdapter[] {
+		const adapter = adapterKey(declared.model, declared.adapter);
 		const {version} = declared;
-		if (version > (this._declared.get(key)?.version ?? 0)) {
-			this._declared.set(key, {version, learnedAt: now});
-		}
+		return this._versions.declare(adapter, version, provenAt)
+			? [{adapter, version, since: provenAt}]
+			: [];
 	}
 }
 
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -1,6 +1,9 @@
-import type {DeclaredVersion} from '../authority/authority-view.js';
 import type {ServiceSpec} from '../authority/types.js';
-import {AdapterPlacement, type AdapterNeed} from './adapter-placement.js';
+import {
+	AdapterPlacement,
+	type AdapterNeed,
+	type AdapterPlacementOptions,
+} from './adapter-placement.js';
 import {
 	runningRequestCostMs,
 	maxMemoryUtilization,
@@ -20,26 +23,24 @@
 	ServerChoice,
 	ServerNeed,
 	ServerRecord,
+	VersionToExpect,
 } from './types.js';
 
 const noServers: ReadonlySet<string> = new Set();
 
 /** Dependencies and settings of a `FleetView`. */
-export type FleetViewOptions = {
+export type FleetViewOptions = Pick<
+	AdapterPlacementOptions,
+	'newestVersion' | 'minVersion' | 'onNewWant'
+> & {
 	/** Zone of this entry. */
 	readonly zone: string;
 	readonly isZoneOut: (zone: string) => boolean;
-	readonly declaredVersion: (
-		model: string,
-		adapter: string,
-	) => DeclaredVersion | undefined;
 	readonly serviceOf: (name: string) => ServiceSpec | undefined;
 	/** Maximum requests per second that a cold server of the service may get from all entries together. */
 	readonly coldBound: (service: ServiceSpec) => number;
 	/** Number of entries that may send to the same servers, including this one. */
 	readonly entryCount: () => number;
-	/** Called when a server gets a new want, or one for another version. */
-	readonly onNewWant: (server: string) => void;
 };
 
 /** Tracks the backend servers and chooses the one that runs a request. */
@@ -62,9 +63,10 @@
 	private readonly _placement: AdapterPlacement;
 
 	private constructor(private readonly _options: FleetViewOptions) {
-		const {declaredVersion, onNewWant} = _options;
+		const {newestVersion, minVersion, onNewWant} = _options;
 		this._placement = AdapterPlacement.create({
-			declaredVersion,
+			newestVersion,
+			minVersion,
 			onNewWant,
 			pendingLoads: now => this.pendingLoads(now),
 		});
@@ -214,7 +216,7 @@
 		const {model, adapter} = need;
 		if (adapter === undefined) {
 			const holders = usable.filter(server => server.hasModel(model, now));
-			return this._chooseAmong(holders, need, undefined, now);
+			return this._chooseAmong(holders, need, now);
 		}
 
 		return this._chooseForAdapter(usable, {...need, model, adapter}, now);
@@ -251,6 +253,27 @@
 		);
 	}
 
+	/** Returns the version that a request sent to the server now has to expect. */
+	versionToExpect(
+		id: string,
+		{model, adapter}: Pick<ServerNeed, 'model' | 'adapter'>,
+		now: number,
+	): VersionToExpect {
+		if (model === undefined || adapter === undefined) {
+			return {kind: 'any'};
+		}
+
+		const minVersion = this._options.minVersion(model, adapter, now);
+		if (minVersion === 0) {
+			return {kind: 'any'};
+		}
+
+		const version = this._servers.get(id)?.adapterVersion(model, adapter, now);
+		return version !== undefined && version >= minVersion
+			? {kind: 'exactly', version}
+			: {kind: 'outdated'};
+	}
+
 	private _noteCurrentServer(
 		{id, address}: ServerRecord,
 		rowVersion: number,
@@ -327,7 +350,7 @@
 		);
 		return best === undefined
 			? {kind: 'full'}
-			: {kind: 'send', server: best.record.id, version: undefined};
+			: {kind: 'send', server: best.record.id};
 	}
 
 	private _chooseForAdapter(
@@ -335,16 +358,15 @@
 		need: AdapterNeed,
 		now: number,
 	): ServerChoice {
-		const {holders, version} = this._placement.place(usable, need, now);
+		const holders = this._placement.place(usable, need, now);
 		return holders.length === 0
 			? {kind: 'awaitAdapter'}
-			: this._chooseAmong(holders, need, version, now);
+			: this._chooseAmong(holders, need, now);
 	}
 
 	private _chooseAmong(
 		holders: readonly ServerState[],
 		need: ServerNeed,
-		version: number | undefined,
 		now: number,
 	): ServerChoice {
 		const open = holders.filter(
@@ -380,7 +402,7 @@
 			return {kind: holders.length === 0 ? 'noServer' : 'full'};
 		}
 
-		return {kind: 'send', server: best.id, version};
+		return {kind: 'send', server: best.id};
 	}
 
 	/** Whether a server may get another request. A cold server gets at most this entry's share of the limit per second. */
--- a/packages/daemon/src/direct/call-record.ts
+++ b/packages/daemon/src/direct/call-record.ts
@@ -21,6 +21,12 @@
 	readonly resumedAfter: string | undefined;
 };
 
+/** Version of the adapter that a server was known to hold, and the newest declared one. */
+export type AdapterVersionsAtDispatch = Pick<
+	RequestEvent,
+	'adapterVersion' | 'declaredVersion'
+>;
+
 /** Collects the data for the log line of one request. */
 export class CallRecord {
 	static create(): CallRecord {
@@ -31,6 +37,7 @@
 	private readonly _softwareVersions: string[] = [];
 	private _resumption: Resumption | undefined;
 	private _sentAt: number | undefined;
+	private _adapterVersions: AdapterVersionsAtDispatch = {};
 	private _waitedFor: string | undefined;
 	private _firstByteAt: number | undefined;
 	private _lastByteAt: number | undefined;
@@ -63,6 +70,10 @@
 		this._sentAt = now;
 	}
 
+	noteAdapterVersions(versions: AdapterVersionsAtDispatch): void {
+		this._adapterVersions = versions;
+	}
+
 	/** Records the outcome of an attempt on a server. */
 	noteAttempt(server: string, outcome: string): void {
 		this._sends.push(`${server}: ${outcome}`);
@@ -112,6 +123,7 @@
 			}),
 			...(this._sentAt !== undefined && {waitedMs: sinceArrival(this._sentAt)}),
 			...(this._waitedFor !== undefined && {waitedFor: this._waitedFor}),
+			...this._adapterVersions,
 			...(this._firstByteAt !== undefined && {
 				firstByteMs: sinceArrival(this._firstByteAt),
 				longestPauseMs: Math.round(this._longestPauseMs),
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -14,6 +14,8 @@
 	SoftwareVersions,
 	StreamOrigins,
 	SuspectRegistry,
+	versionGraceShare,
+	versionRecallShare,
 	type AuthorityChange,
 	type AuthorityRow,
 	type ServerChange,
@@ -45,6 +47,7 @@
 import {KeyCounts} from './key-counts.js';
 import {QuotaResponder} from './quota-responder.js';
 import {RelayedTable} from './relayed-table.js';
+import {SentCalls} from './sent-calls.js';
 import {ServerLog} from './server-log.js';
 import {StreamDirectory} from './stream-directory.js';
 import {TableExchange} from './table-exchange.js';
@@ -99,6 +102,7 @@
 	private readonly _upstream = Upstream.create();
 	private readonly _waitQueue = WaitQueue.create();
 	private readonly _prefillWaiting = KeyCounts.create();
+	private readonly _sentCalls = SentCalls.create();
 	private readonly _suspects = SuspectRegistry.create();
 	private readonly _exchange: TableExchange;
 	private readonly _servers: RelayedTable<ServerChange>;
@@ -139,6 +143,8 @@
 			onSuspended: (epoch, now) => {
 				this._ledger.resetAfterPause(now);
 				this._softwareVersions.resetFollowing(now);
+				this._authority.forgetVersionTimes();
+				this._recallOutdated();
 				log.write({event: 'suspended', epoch});
 			},
 		});
@@ -273,6 +279,7 @@
 			upstream: this._upstream,
 			waitQueue: this._waitQueue,
 			prefillWaiting: this._prefillWaiting,
+			sentCalls: this._sentCalls,
 			codec,
 			log,
 			metrics: this._metrics,
@@ -297,8 +304,10 @@
 		return FleetView.create({
 			zone: settings.zone,
 			isZoneOut: zone => this._authority.isZoneOut(zone),
-			declaredVersion: (model, adapter) =>
-				this._authority.declaredVersion(model, adapter),
+			newestVersion: (model, adapter) =>
+				this._authority.newestVersion(model, adapter),
+			minVersion: (model, adapter, now) =>
+				this._minVersion(model, adapter, versionGraceShare, now),
 			serviceOf: name => this._serviceOf(name),
 			coldBound: service => this._bounds.coldBound(service),
 			entryCount: () => this._peers.entryCount,
@@ -364,7 +373,10 @@
 			fetchStatements: async endpoint =>
 				this._exchange.fetchStatements(endpoint),
 			onStatements: (rows, from) => {
-				this._onAuthorityChange(this._authority.apply(rows, clock()), from);
+				this._onAuthorityChange(
+					this._authority.apply(rows, this._freshness.provenAt),
+					from,
+				);
 			},
 			onRootChanged: (isRoot, parent) => {
 				this._options.log.write({
@@ -541,17 +553,57 @@
 		startedAt: number,
 		epoch: number,
 	): void {
-		const now = clock();
+		const {provenAt} = this._freshness;
 		const change = isSnapshot
-			? this._authority.applyAll(read.rows, read.version, now)
-			: this._authority.apply(read.rows, now);
+			? this._authority.applyAll(read.rows, read.version, provenAt)
+			: this._authority.apply(read.rows, provenAt);
 		this._freshness.prove(startedAt, epoch);
 		this._onAuthorityChange(change, 'store');
 	}
 
+	/** Takes back requests that wait at servers with an adapter version on which they may no longer begin. */
+	private _recallOutdated(): void {
+		const now = clock();
+		this._sentCalls.recallOutdated((model, adapter) =>
+			this._minVersion(model, adapter, versionRecallShare, now),
+		);
+	}
+
+	/** @param graceShare share of the time limit on older versions for which they are accepted */
+	private _minVersion(
+		model: string,
+		adapter: string,
+		graceShare: number,
+		now: number,
+	): number {
+		const graceMs = this._bounds.versionMs * graceShare;
+		return this._authority.minVersion(model, adapter, graceMs, now);
+	}
+
 	private _onAuthorityChange(change: AuthorityChange, source: string): void {
 		const {log} = this._options;
 		const {inForce, version} = this._authority;
+		for (const {adapter, version: declared, since} of change.declared) {
+			const provenMsAgo = clock() - since;
+			log.write({
+				event: 'versionDeclared',
+				adapter,
+				version: declared,
+				...(Number.isFinite(provenMsAgo) && {
+					provenMsAgo: Math.round(provenMsAgo),
+				}),
+				source,
+			});
+			const untilRecallMs =
+				this._bounds.versionMs * versionRecallShare - provenMsAgo;
+			setTimeout(
+				() => {
+					this._recallOutdated();
+				},
+				Math.max(0, untilRecallMs),
+			);
+		}
+
 		if (change.hasNewConfig && inForce !== undefined) {
 			this._ingress.setLimits(inForce.config.limits);
 			log.write({
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -15,7 +15,9 @@
 	type ServerChoice,
 	type ServerNeed,
 	type StreamOrigin,
+	type VersionToExpect,
 } from '@balsamtray/core';
+import type {Disposable} from '../common/types.js';
 import {badGateway, unavailable, type CallRefusal} from './call-refusal.js';
 import {
 	maxPrefillWaitShare,
@@ -44,8 +46,8 @@
 /** One attempt to serve the request on a server. */
 type Attempt = {
 	readonly server: string;
-	/** Adapter version that the server must have; undefined if any loaded version will do. */
-	readonly version: number | undefined;
+	/** Adapter version that the request expects at the server, once dispatched; undefined if any is accepted. */
+	expectedVersion: number | undefined;
 	/** Prompt tokens of a prefill reservation that is not used yet. */
 	reservedPromptTokens: number | undefined;
 	/** Prompt tokens that the engine prefills before this one; undefined if its agent did not reply. */
@@ -58,6 +60,8 @@
 	call: UpstreamCall | undefined;
 	/** Whether a connection was assigned to the request. From then on the server may run it. */
 	isSent: boolean;
+	/** Ends the registration with `SentCalls`; undefined before the request is sent. */
+	sent: Disposable | undefined;
 	/** Undefined until the response headers arrive. */
 	framing: ResponseFraming | undefined;
 	/** Whether a complete event of the stream has arrived. */
@@ -342,7 +346,7 @@
 		}
 
 		if (choice.kind === 'send') {
-			this._startAttempt(choice.server, choice.version, now);
+			this._startAttempt(choice.server, now);
 			return;
 		}
 
@@ -434,11 +438,7 @@
 		}, this._waitDeadlineAt - now);
 	}
 
-	private _startAttempt(
-		server: string,
-		version: number | undefined,
-		now: number,
-	): void {
+	private _startAttempt(server: string, now: number): void {
 		const {fleet} = this._context;
 		fleet.server(server)!.noteSent(this._adapterKey, now);
 		if (this._metadata.session !== undefined) {
@@ -447,13 +447,14 @@
 
 		const attempt: Attempt = {
 			server,
-			version,
+			expectedVersion: undefined,
 			call: undefined,
 			reservedPromptTokens: undefined,
 			tokensAhead: undefined,
 			sentAt: undefined,
 			isAwaitingPrefill: false,
 			isSent: false,
+			sent: undefined,
 			framing: undefined,
 			hasEvents: false,
 		};
@@ -509,7 +510,7 @@
 		return Math.max(0, latestAt - now);
 	}
 
-	/** Checks the authorization and the server again, since both may have changed during the wait, then dispatches. */
+	/** Checks the authorization and the server again, since they may have changed during the wait, then dispatches. */
 	private _onPrefillDue(attempt: Attempt): void {
 		this._stopPrefillWait(attempt);
 		const refusal = this._authorize();
@@ -525,9 +526,30 @@
 			return;
 		}
 
+		if (this._versionToExpect(attempt).kind === 'outdated') {
+			this._endAttempt('not sent: adapter version outdated');
+			this._assignServer();
+			return;
+		}
+
 		this._dispatch(attempt);
 	}
 
+	private _versionToExpect({server}: Attempt): VersionToExpect {
+		const {fleet, clock} = this._context;
+		return fleet.versionToExpect(server, this._metadata, clock());
+	}
+
+	/** Whether the request expects a version at the server that is still accepted. Its headers may be some time old. */
+	private _expectsAcceptedVersion(attempt: Attempt): boolean {
+		const toExpect = this._versionToExpect(attempt);
+		return (
+			toExpect.kind === 'any' ||
+			(toExpect.kind === 'exactly' &&
+				attempt.expectedVersion === toExpect.version)
+		);
+	}
+
 	private _stopPrefillWait(attempt: Attempt): void {
 		if (attempt.isAwaitingPrefill) {
 			attempt.isAwaitingPrefill = false;
@@ -564,13 +586,17 @@
 		}
 
 		this._record.noteDispatch(now);
+		this._noteAdapterVersions(attempt.server, now);
 		this._attemptedServers.add(attempt.server);
 		attempt.reservedPromptTokens = undefined;
+		const toExpect = this._versionToExpect(attempt);
+		attempt.expectedVersion =
+			toExpect.kind === 'exactly' ? toExpect.version : undefined;
 		const headers = codec.encodeForward(this._req.rawHeaders, {
 			server: attempt.server,
 			deadlineMs: Math.max(1, Math.floor(this._deadlineAt - now)),
 			customer: this._customer?.name,
-			adapterVersion: attempt.version,
+			adapterVersion: attempt.expectedVersion,
 			urgency: this._priority,
 			lastEventId: this._lastEventId,
 		});
@@ -588,6 +614,21 @@
 		);
 	}
 
+	private _noteAdapterVersions(server: string, now: number): void {
+		const {fleet, authority} = this._context;
+		const {model, adapter} = this._metadata;
+		if (model === undefined || adapter === undefined) {
+			return;
+		}
+
+		const held = fleet.server(server)?.adapterVersion(model, adapter, now);
+		const declared = authority.newestVersion(model, adapter);
+		this._record.noteAdapterVersions({
+			...(held !== undefined && {adapterVersion: held}),
+			...(declared !== undefined && {declaredVersion: declared}),
+		});
+	}
+
 	/** Returns the refusal of a request that may no longer be sent to a server. */
 	private _checkDispatch(): CallRefusal | undefined {
 		const {clock, epoch} = this._context;
@@ -608,9 +649,11 @@
 				const late = this._checkDispatch();
 				const {fleet, clock} = this._context;
 				const isTaken = fleet.isUsable(attempt.server, clock());
-				if (isCurrent() && late === undefined && isTaken) {
+				const isVersionAccepted = this._expectsAcceptedVersion(attempt);
+				if (isCurrent() && late === undefined && isTaken && isVersionAccepted) {
 					attempt.isSent = true;
 					attempt.sentAt = this._context.clock();
+					this._watchVersion(attempt);
 					return true;
 				}
 
@@ -619,7 +662,11 @@
 					this._fail(late);
 				} else if (isCurrent()) {
 					this._attemptedServers.delete(attempt.server);
-					this._endAttempt('not sent: server takes no requests');
+					this._endAttempt(
+						isTaken
+							? 'not sent: adapter version outdated'
+							: 'not sent: server takes no requests',
+					);
 					this._assignServer();
 				}
 
@@ -650,6 +697,35 @@
 		};
 	}
 
+	/** Watches until the first part of the response whether the request may still begin on the server's version. */
+	private _watchVersion(attempt: Attempt): void {
+		const {fleet, sentCalls, clock} = this._context;
+		const {model, adapter} = this._metadata;
+		if (model === undefined || adapter === undefined) {
+			return;
+		}
+
+		attempt.sent = sentCalls.add({
+			model,
+			adapter,
+			heldVersion: () =>
+				fleet.server(attempt.server)?.adapterVersion(model, adapter, clock()),
+			recall: () => {
+				if (this._attempt === attempt) {
+					this._recall(attempt);
+				}
+			},
+		});
+	}
+
+	/** Takes the request back from its server. It may have begun there without a sign of it. */
+	private _recall(attempt: Attempt): void {
+		attempt.call?.abort();
+		this._mayHaveRun = true;
+		this._endAttempt('recalled: adapter version outdated');
+		this._retry(badGateway('adapterOutdated'), this._isRepeatable);
+	}
+
 	private _onHeaders(
 		attempt: Attempt,
 		status: number,
@@ -754,6 +830,7 @@
 	private _onData(attempt: Attempt, chunk: Uint8Array): boolean {
 		const now = this._context.clock();
 		this._record.noteBytes(now);
+		attempt.sent?.dispose();
 		this._notePrefill(attempt, now);
 		if (this._eventSplitter === undefined) {
 			return this._write(chunk);
@@ -967,6 +1044,7 @@
 
 		this._attempt = undefined;
 		clearTimeout(this._prefillTimer);
+		attempt.sent?.dispose();
 		this._stopPrefillWait(attempt);
 		if (attempt.reservedPromptTokens !== undefined) {
 			this._context.agentClient.releasePrefill(
