Check the software version again before a resumed stream is sent

Between the choice of a server and the send a request may wait for prefill or for a connection, and a server may start again under its identifier with other software meanwhile. Usability was checked again, the software version was not. Found by reading, not seen: no test reaches this window yet.

--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -520,7 +520,7 @@
 			return;
 		}
 
-		if (!this._context.fleet.isUsable(attempt.server, this._context.clock())) {
+		if (!this._isStillUsable(attempt.server)) {
 			this._endAttempt('not sent: server takes no requests');
 			this._assignServer();
 			return;
@@ -550,6 +550,17 @@
 		);
 	}
 
+	/** Whether an assigned server still takes the request, and has not restarted with other software meanwhile. */
+	private _isStillUsable(id: string): boolean {
+		const {fleet, clock} = this._context;
+		const softwareVersion = this._origin?.softwareVersion;
+		return (
+			fleet.isUsable(id, clock()) &&
+			(softwareVersion === undefined ||
+				fleet.server(id)?.softwareVersion === softwareVersion)
+		);
+	}
+
 	private _stopPrefillWait(attempt: Attempt): void {
 		if (attempt.isAwaitingPrefill) {
 			attempt.isAwaitingPrefill = false;
@@ -647,8 +658,7 @@
 		return {
 			onSending: () => {
 				const late = this._checkDispatch();
-				const {fleet, clock} = this._context;
-				const isTaken = fleet.isUsable(attempt.server, clock());
+				const isTaken = this._isStillUsable(attempt.server);
 				const isVersionAccepted = this._expectsAcceptedVersion(attempt);
 				if (isCurrent() && late === undefined && isTaken && isVersionAccepted) {
 					attempt.isSent = true;
