--- a/packages/daemon/src/direct/call-record.ts
+++ b/packages/daemon/src/direct/call-record.ts
@@ -1,3 +1,4 @@
+import type {Resumption} from '@balsamtray/core';
 import type {CallRefusal} from './call-refusal.js';
 import type {RequestEvent} from './log-events.js';
 
@@ -15,6 +16,9 @@
 	readonly adapter: string | undefined;
 	readonly configVersion: number | undefined;
 	readonly proofAgeMs: number | undefined;
+	/** The stream that the caller resumed; undefined if it named none. */
+	readonly resumes: string | undefined;
+	readonly resumedAfter: string | undefined;
 };
 
 /** Version of the adapter that a server was known to hold, and the newest declared one. */
@@ -30,6 +34,8 @@
 	}
 
 	private readonly _sends: string[] = [];
+	private readonly _softwareVersions: string[] = [];
+	private _resumption: Resumption | undefined;
 	private _sentAt: number | undefined;
 	private _adapterVersions: AdapterVersionsAtDispatch = {};
 	private _waitedFor: string | undefined;
@@ -73,6 +79,16 @@
 		this._sends.push(`${server}: ${outcome}`);
 	}
 
+	/** Records where a stream that the caller resumes may go on. */
+	noteResumption(resumption: Resumption): void {
+		this._resumption = resumption;
+	}
+
+	/** Records that a server began to write events of the stream. */
+	noteWriter(softwareVersion: string): void {
+		this._softwareVersions.push(softwareVersion);
+	}
+
 	/** Records that a chunk of the response body arrived. */
 	noteBytes(now: number): void {
 		this._firstByteAt ??= now;
@@ -86,6 +102,7 @@
 	toEvent(outcome: CallOutcome): RequestEvent {
 		const {refusal, route, customer, adapter, configVersion, proofAgeMs} =
 			outcome;
+		const {resumes, resumedAfter} = outcome;
 		const sinceArrival = (at: number) => Math.round(at - outcome.arrivedAt);
 		return {
 			event: 'request',
@@ -113,6 +130,23 @@
 			}),
 			...(configVersion !== undefined && {configVersion}),
 			...(proofAgeMs !== undefined && {proofAgeMs: Math.round(proofAgeMs)}),
+			...(this._softwareVersions.length > 0 && {
+				softwareVersions: this._softwareVersions,
+			}),
+			...(resumes !== undefined && {resumes}),
+			...(resumedAfter !== undefined && {resumedAfter}),
+			...(this._resumption && describeResumption(this._resumption)),
 		};
 	}
 }
+
+function describeResumption(
+	resumption: Resumption,
+): Pick<RequestEvent, 'originBy' | 'originVersion'> {
+	return resumption.kind === 'known'
+		? {
+				originBy: resumption.by,
+				originVersion: resumption.origin.softwareVersion,
+			}
+		: {originBy: 'unknown'};
+}
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -14,6 +14,7 @@
 	type RouteRule,
 	type ServerChoice,
 	type ServerNeed,
+	type StreamOrigin,
 	type VersionToExpect,
 } from '@balsamtray/core';
 import type {Disposable} from '../common/types.js';
@@ -23,6 +24,7 @@
 	maxWaitShare,
 	minPrefillDelayMs,
 	otherEntryRetryAfterMs,
+	unknownStreamRetryAfterMs,
 } from './constants.js';
 import type {CallContext} from './call-context.js';
 import {CallRecord} from './call-record.js';
@@ -62,6 +64,8 @@
 	sent: Disposable | undefined;
 	/** Undefined until the response headers arrive. */
 	framing: ResponseFraming | undefined;
+	/** Whether a complete event of the stream has arrived. */
+	hasEvents: boolean;
 };
 
 /** Headers that apply to a single connection and are not forwarded. */
@@ -100,6 +104,8 @@
 	private _attempt: Attempt | undefined;
 	private _eventSplitter: EventStreamSplitter | undefined;
 	private _lastEventId: string | undefined;
+	/** Where the stream began; undefined until its first event. */
+	private _origin: StreamOrigin | undefined;
 	private _waiter: Waiter | undefined;
 	private _waitDeadlineAt = 0;
 	private _deadlineTimer: NodeJS.Timeout | undefined;
@@ -207,7 +213,9 @@
 			this._reserved = {customer: customer.name, units};
 		}
 
-		this._assignServer();
+		if (await this._findOrigin()) {
+			this._assignServer();
+		}
 	}
 
 	/** Ends the request with an error, or cuts the response if its headers are already sent. */
@@ -240,6 +248,32 @@
 		this._res.end(JSON.stringify({error: {code: reason, not_run: isNotRun}}));
 	}
 
+	/** Finds out where a stream began that the caller resumes. Returns whether the request can go on. */
+	private async _findOrigin(): Promise<boolean> {
+		const {resumes, lastEventId} = this._metadata;
+		const isResumption = resumes !== undefined || lastEventId !== undefined;
+		if (!this._route!.isResumable || !isResumption) {
+			return true;
+		}
+
+		const resumption = await this._context.streams.find({
+			id: resumes,
+			service: this._service ?? '',
+			limitMs: this._limitMs,
+		});
+		this._record.noteResumption(resumption);
+		if (resumption.kind === 'known') {
+			this._origin = resumption.origin;
+		} else {
+			this.refuse({
+				...unavailable('streamVersionUnknown'),
+				retryAfterMs: unknownStreamRetryAfterMs,
+			});
+		}
+
+		return !this._isEnded;
+	}
+
 	private async _reserve(
 		customer: CustomerRule,
 		units: number,
@@ -279,7 +313,10 @@
 
 		this._route = route;
 		this._customer = customer;
-		this._service = pickShare(route.shares, this._randomShare);
+		const origin = this._origin?.service;
+		this._service = route.shares.some(({service}) => service === origin)
+			? origin
+			: pickShare(route.shares, this._randomShare);
 		return undefined;
 	}
 
@@ -297,6 +334,11 @@
 
 		const now = this._context.clock();
 		const choice = this._chooseServer(now);
+		if (this._isOriginGone(choice)) {
+			this._fail(unavailable('streamVersionGone'));
+			return;
+		}
+
 		if (choice.kind === 'send') {
 			this._startAttempt(choice.server, now);
 			return;
@@ -310,6 +352,23 @@
 		this._waitForServer(choice, now);
 	}
 
+	/**
+	 * Whether the stream can't go on: its route has left the service where it began, or no server of the software version
+	 * that began it is listed.
+	 */
+	private _isOriginGone(choice: ServerChoice): boolean {
+		if (this._origin === undefined) {
+			return false;
+		}
+
+		const {service, softwareVersion} = this._origin;
+		return (
+			service !== this._service ||
+			(choice.kind === 'noServer' &&
+				!this._context.fleet.hasSoftwareVersion(service, softwareVersion))
+		);
+	}
+
 	private _chooseServer(now: number): ServerChoice {
 		return this._context.fleet.choose(this._serverNeed(now), now);
 	}
@@ -325,6 +384,7 @@
 			promptTokens: promptTokens ?? 0,
 			maxPromptWaitMs: this._maxPrefillWaitMs(now),
 			tried: this._attemptedServers,
+			...(this._origin && {softwareVersion: this._origin.softwareVersion}),
 		};
 	}
 
@@ -390,6 +450,7 @@
 			isSent: false,
 			sent: undefined,
 			framing: undefined,
+			hasEvents: false,
 		};
 		this._attempt = attempt;
 		clearTimeout(this._deadlineTimer);
@@ -453,7 +514,7 @@
 			return;
 		}
 
-		if (!this._context.fleet.isUsable(attempt.server, this._context.clock())) {
+		if (!this._isStillUsable(attempt.server)) {
 			this._endAttempt('not sent: server takes no requests');
 			this._assignServer();
 			return;
@@ -483,6 +544,17 @@
 		);
 	}
 
+	/** Whether an assigned server still takes the request, and has not restarted with other software meanwhile. */
+	private _isStillUsable(id: string): boolean {
+		const {fleet, clock} = this._context;
+		const softwareVersion = this._origin?.softwareVersion;
+		return (
+			fleet.isUsable(id, clock()) &&
+			(softwareVersion === undefined ||
+				fleet.server(id)?.softwareVersion === softwareVersion)
+		);
+	}
+
 	private _stopPrefillWait(attempt: Attempt): void {
 		if (attempt.isAwaitingPrefill) {
 			attempt.isAwaitingPrefill = false;
@@ -595,7 +667,9 @@
 			onSending: () => {
 				const late = this._checkDispatch();
 				const {fleet, clock} = this._context;
-				const isTaken = fleet.mayDispatch(attempt.server, clock());
+				const isTaken =
+					this._isStillUsable(attempt.server) &&
+					fleet.mayDispatch(attempt.server, clock());
 				const isVersionAccepted = this._expectsAcceptedVersion(attempt);
 				if (isCurrent() && late === undefined && isTaken && isVersionAccepted) {
 					attempt.isSent = true;
@@ -791,9 +865,36 @@
 
 		const {bytes, lastEventId} = this._eventSplitter.push(chunk);
 		this._lastEventId = lastEventId ?? this._lastEventId;
+		if (bytes.length > 0 && !attempt.hasEvents) {
+			attempt.hasEvents = true;
+			this._onFirstEvent(attempt);
+		}
+
 		return bytes.length === 0 || this._write(bytes);
 	}
 
+	/**
+	 * From its first event on, a stream may go on only at the software version that wrote it, also at other entries. One
+	 * that the caller resumed is recorded again, as entries that knew its origin may be gone.
+	 */
+	private _onFirstEvent({server}: Attempt): void {
+		const state = this._context.fleet.server(server);
+		const softwareVersion = state?.softwareVersion ?? '';
+		this._record.noteWriter(softwareVersion);
+		this._origin ??= {
+			service: state?.record.service ?? this._service ?? '',
+			softwareVersion,
+		};
+		const id = this._metadata.resumes ?? this._metadata.callId;
+		if (
+			this._route!.isResumable &&
+			id !== undefined &&
+			this._origin.softwareVersion !== ''
+		) {
+			this._context.streams.noteFirstEvent(id, this._origin, this._limitMs);
+		}
+	}
+
 	/** Reports the time to the first part of the response to the server's agent, once for each attempt. */
 	private _notePrefill(attempt: Attempt, now: number): void {
 		const {server, sentAt, tokensAhead} = attempt;
@@ -1016,6 +1117,8 @@
 			adapter: this._adapterKey,
 			configVersion: authority.inForce?.config.version,
 			proofAgeMs: proofAgeMs(),
+			resumes: this._metadata.resumes,
+			resumedAfter: this._metadata.lastEventId,
 		});
 		log.write(event);
 		metrics.noteRequest(event);
@@ -1042,6 +1145,11 @@
 		return query === -1 ? url : url.slice(0, query);
 	}
 
+	/** Longest time for which the caller may wait for its stream, in milliseconds. */
+	private get _limitMs(): number {
+		return Math.max(this._route!.timeoutMs, this._metadata.deadlineMs ?? 0);
+	}
+
 	private get _priority(): number {
 		return this._customer?.priority ?? this._route?.priority ?? 0;
 	}
