--- /dev/null
+++ b/packages/core/src/direct/event-stream-splitter.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {performance} from 'node:perf_hooks';
+import {describe, it} from 'node:test';
+import {EventStreamSplitter} from './event-stream-splitter.js';
+
+/** Maximum time to split one event of 256 KB, in milliseconds. Linear cost takes a few. */
+const maxSplitMs = 500;
+
+/** Splits a stream that arrives in chunks of a size. Returns its complete events. */
+function split(stream: Uint8Array, chunkBytes: number): string {
+	const splitter = EventStreamSplitter.create();
+	let events = '';
+	for (let i = 0; i < stream.length; i += chunkBytes) {
+		const {bytes} = splitter.push(stream.subarray(i, i + chunkBytes));
+		events += Buffer.from(bytes).toString();
+	}
+
+	return events;
+}
+
+describe('EventStreamSplitter', () => {
+	describe('one long event', () => {
+		// Guards against an entry whose event loop stood still for seconds, since each chunk was joined with all before it.
+		it('costs time in proportion to its length when it arrives in small pieces', () => {
+			const event = Buffer.from(`data: ${'x'.repeat(256 * 1024)}\n\n`);
+			const startedAt = performance.now();
+			assert.equal(split(event, 16), event.toString());
+			const tookMs = performance.now() - startedAt;
+			assert.ok(tookMs < maxSplitMs, `took ${Math.round(tookMs)} ms`);
+		});
+	});
+
+	it('finds the same events wherever the chunks are cut', () => {
+		const stream =
+			'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n\n\ndata: c\n\nid: 3';
+		const events = stream.slice(0, stream.lastIndexOf('id: 3'));
+		for (let size = 1; size <= stream.length; size++) {
+			assert.equal(split(Buffer.from(stream), size), events, `${size} bytes`);
+		}
+	});
+});
