Split a stream into events in linear time

A server that sends one event in many pieces stopped the event loop of its entry: each piece was joined with all that was held, and all of it was searched again. The bytes of a partial event are now kept in a buffer whose size doubles, and only the new piece is searched, with a look back at the two bytes before it.

--- a/packages/core/src/direct/event-stream-splitter.ts
+++ b/packages/core/src/direct/event-stream-splitter.ts
@@ -3,6 +3,9 @@
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 
+/** Initial size of the buffer for a partial event, in bytes: several usual events. */
+const initialBufferBytes = 1024;
+
 /** Complete events of a stream, and the last event identifier among them. */
 export type CompleteEvents = {
 	readonly bytes: Uint8Array;
@@ -15,60 +18,81 @@
 		return new EventStreamSplitter();
 	}
 
-	/** Bytes after the last complete event. */
-	private _partialEvent: Uint8Array = new Uint8Array(0);
+	/** Begins with the bytes after the last complete event. Its size doubles, so appending takes linear time. */
+	private _buffer: Uint8Array = new Uint8Array(0);
+	private _partialEventBytes = 0;
 
 	private constructor() {}
 
 	/** Number of bytes after the last complete event. */
 	get partialEventBytes(): number {
-		return this._partialEvent.length;
+		return this._partialEventBytes;
 	}
 
 	/** Appends bytes and returns the events that they complete. */
 	push(chunk: Uint8Array): CompleteEvents {
-		const bytes =
-			this._partialEvent.length === 0
-				? chunk
-				: Buffer.concat([this._partialEvent, chunk]);
-		const end = endOfLastEvent(bytes);
-		this._partialEvent = bytes.subarray(end);
-		const complete = bytes.subarray(0, end);
+		const end = this._endOfLastEventIn(chunk);
+		if (end === 0) {
+			this._append(chunk);
+			return {bytes: new Uint8Array(0), lastEventId: undefined};
+		}
+
+		const complete =
+			this._partialEventBytes === 0
+				? chunk.subarray(0, end)
+				: Buffer.concat([this.takePartialEvent(), chunk.subarray(0, end)]);
+		this._append(chunk.subarray(end));
 		return {bytes: complete, lastEventId: lastIdIn(complete)};
 	}
 
 	/** Returns and clears the bytes after the last complete event. */
 	takePartialEvent(): Uint8Array {
-		const rest = this._partialEvent;
-		this._partialEvent = new Uint8Array(0);
-		return rest;
+		const partialEvent = this._buffer.subarray(0, this._partialEventBytes);
+		this._buffer = new Uint8Array(0);
+		this._partialEventBytes = 0;
+		return partialEvent;
 	}
-}
 
-/** Returns the offset after the last empty line, or 0 if there is none. */
-function endOfLastEvent(bytes: Uint8Array): number {
-	for (let i = bytes.length - 1; i > 0; i--) {
-		if (bytes[i] !== lineFeed) {
-			continue;
-		}
+	/** Returns the offset after the last empty line in a chunk, which may begin before it, or 0 if there is none. */
+	private _endOfLastEventIn(chunk: Uint8Array): number {
+		const byteAt = (i: number) =>
+			i >= 0 ? chunk[i] : this._buffer[this._partialEventBytes + i];
+		for (let i = chunk.length - 1; i >= 0; i--) {
+			if (chunk[i] !== lineFeed) {
+				continue;
+			}
 
-		const before = bytes[i - 1];
-		if (
-			before === lineFeed ||
-			(before === carriageReturn && bytes[i - 2] === lineFeed)
-		) {
-			return i + 1;
+			const before = byteAt(i - 1);
+			if (
+				before === lineFeed ||
+				(before === carriageReturn && byteAt(i - 2) === lineFeed)
+			) {
+				return i + 1;
+			}
 		}
+
+		return 0;
 	}
 
-	return 0;
-}
+	private _append(bytes: Uint8Array): void {
+		const length = this._partialEventBytes + bytes.length;
+		if (length > this._buffer.length) {
+			const size = Math.max(
+				length,
+				2 * this._buffer.length,
+				initialBufferBytes,
+			);
+			const buffer = new Uint8Array(size);
+			buffer.set(this._buffer.subarray(0, this._partialEventBytes));
+			this._buffer = buffer;
+		}
 
-function lastIdIn(events: Uint8Array): string | undefined {
-	if (events.length === 0) {
-		return undefined;
+		this._buffer.set(bytes, this._partialEventBytes);
+		this._partialEventBytes = length;
 	}
+}
 
+function lastIdIn(events: Uint8Array): string | undefined {
 	const text = Buffer.from(events).toString('latin1');
 	let id: string | undefined;
 	for (const line of text.split('\n')) {
