Close a connection whose bytes never become a response

A server in trouble sent bytes without end in a status line, in a header of spaces, in empty lines before or after a response, in informational responses, in a chunk extension or in a chunk size. undici's limits count none of these: the entry read all that the server sent until the request's deadline, and without end on a connection with no request.

The guard of a connection now counts the bytes read since the last head of a final response, data of a body or end of a response, and closes the connection beyond 64 KB. The request fails like one whose connection broke: it may have run, its server is avoided, and it is repeated elsewhere if it may be. It also holds for the agent's connections to its backend server, which use the guard.

--- a/packages/daemon/src/common/connection-guard.ts
+++ b/packages/daemon/src/common/connection-guard.ts
@@ -1,10 +1,22 @@
 import type {Dispatcher} from 'undici';
 import type buildConnector from 'undici/lib/core/connect.js';
+import {EndlessResponseError} from './endless-response-error.js';
 import {ReadGate} from './read-gate.js';
 
 /**
- * Reports responses of an undici client truthfully when their connection ends. Alone, undici takes a reset for the end
- * of a response without a content length, and does not expect the connection of a paused response to end.
+ * Maximum bytes that a connection may send without the head of a final response, data of a body or the end of a
+ * response. Heads of servers have some hundred bytes, and undici bounds the fields of a head to 16 KB. It bounds
+ * neither status lines, spaces, empty lines, informational responses nor what precedes the data of a chunk.
+ */
+const maxUnusedBytes = 64 * 1024;
+
+/** Lowest status of a final response. Lower ones are informational. */
+const finalStatus = 200;
+
+/**
+ * Reads responses of an undici client truthfully when their connection ends, and closes connections whose bytes never
+ * become a response. Alone, undici takes a reset for the end of a response without a content length, does not expect
+ * the connection of a paused response to end, and reads some bytes that are no part of a response without a bound.
  */
 export class ConnectionGuard {
 	/** @param connect opens the connections of the client, which must use `connect` of the guard instead */
@@ -26,6 +38,12 @@
 				if (socket) {
 					ReadGate.create(socket, gate => {
 						this._lastGate = gate;
+						const {unusedBytes} = gate;
+						if (unusedBytes > maxUnusedBytes) {
+							socket.destroy(
+								EndlessResponseError.create('head or chunk', unusedBytes),
+							);
+						}
 					});
 					socket.prependListener('error', () => {
 						this._noteConnectionError();
@@ -51,6 +69,7 @@
 		let gate: ReadGate | undefined;
 		let controller: Dispatcher.DispatchController | undefined;
 		const releaseGate = () => {
+			gate?.noteUse();
 			gate?.open();
 			gate = undefined;
 		};
@@ -82,11 +101,16 @@
 			onRequestUpgrade(_started, ...args) {
 				handler.onRequestUpgrade?.(controller!, ...args);
 			},
-			onResponseStart(_started, ...args) {
+			onResponseStart(_started, status, ...args) {
 				gate = lastGate();
-				handler.onResponseStart?.(controller!, ...args);
+				if (status >= finalStatus) {
+					gate?.noteUse();
+				}
+
+				handler.onResponseStart?.(controller!, status, ...args);
 			},
 			onResponseData(_started, chunk) {
+				gate?.noteUse();
 				handler.onResponseData?.(controller!, chunk);
 			},
 			onResponseEnd(_started, trailers) {
--- a/packages/daemon/src/common/read-gate.ts
+++ b/packages/daemon/src/common/read-gate.ts
@@ -5,12 +5,13 @@
  * expect the connection of a paused response to end.
  */
 export class ReadGate {
-	/** @param onRead called before each read that may return data */
+	/** @param onRead called before each read that may return data. It may destroy the socket. */
 	static create(socket: Socket, onRead: (gate: ReadGate) => void): ReadGate {
 		return new ReadGate(socket, onRead);
 	}
 
 	private _isClosed = false;
+	private _unusedBytes = 0;
 
 	private constructor(
 		private readonly _socket: Socket,
@@ -24,10 +25,29 @@
 			}
 
 			onRead(this);
-			return read(size) as unknown;
+			if (_socket.destroyed) {
+				return null;
+			}
+
+			const chunk: unknown = read(size);
+			if (chunk instanceof Uint8Array) {
+				this._unusedBytes += chunk.length;
+			}
+
+			return chunk;
 		};
 	}
 
+	/** Number of bytes that were read since `noteUse`. */
+	get unusedBytes(): number {
+		return this._unusedBytes;
+	}
+
+	/** Records that the bytes read so far were of use to the reader. */
+	noteUse(): void {
+		this._unusedBytes = 0;
+	}
+
 	get isClosed(): boolean {
 		return this._isClosed;
 	}
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -6,6 +6,7 @@
 const core = 'packages/core/src';
 const direct = 'packages/daemon/src/direct';
 const path = 'platform/dist/platform-path.test.js';
+const endless = 'packages/daemon/dist/direct/endless-responses.test.js';
 const fleetView = 'packages/core/dist/placement/fleet-view.test.js';
 const codec = 'platform/dist/call-codec.test.js';
 const planner = 'packages/core/dist/orders/order-planner.test.js';
@@ -27,6 +28,14 @@
 		to: 'if (hasConnectionError() && trailers === undefined)',
 		test: 'packages/daemon/dist/direct/upstream.test.js',
 	},
+	{
+		rule: 'MIXED',
+		what: 'a connection is read for as long as it sends bytes that become no response',
+		file: 'packages/daemon/src/common/connection-guard.ts',
+		from: 'if (unusedBytes > maxUnusedBytes) {',
+		to: 'if (unusedBytes < 0) {',
+		test: endless,
+	},
 	{
 		rule: 'MIXED',
 		what: 'a response that only its connection delimits is passed on in chunks',
