Test that heads and trailers beyond the limit cost little processor time

It fails: sixteen responses whose head or trailer goes beyond 16 KB take 1.9 s and more, each in one stop of the event loop. undici's parser finishes the piece that it was given even after the limit is exceeded, and creates an error for each further field.

--- a/packages/daemon/src/direct/endless-responses.test.ts
+++ b/packages/daemon/src/direct/endless-responses.test.ts
@@ -15,6 +15,9 @@
 /** Longest stop of the event loop, in milliseconds: half of the time after which other entries take this one for lost. */
 const maxStopMs = peerTimeoutMs / 2;
 
+/** Maximum processor time of sixteen broken responses, in milliseconds, with that of their server. */
+const maxProcessorMs = 1200;
+
 /** Growth of the process's memory during a flood, in bytes. */
 const maxGrowthBytes = 64 * 1024 * 1024;
 
@@ -136,7 +139,7 @@
 		{
 			server: 's',
 			address: server.address,
-			maxConnections: 1,
+			maxConnections: 8,
 			method: 'GET',
 			path: '/',
 			headers: [],
@@ -170,11 +173,15 @@
 	}
 }
 
-/** Checks that a request to a server that sends such bytes fails, and that the server is left. */
-async function assertRequestFails(flood: readonly [string, string]) {
+/** Checks that requests to a server that sends such bytes fail, and that the server is left. */
+async function assertRequestFails(flood: readonly [string, string], count = 1) {
 	server = await FloodServer.listen(...flood);
-	send(Upstream.create());
-	await Promise.race([ended, delay(maxCloseMs)]);
+	const upstream = Upstream.create();
+	const requests = Array.from({length: count}, async () => {
+		send(upstream);
+		return ended;
+	});
+	await Promise.race([Promise.all(requests), delay(maxCloseMs)]);
 	assert.match(events.at(-1) ?? 'none', /^error: /v);
 	assert.ok(!events.includes('end'));
 	await waitFor(() => server.connections === 0, 'still connected');
@@ -229,6 +236,20 @@
 		}
 	});
 
+	// Guards against an HTTP client that goes on with what it was given after an error, which takes 0.2 s a response.
+	it('in headers and trailers of sixteen responses cost little processor time', async () => {
+		const before = process.cpuUsage();
+		for (const name of ['headers', 'trailers']) {
+			// eslint-disable-next-line no-await-in-loop
+			await assertRequestFails(floods[name]!, 8);
+			server.dispose();
+		}
+
+		const {user, system} = process.cpuUsage(before);
+		const tookMs = Math.round((user + system) / 1000);
+		assert.ok(tookMs < maxProcessorMs, `took ${tookMs} ms`);
+	});
+
 	describe('after a complete response', () => {
 		const complete = `${ok}Content-Length: 2\r\n\r\nhi`;
 		for (const [name, piece] of Object.entries({
