Read responses in pieces of 4 KB

A response whose head or trailer goes beyond undici's limit stopped the event loop for 145 to 238 ms: its parser finishes the up to 64 KB that it was given, and creates an error for each further field. The gate of a connection now hands out at most 4 KB at once; after the first error nothing follows.

--- a/packages/daemon/src/common/read-gate.ts
+++ b/packages/daemon/src/common/read-gate.ts
@@ -1,5 +1,11 @@
 import type {Socket} from 'node:net';
 
+/**
+ * Maximum size of one read, in bytes, which a usual head fits in. The undici parser finishes what it was given even after
+ * an error, and creates a further error for each field beyond its limit.
+ */
+const maxReadBytes = 4 * 1024;
+
 /**
  * Pauses the reading of a socket without its reader's knowledge. Pausing the undici client instead fails: it does not
  * expect the connection of a paused response to end.
@@ -29,7 +35,9 @@
 				return null;
 			}
 
-			const chunk: unknown = read(size);
+			const chunk: unknown = read(
+				size ?? (Math.min(_socket.readableLength, maxReadBytes) || undefined),
+			);
 			if (chunk instanceof Uint8Array) {
 				this._unusedBytes += chunk.length;
 			}
