Break off a stream whose event does not end

An event of a stream is held until it is whole, and nothing bounded its size: a server that sends one event without end kept its entry's memory growing until the deadline (373 MB in 3 s in one stream). An event beyond 256 KB now counts as a broken response: the connection is reset, the server is avoided, and the stream is resumed elsewhere or cut, as after any break. Events have some hundred bytes.

--- a/packages/core/src/direct/constants.ts
+++ b/packages/core/src/direct/constants.ts
@@ -18,3 +18,9 @@
  * requests are refused if another entry accepts them.
  */
 export const shutdownLeaveMs = 2500;
+
+/**
+ * Maximum length of one event of a stream, in bytes. An event is held until it is complete. Usual events have some
+ * hundred bytes; one with all details of a token or with a whole tool call has some ten thousand.
+ */
+export const maxEventBytes = 256 * 1024;
--- a/packages/core/src/direct/event-stream-splitter.test.ts
+++ b/packages/core/src/direct/event-stream-splitter.test.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {performance} from 'node:perf_hooks';
 import {describe, it} from 'node:test';
+import {maxEventBytes} from './constants.js';
 import {EventStreamSplitter} from './event-stream-splitter.js';
 
 /** Maximum time to split one event of 256 KB, in milliseconds. Linear cost takes a few. */
@@ -31,6 +32,16 @@
 		});
 	});
 
+	it('reports an event beyond the limit as too long, and no other', () => {
+		const splitter = EventStreamSplitter.create();
+		splitter.push(new Uint8Array(maxEventBytes));
+		assert.equal(splitter.isEventTooLong, false);
+		splitter.push(new Uint8Array(1));
+		assert.equal(splitter.isEventTooLong, true);
+		splitter.push(Buffer.from('\n\nid: 1\n'));
+		assert.equal(splitter.isEventTooLong, false);
+	});
+
 	it('finds the same events wherever the chunks are cut', () => {
 		const stream =
 			'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n\n\ndata: c\n\nid: 3';
--- a/packages/core/src/direct/event-stream-splitter.ts
+++ b/packages/core/src/direct/event-stream-splitter.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {maxEventBytes} from './constants.js';
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
@@ -29,6 +30,11 @@
 		return this._partialEventBytes;
 	}
 
+	/** Whether an event is longer than `maxEventBytes` and still not complete. The stream is unusable then. */
+	get isEventTooLong(): boolean {
+		return this._partialEventBytes > maxEventBytes;
+	}
+
 	/** Appends bytes and returns the events that they complete. */
 	push(chunk: Uint8Array): CompleteEvents {
 		const end = this._endOfLastEventIn(chunk);
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -15,6 +15,7 @@
 	type ServerChoice,
 	type ServerNeed,
 } from '@balsamtray/core';
+import {EndlessResponseError} from '../common/endless-response-error.js';
 import {badGateway, unavailable, type CallRefusal} from './call-refusal.js';
 import {
 	maxPrefillWaitShare,
@@ -700,9 +701,20 @@
 
 		const {bytes, lastEventId} = this._eventSplitter.push(chunk);
 		this._lastEventId = lastEventId ?? this._lastEventId;
+		if (this._eventSplitter.isEventTooLong) {
+			this._onEndlessEvent(attempt, this._eventSplitter.partialEventBytes);
+			return true;
+		}
+
 		return bytes.length === 0 || this._write(bytes);
 	}
 
+	private _onEndlessEvent(attempt: Attempt, bytes: number): void {
+		const err = EndlessResponseError.create('event', bytes);
+		attempt.call?.abort();
+		this._onAttemptFailed(attempt, err);
+	}
+
 	/** Reports the time to the first part of the response to the server's agent, once for each attempt. */
 	private _notePrefill(attempt: Attempt, now: number): void {
 		const {server, sentAt, tokensAhead} = attempt;
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -7,6 +7,7 @@
 const direct = 'packages/daemon/src/direct';
 const path = 'platform/dist/platform-path.test.js';
 const endless = 'packages/daemon/dist/direct/endless-responses.test.js';
+const endlessPath = 'platform/dist/endless-bytes.test.js';
 const fleetView = 'packages/core/dist/placement/fleet-view.test.js';
 const codec = 'platform/dist/call-codec.test.js';
 const planner = 'packages/core/dist/orders/order-planner.test.js';
@@ -36,6 +37,14 @@
 		to: 'if (unusedBytes < 0) {',
 		test: endless,
 	},
+	{
+		rule: 'MIXED',
+		what: 'an event without end is held until the deadline',
+		file: `${direct}/proxied-call.ts`,
+		from: 'if (this._eventSplitter.isEventTooLong) {',
+		to: 'if (this._eventSplitter.partialEventBytes < 0) {',
+		test: endlessPath,
+	},
 	{
 		rule: 'MIXED',
 		what: 'a response that only its connection delimits is passed on in chunks',
