Bound what is read of a refusal

The body of a 421 or 503 was read without end after its request had gone elsewhere or ended: its server kept the connection and the entry busy until the server stopped, and a body that stops midway held one of the connections to its server for ever. The rest of a refusal is now dropped up to 64 KB and one second; beyond that its connection is reset.

endless-bytes.test.js: the connection was still read 10 s after the request, now it is closed within the 70 ms of the test.

--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -82,6 +82,12 @@
 /** Keep-alive time of an idle connection to a server, in milliseconds, if the server does not state one. */
 export const keepAliveMs = 10_000;
 
+/** Maximum bytes of a refusal's body that are read to keep its connection. A usual one has some hundred bytes. */
+export const maxDiscardedBytes = 64 * 1024;
+
+/** Time for a refusal's body, in milliseconds: many times a round trip between zones. A usual one comes with its head. */
+export const discardTimeoutMs = 1000;
+
 /** Delay from a wake-up of the wait queue until its requests are retried, in milliseconds. */
 export const wakeIntervalMs = 10;
 
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -607,6 +607,7 @@
 
 		if (response.isNotRun) {
 			this._noteServerRefusal(attempt.server, status);
+			attempt.call?.discard();
 			this._endAttempt(`refused ${status}`);
 			this._retry(this._unavailableServer('serverRefused'), true);
 			return;
--- a/packages/daemon/src/direct/upstream.ts
+++ b/packages/daemon/src/direct/upstream.ts
@@ -4,7 +4,12 @@
 import buildConnector from 'undici/lib/core/connect.js';
 import Pool from 'undici/lib/dispatcher/pool.js';
 import {ConnectionGuard} from '../common/connection-guard.js';
-import {connectTimeoutMs, keepAliveMs} from './constants.js';
+import {
+	connectTimeoutMs,
+	discardTimeoutMs,
+	keepAliveMs,
+	maxDiscardedBytes,
+} from './constants.js';
 
 /** A request to a server. */
 export type UpstreamRequest = {
@@ -47,6 +52,8 @@
 	readonly abort: () => void;
 	/** Resumes a paused response. */
 	readonly resume: () => void;
+	/** Drops the rest of the response, and aborts the request if that is too long or takes too long. */
+	readonly discard: () => void;
 };
 
 /** Message of the error with which undici destroys the socket of an aborted request. */
@@ -82,6 +89,16 @@
 	send(req: UpstreamRequest, sink: UpstreamSink): UpstreamCall {
 		let controller: Dispatcher.DispatchController | undefined;
 		let isAborted = false;
+		let discardedBytes: number | undefined;
+		let discardTimer: NodeJS.Timeout | undefined;
+		const abort = () => {
+			if (!isAborted) {
+				isAborted = true;
+				clearTimeout(discardTimer);
+				controller?.abort(new Error('aborted'));
+			}
+		};
+
 		this._poolOf(req).dispatch(
 			{
 				method: req.method,
@@ -109,16 +126,27 @@
 					}
 				},
 				onResponseData(responding, chunk) {
-					if (!isAborted && !sink.onData(chunk)) {
+					if (isAborted) {
+						return;
+					}
+
+					if (discardedBytes !== undefined) {
+						discardedBytes += chunk.length;
+						if (discardedBytes > maxDiscardedBytes) {
+							abort();
+						}
+					} else if (!sink.onData(chunk)) {
 						responding.pause();
 					}
 				},
 				onResponseEnd() {
+					clearTimeout(discardTimer);
 					if (!isAborted) {
 						sink.onEnd();
 					}
 				},
 				onResponseError(_controller, err) {
+					clearTimeout(discardTimer);
 					if (!isAborted) {
 						sink.onError(err);
 					}
@@ -126,15 +154,14 @@
 			}),
 		);
 		return {
-			abort() {
-				if (!isAborted) {
-					isAborted = true;
-					controller?.abort(new Error('aborted'));
-				}
-			},
+			abort,
 			resume() {
 				controller?.resume();
 			},
+			discard() {
+				discardedBytes = 0;
+				discardTimer = setTimeout(abort, discardTimeoutMs);
+			},
 		};
 	}
 
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -37,6 +37,22 @@
 		to: 'if (unusedBytes < 0) {',
 		test: endless,
 	},
+	{
+		rule: 'MIXED',
+		what: 'the body of a refusal is read without end',
+		file: `${direct}/upstream.ts`,
+		from: 'if (discardedBytes > maxDiscardedBytes) {',
+		to: 'if (discardedBytes < 0) {',
+		test: endless,
+	},
+	{
+		rule: 'MIXED',
+		what: 'a refusal whose body never ends keeps its connection',
+		file: `${direct}/upstream.ts`,
+		from: 'discardTimer = setTimeout(abort, discardTimeoutMs);',
+		to: '',
+		test: endless,
+	},
 	{
 		rule: 'MIXED',
 		what: 'an event without end is held until the deadline',
