Do not read on after the abort of a response

A response that was paused, since its caller read slowly, was aborted at its deadline or when the caller left. Its gate was opened before its connection was closed, so undici's parser got data of a request that had ended.

The gate stays closed after an error, and a socket that is about to be reset returns no data. Mutation in rule-mutations.js.

--- a/packages/daemon/src/common/connection-guard.ts
+++ b/packages/daemon/src/common/connection-guard.ts
@@ -122,7 +122,10 @@
 				}
 			},
 			onResponseError(_started, err) {
-				releaseGate();
+				// The connection is about to be closed. The undici parser fails on data of a request that has ended: its
+				// assertion then parses its source for a message, which stops a bundled process for seconds and longer.
+				gate?.close();
+				gate = undefined;
 				handler.onResponseError?.(controller!, err);
 			},
 		};
--- a/packages/daemon/src/direct/upstream.ts
+++ b/packages/daemon/src/direct/upstream.ts
@@ -227,6 +227,8 @@
 			return destroy(err);
 		}
 
+		// Until the connection is closed, data may still arrive that the undici parser does not expect.
+		socket.read = () => null;
 		socket.destroy = () => destroy(err);
 		return socket.resetAndDestroy();
 	};
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -53,6 +53,14 @@
 		to: '',
 		test: endless,
 	},
+	{
+		rule: 'CONFIG',
+		what: 'an aborted response that was paused is read on, which stops the event loop past deadlines',
+		file: 'packages/daemon/src/common/connection-guard.ts',
+		from: 'gate?.close();\n\t\t\t\tgate = undefined;',
+		to: 'releaseGate();',
+		test: endlessPath,
+	},
 	{
 		rule: 'MIXED',
 		what: 'an event without end is held until the deadline',
