--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -73,6 +73,12 @@
 /** Timeout of a store call, in milliseconds, in addition to its long-poll wait. */
 export const storeTimeoutMs = 1000;
 
+/**
+ * Maximum size of a table, or of a page of one, as read from the store or another entry, in bytes. A list of 10,000
+ * servers, the largest table that is planned for, has 3 MB at 300 bytes each.
+ */
+export const maxTableBytes = 32 * 1024 * 1024;
+
 /** Initial and maximum backoff after a failed store call, in milliseconds. */
 export const storeBackoffMs = {initial: 150, max: 800} as const;
 
--- a/packages/daemon/src/direct/http-client.ts
+++ b/packages/daemon/src/direct/http-client.ts
@@ -10,6 +10,8 @@
 	readonly body?: string;
 	/** Timeout for the complete response, in milliseconds. */
 	readonly timeoutMs: number;
+	/** Maximum size of the response's body, in bytes. */
+	readonly maxBodyBytes: number;
 };
 
 export type HttpResponse = {
--- a/packages/daemon/src/direct/index.ts
+++ b/packages/daemon/src/direct/index.ts
@@ -1,3 +1,4 @@
+export {maxTableBytes} from './constants.js';
 export type * from './types.js';
 export type * from './log-events.js';
 export * from './agent-runtime.js';
--- a/packages/daemon/src/direct/table-exchange.ts
+++ b/packages/daemon/src/direct/table-exchange.ts
@@ -1,5 +1,5 @@
 import type {AuthorityRow, AuthorityView, ServerChange} from '@balsamtray/core';
-import {storeTimeoutMs} from './constants.js';
+import {maxTableBytes, storeTimeoutMs} from './constants.js';
 import {HttpClient} from './http-client.js';
 import type {TableCopy} from './relayed-table.js';
 import type {TextResponse} from './text-server.js';
@@ -75,6 +75,7 @@
 			method: 'GET',
 			path,
 			timeoutMs: storeTimeoutMs,
+			maxBodyBytes: maxTableBytes,
 		});
 		if (status !== 200) {
 			throw new Error(
