--- a/packages/daemon/src/direct/http-client.ts
+++ b/packages/daemon/src/direct/http-client.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request, type IncomingHttpHeaders} from 'node:http';
+import {EndlessResponseError} from '../common/endless-response-error.js';
 import type {Endpoint} from './types.js';
 
 export type HttpCall = {
@@ -35,9 +36,10 @@
 
 	private constructor(private readonly _agent: Agent) {}
 
-	/** Rejects and closes the connection if it fails or the complete response does not arrive within `timeoutMs`. */
+	/** Rejects and closes the connection if it fails, the body is too long or not complete within `timeoutMs`. */
 	async call(call: HttpCall): Promise<HttpResponse> {
-		const {endpoint, method, path, headers, body, timeoutMs} = call;
+		const {endpoint, method, path, headers, body, timeoutMs, maxBodyBytes} =
+			call;
 		return new Promise((resolve, reject) => {
 			const req = request({
 				...endpoint,
@@ -68,8 +70,14 @@
 			req.once('error', fail);
 			req.once('response', res => {
 				const chunks: Uint8Array[] = [];
+				let bytes = 0;
 				res.on('data', (chunk: Uint8Array) => {
-					chunks.push(chunk);
+					bytes += chunk.length;
+					if (bytes > maxBodyBytes) {
+						req.destroy(EndlessResponseError.create('body', bytes));
+					} else {
+						chunks.push(chunk);
+					}
 				});
 				res.once('error', fail);
 				res.once('end', () => {
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -61,6 +61,14 @@
 		to: 'releaseGate();',
 		test: endlessPath,
 	},
+	{
+		rule: 'MIXED',
+		what: 'a body without end is collected until the timeout of its call',
+		file: `${direct}/http-client.ts`,
+		from: 'if (bytes > maxBodyBytes) {',
+		to: 'if (bytes < 0) {',
+		test: 'packages/daemon/dist/direct/http-client.test.js',
+	},
 	{
 		rule: 'MIXED',
 		what: 'an event without end is held until the deadline',
