Log, count and mark servers that send bytes without end

The connection of such a server was closed without a word where no request was current: on an idle connection, or in the body of a refusal.

--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -42,6 +42,8 @@
 	readonly maxConnections: (service: string) => number;
 	/** Called when a response changed what is known of a server. */
 	readonly onServerChanged: () => void;
+	/** Called when a server was left, since what it sends does not end. */
+	readonly onEndlessResponse: (server: string, err: Error) => void;
 	/** Random number in [0, 1). */
 	readonly random: () => number;
 	/** Progress of the shutdown; undefined while the entry is not stopping. */
--- a/packages/daemon/src/direct/direct-metrics.ts
+++ b/packages/daemon/src/direct/direct-metrics.ts
@@ -28,6 +28,10 @@
 	private readonly _sends = this._counter(metricDefinitions.sends);
 	private readonly _orders = this._counter(metricDefinitions.orders);
 	private readonly _suspensions = this._counter(metricDefinitions.suspensions);
+	private readonly _endlessResponses = this._counter(
+		metricDefinitions.endlessResponses,
+	);
+
 	private readonly _wait = this._histogram(metricDefinitions.wait);
 	private readonly _quota = this._histogram(metricDefinitions.quota);
 	private readonly _firstByte = this._histogram(metricDefinitions.firstByte);
@@ -87,6 +91,10 @@
 		this._suspensions.inc({kind});
 	}
 
+	noteEndlessResponse(): void {
+		this._endlessResponses.inc();
+	}
+
 	noteQuota(outcome: string, durationMs: number): void {
 		this._quota.observe({outcome}, durationMs / 1000);
 	}
--- a/packages/daemon/src/direct/endless-responses.test.ts
+++ b/packages/daemon/src/direct/endless-responses.test.ts
@@ -198,10 +198,15 @@
 /** Checks that a request to a server that sends such bytes gets its response, and that the server is left. */
 async function assertRequestIsAnswered(flood: readonly [string, string]) {
 	server = await FloodServer.listen(...flood);
-	send(Upstream.create());
+	let endless = 0;
+	const upstream = Upstream.create(() => {
+		endless++;
+	});
+	send(upstream);
 	await ended;
 	assert.deepEqual(events, ['200', 'end']);
 	await waitFor(() => server.connections === 0, 'still connected');
+	return endless;
 }
 
 describe('bytes without end', {concurrency: false}, () => {
@@ -290,7 +295,8 @@
 		})) {
 			// Guards against connections that were read, with no request, until their server stopped.
 			it(`${name} belong to no request, and their connection is closed`, async () => {
-				await assertRequestIsAnswered([complete, piece]);
+				const endless = await assertRequestIsAnswered([complete, piece]);
+				assert.equal(endless, name === 'empty lines' ? 1 : 0);
 			});
 		}
 	});
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -93,7 +93,10 @@
 	private readonly _fleet: FleetView;
 	private readonly _peers: EntryPeers;
 	private readonly _agentClient: AgentClient;
-	private readonly _upstream = Upstream.create();
+	private readonly _upstream = Upstream.create((server, err) => {
+		this._onEndlessResponse(server, err);
+	});
+
 	private readonly _waitQueue = WaitQueue.create();
 	private readonly _prefillWaiting = KeyCounts.create();
 	private readonly _suspects = SuspectRegistry.create();
@@ -278,11 +281,22 @@
 			onServerChanged: () => {
 				this._serverLog.update(this._fleet.servers());
 			},
+			onEndlessResponse: (server, err) => {
+				this._onEndlessResponse(server, err);
+			},
 			random: Math.random,
 			shutdown: () => this._shutdown.progress,
 		};
 	}
 
+	/** Lets requests prefer other servers for a while. */
+	private _onEndlessResponse(server: string, err: Error): void {
+		this._fleet.server(server)?.markSuspected(clock());
+		this._metrics.noteEndlessResponse();
+		const {log} = this._options;
+		log.write({event: 'endlessResponse', server, error: err.message});
+	}
+
 	private _createFleet(): FleetView {
 		const {settings} = this._options;
 		return FleetView.create({
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -63,6 +63,12 @@
 			readonly forMs?: number;
 			readonly value?: string;
 	  }
+	/** The connection to a server was closed, since a part of what it sent was longer than any response has. */
+	| {
+			readonly event: 'endlessResponse';
+			readonly server: string;
+			readonly error: string;
+	  }
 	/** A store row is invalid and was ignored. */
 	| {
 			readonly event: 'rowIgnored';
--- a/packages/daemon/src/direct/metric-definitions.ts
+++ b/packages/daemon/src/direct/metric-definitions.ts
@@ -60,6 +60,12 @@
 		help: 'Times for which servers wanted no requests, by whether their length was `valid` or `invalid`.',
 		labels: ['kind'],
 	},
+	endlessResponses: {
+		kind: 'counter',
+		name: 'balsamtray_endless_responses_total',
+		help: 'Connections to servers that were closed, since a part of what the server sent did not end.',
+		labels: [],
+	},
 	waiting: {
 		kind: 'gauge',
 		name: 'balsamtray_waiting',
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -713,6 +713,7 @@
 	private _onEndlessEvent(attempt: Attempt, bytes: number): void {
 		const err = EndlessResponseError.create('event', bytes);
 		attempt.call?.abort();
+		this._context.onEndlessResponse(attempt.server, err);
 		this._onAttemptFailed(attempt, err);
 	}
 
--- a/packages/daemon/src/direct/upstream.ts
+++ b/packages/daemon/src/direct/upstream.ts
@@ -4,6 +4,7 @@
 import buildConnector from 'undici/lib/core/connect.js';
 import Pool from 'undici/lib/dispatcher/pool.js';
 import {ConnectionGuard} from '../common/connection-guard.js';
+import {EndlessResponseError} from '../common/endless-response-error.js';
 import {
 	connectTimeoutMs,
 	discardTimeoutMs,
@@ -56,13 +57,16 @@
 	readonly discard: () => void;
 };
 
+export type EndlessListener = (server: string, err: Error) => void;
+
 /** Message of the error with which undici destroys the socket of an aborted request. */
 const abortMessage = 'aborted';
 
 /** Sends requests to servers over one connection pool per server. */
 export class Upstream {
-	static create(): Upstream {
-		return new Upstream();
+	/** @param onEndless called when the connection to a server is closed, since what it sends does not end */
+	static create(onEndless: EndlessListener = () => undefined): Upstream {
+		return new Upstream(onEndless);
 	}
 
 	private readonly _pools = new Map<
@@ -72,7 +76,7 @@
 
 	private readonly _guard: ConnectionGuard;
 
-	private constructor() {
+	private constructor(private readonly _onEndless: EndlessListener) {
 		const connect = buildConnector({timeout: connectTimeoutMs});
 		this._guard = ConnectionGuard.create((options, callback) => {
 			connect(options, (...result) => {
@@ -125,7 +129,7 @@
 						);
 					}
 				},
-				onResponseData(responding, chunk) {
+				onResponseData: (responding, chunk) => {
 					if (isAborted) {
 						return;
 					}
@@ -134,6 +138,10 @@
 						discardedBytes += chunk.length;
 						if (discardedBytes > maxDiscardedBytes) {
 							abort();
+							this._onEndless(
+								req.server,
+								EndlessResponseError.create('refusal', discardedBytes),
+							);
 						}
 					} else if (!sink.onData(chunk)) {
 						responding.pause();
@@ -194,6 +202,11 @@
 			keepAliveMaxTimeout: 60_000,
 			keepAliveTimeoutThreshold: 500,
 		});
+		pool.on('disconnect', (_origin, _targets, err) => {
+			if (err instanceof EndlessResponseError) {
+				this._onEndless(server, err);
+			}
+		});
 		this._pools.set(server, {pool, address});
 		return pool;
 	}
