--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -94,6 +94,12 @@
 /** Timeout of a store call, in milliseconds, in addition to its long-poll wait. */
 export const storeTimeoutMs = 1000;
 
+/**
+ * Maximum size of a table, or of a page of one, as read from the store or another entry, in bytes. A list of 10,000
+ * servers, the largest table that is planned for, has 3 MB at 300 bytes each.
+ */
+export const maxTableBytes = 32 * 1024 * 1024;
+
 /** Initial and maximum backoff after a failed store call, in milliseconds. */
 export const storeBackoffMs = {initial: 150, max: 800} as const;
 
@@ -103,6 +109,12 @@
 /** Keep-alive time of an idle connection to a server, in milliseconds, if the server does not state one. */
 export const keepAliveMs = 10_000;
 
+/** Maximum bytes of a refusal's body that are read to keep its connection. A usual one has some hundred bytes. */
+export const maxDiscardedBytes = 64 * 1024;
+
+/** Time for a refusal's body, in milliseconds: many times a round trip between zones. A usual one comes with its head. */
+export const discardTimeoutMs = 1000;
+
 /** Delay from a wake-up of the wait queue until its requests are retried, in milliseconds. */
 export const wakeIntervalMs = 10;
 
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -17,6 +17,7 @@
 	type StreamOrigin,
 	type VersionToExpect,
 } from '@balsamtray/core';
+import {EndlessResponseError} from '../common/endless-response-error.js';
 import type {Disposable} from '../common/types.js';
 import {badGateway, unavailable, type CallRefusal} from './call-refusal.js';
 import {
@@ -770,6 +771,7 @@
 
 		if (response.isNotRun) {
 			this._noteServerRefusal(attempt.server, status);
+			attempt.call?.discard();
 			this._endAttempt(`refused ${status}`);
 			this._retry(this._unavailableServer('serverRefused'), true);
 			return;
@@ -870,7 +872,13 @@
 			this._onFirstEvent(attempt);
 		}
 
-		return bytes.length === 0 || this._write(bytes);
+		const isWritable = bytes.length === 0 || this._write(bytes);
+		if (this._eventSplitter.isEventTooLong) {
+			this._onEndlessEvent(attempt, this._eventSplitter.partialEventBytes);
+			return true;
+		}
+
+		return isWritable;
 	}
 
 	/**
@@ -895,6 +903,13 @@
 		}
 	}
 
+	private _onEndlessEvent(attempt: Attempt, bytes: number): void {
+		const err = EndlessResponseError.create('event', bytes);
+		attempt.call?.abort();
+		this._context.onEndlessResponse(attempt.server, err);
+		this._onAttemptFailed(attempt, err);
+	}
+
 	/** Reports the time to the first part of the response to the server's agent, once for each attempt. */
 	private _notePrefill(attempt: Attempt, now: number): void {
 		const {server, sentAt, tokensAhead} = attempt;
--- a/packages/daemon/src/direct/upstream.ts
+++ b/packages/daemon/src/direct/upstream.ts
@@ -4,7 +4,13 @@
 import buildConnector from 'undici/lib/core/connect.js';
 import Pool from 'undici/lib/dispatcher/pool.js';
 import {ConnectionGuard} from '../common/connection-guard.js';
-import {connectTimeoutMs, keepAliveMs} from './constants.js';
+import {EndlessResponseError} from '../common/endless-response-error.js';
+import {
+	connectTimeoutMs,
+	discardTimeoutMs,
+	keepAliveMs,
+	maxDiscardedBytes,
+} from './constants.js';
 
 /** A request to a server. */
 export type UpstreamRequest = {
@@ -47,15 +53,20 @@
 	readonly abort: () => void;
 	/** Resumes a paused response. */
 	readonly resume: () => void;
+	/** Drops the rest of the response, and aborts the request if that is too long or takes too long. */
+	readonly discard: () => void;
 };
 
+export type EndlessListener = (server: string, err: Error) => void;
+
 /** Message of the error with which undici destroys the socket of an aborted request. */
 const abortMessage = 'aborted';
 
 /** Sends requests to servers over one connection pool per server. */
 export class Upstream {
-	static create(): Upstream {
-		return new Upstream();
+	/** @param onEndless called when the connection to a server is closed, since what it sends does not end */
+	static create(onEndless: EndlessListener = () => undefined): Upstream {
+		return new Upstream(onEndless);
 	}
 
 	private readonly _pools = new Map<
@@ -65,7 +76,7 @@
 
 	private readonly _guard: ConnectionGuard;
 
-	private constructor() {
+	private constructor(private readonly _onEndless: EndlessListener) {
 		const connect = buildConnector({timeout: connectTimeoutMs});
 		this._guard = ConnectionGuard.create((options, callback) => {
 			connect(options, (...result) => {
@@ -82,6 +93,16 @@
 	send(req: UpstreamRequest, sink: UpstreamSink): UpstreamCall {
 		let controller: Dispatcher.DispatchController | undefined;
 		let isAborted = false;
+		let discardedBytes: number | undefined;
+		let discardTimer: NodeJS.Timeout | undefined;
+		const abort = () => {
+			if (!isAborted) {
+				isAborted = true;
+				clearTimeout(discardTimer);
+				controller?.abort(new Error('aborted'));
+			}
+		};
+
 		this._poolOf(req).dispatch(
 			{
 				method: req.method,
@@ -108,17 +129,32 @@
 						);
 					}
 				},
-				onResponseData(responding, chunk) {
-					if (!isAborted && !sink.onData(chunk)) {
+				onResponseData: (responding, chunk) => {
+					if (isAborted) {
+						return;
+					}
+
+					if (discardedBytes !== undefined) {
+						discardedBytes += chunk.length;
+						if (discardedBytes > maxDiscardedBytes) {
+							abort();
+							this._onEndless(
+								req.server,
+								EndlessResponseError.create('refusal', discardedBytes),
+							);
+						}
+					} else if (!sink.onData(chunk)) {
 						responding.pause();
 					}
 				},
 				onResponseEnd() {
+					clearTimeout(discardTimer);
 					if (!isAborted) {
 						sink.onEnd();
 					}
 				},
 				onResponseError(_controller, err) {
+					clearTimeout(discardTimer);
 					if (!isAborted) {
 						sink.onError(err);
 					}
@@ -126,15 +162,14 @@
 			}),
 		);
 		return {
-			abort() {
-				if (!isAborted) {
-					isAborted = true;
-					controller?.abort(new Error('aborted'));
-				}
-			},
+			abort,
 			resume() {
 				controller?.resume();
 			},
+			discard() {
+				discardedBytes = 0;
+				discardTimer = setTimeout(abort, discardTimeoutMs);
+			},
 		};
 	}
 
@@ -167,6 +202,11 @@
 			keepAliveMaxTimeout: 60_000,
 			keepAliveTimeoutThreshold: 500,
 		});
+		pool.on('disconnect', (_origin, _targets, err) => {
+			if (err instanceof EndlessResponseError) {
+				this._onEndless(server, err);
+			}
+		});
 		this._pools.set(server, {pool, address});
 		return pool;
 	}
@@ -200,6 +240,8 @@
 			return destroy(err);
 		}
 
+		// Until the connection is closed, data may still arrive that the undici parser does not expect.
+		socket.read = () => null;
 		socket.destroy = () => destroy(err);
 		return socket.resetAndDestroy();
 	};
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -6,6 +6,8 @@
 const core = 'packages/core/src';
 const direct = 'packages/daemon/src/direct';
 const path = 'platform/dist/platform-path.test.js';
+const endless = 'packages/daemon/dist/direct/endless-responses.test.js';
+const endlessPath = 'platform/dist/endless-bytes.test.js';
 const fleetView = 'packages/core/dist/placement/fleet-view.test.js';
 const codec = 'platform/dist/call-codec.test.js';
 const versionSchedules =
@@ -31,6 +33,54 @@
 		to: 'if (hasConnectionError() && trailers === undefined)',
 		test: 'packages/daemon/dist/direct/upstream.test.js',
 	},
+	{
+		rule: 'MIXED',
+		what: 'a connection is read for as long as it sends bytes that become no response',
+		file: 'packages/daemon/src/common/connection-guard.ts',
+		from: 'if (unusedBytes > maxUnusedBytes) {',
+		to: 'if (unusedBytes < 0) {',
+		test: endless,
+	},
+	{
+		rule: 'MIXED',
+		what: 'the body of a refusal is read without end',
+		file: `${direct}/upstream.ts`,
+		from: 'if (discardedBytes > maxDiscardedBytes) {',
+		to: 'if (discardedBytes < 0) {',
+		test: endless,
+	},
+	{
+		rule: 'MIXED',
+		what: 'a refusal whose body never ends keeps its connection',
+		file: `${direct}/upstream.ts`,
+		from: 'discardTimer = setTimeout(abort, discardTimeoutMs);',
+		to: '',
+		test: endless,
+	},
+	{
+		rule: 'CONFIG',
+		what: 'an aborted response that was paused is read on, which stops the event loop past deadlines',
+		file: 'packages/daemon/src/common/connection-guard.ts',
+		from: 'gate?.close();\n\t\t\t\tgate = undefined;',
+		to: 'releaseGate();',
+		test: endlessPath,
+	},
+	{
+		rule: 'MIXED',
+		what: 'a body without end is collected until the timeout of its call',
+		file: `${direct}/http-client.ts`,
+		from: 'if (bytes > maxBodyBytes) {',
+		to: 'if (bytes < 0) {',
+		test: 'packages/daemon/dist/direct/http-client.test.js',
+	},
+	{
+		rule: 'MIXED',
+		what: 'an event without end is held until the deadline',
+		file: `${direct}/proxied-call.ts`,
+		from: 'if (this._eventSplitter.isEventTooLong) {',
+		to: 'if (this._eventSplitter.partialEventBytes < 0) {',
+		test: endlessPath,
+	},
 	{
 		rule: 'MIXED',
 		what: 'a response that only its connection delimits is passed on in chunks',
