--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -102,6 +102,7 @@
 	/** Units that were taken from a customer's rate for this request. */
 	private _reserved:
 		{readonly customer: string; readonly units: number} | undefined;
+
 	private _attempt: Attempt | undefined;
 	private _eventSplitter: EventStreamSplitter | undefined;
 	private _lastEventId: string | undefined;
