Take only a gap in the confirmations of the server list for an outage of the store

What callers saw: requests reached a removed server up to 2.6 s after the store had acknowledged the removal (DRAIN allows 2 s), at entries and a store without trouble for 10 s before.

Cause: servers that are removed around an outage stay in use for 1.8 s, as the store may have dropped them although they are alive. Any failed read of any table counted as an outage, and the next read as its end: a long poll of the members table notices a lost answer after 11 s. The end was passed on with copies of the list, so all entries kept removed servers.

Now each entry takes an outage from the time in which its own list was not known to be the newest, at least 2 s, and keeps missing servers until 2 s after it, by when they are back. While the list is confirmed all the time, a removed server is gone at once. A second test covers servers that the store dropped in an outage: they serve until their rows are back.

--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -97,11 +97,14 @@
 /** Time for which an older adapter version stays in use after a newer one was declared, in milliseconds. */
 export const versionGraceMs = 2500;
 
-/** Time for which a server stays in use after it vanished from the list during a store outage, in milliseconds. */
-export const vanishedGraceMs = 1800;
+/**
+ * Time in which the list was not known to be the newest that counts as an outage of the store, in milliseconds. While the
+ * store answers, entries learn of changes sooner; in a shorter outage, the store drops no server that is alive.
+ */
+export const minOutageMs = 2000;
 
-/** Time after a store outage in which servers that the store dropped may return, in milliseconds. */
-export const postOutageWindowMs = 3000;
+/** Time after a store outage within which servers that the store dropped are back, as the platform specifies, in milliseconds. */
+export const returnWindowMs = 2000;
 
 /** Time for which a server is avoided after a broken connection or a missing answer, in milliseconds. */
 export const suspicionMs = 1000;
--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -3,12 +3,12 @@
 import type {DeclaredVersion} from '../authority/authority-view.js';
 import type {ServiceSpec} from '../authority/types.js';
 import {
-	postOutageWindowMs,
+	minOutageMs,
 	replicaDelayMs,
 	maxLoadTargetDelayMs,
 	initialPrefillTokensPerMs,
 	silenceTimeoutMs,
-	vanishedGraceMs,
+	returnWindowMs,
 	versionGraceMs,
 } from './constants.js';
 import {FleetView} from './fleet-view.js';
@@ -312,13 +312,26 @@
 			assert.equal(chosen(plain, 1), 'noServer');
 		});
 
-		it('stay in use for a grace period if the store dropped them shortly after an outage', () => {
+		const removal = {id: 'x', rowVersion: 2, record: undefined};
+
+		it('stay in use until they may be back if the store dropped them around an outage', () => {
+			list(record('x'));
+			fleet.noteConfirmed(minOutageMs, 0);
+			fleet.apply([removal], 100);
+			assert.equal(chosen(plain, returnWindowMs - 1), 'x');
+			assert.equal(chosen(plain, returnWindowMs), 'noServer');
+		});
+
+		// Guards against requests to a removed server because a short failure counted as an outage (DRAIN).
+		it('get no requests once removed while the list is confirmed all the time, or before an outage', () => {
 			list(record('x'));
-			fleet.noteOutageEnd(0);
-			fleet.apply([{id: 'x', rowVersion: 2, record: undefined}], 100);
-			assert.equal(chosen(plain, 200), 'x');
-			assert.equal(chosen(plain, 100 + vanishedGraceMs), 'noServer');
-			assert.ok(vanishedGraceMs < postOutageWindowMs);
+			fleet.noteConfirmed(Infinity, 0);
+			fleet.noteConfirmed(minOutageMs - 1, 0);
+			fleet.server('x')!.noteSent(undefined, 0);
+			fleet.apply([removal], 0);
+			assert.equal(chosen(plain, 0), 'noServer');
+			fleet.noteConfirmed(minOutageMs, 100);
+			assert.equal(chosen(plain, 100), 'noServer');
 		});
 
 		it('are not restored by an older row', () => {
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -5,13 +5,13 @@
 	runningRequestCostMs,
 	maxMemoryUtilization,
 	crossZoneCostMs,
-	postOutageWindowMs,
+	minOutageMs,
 	resumptionIntervalMs,
+	returnWindowMs,
 	maxPlainRequestsPerSlot,
 	maxTrackedSessions,
 	cachedPromptCreditMs,
 	maxSlotUtilization,
-	vanishedGraceMs,
 } from './constants.js';
 import {ServerState} from './server-state.js';
 import type {
@@ -140,9 +140,16 @@
 		this.apply([...removed, ...changes], now);
 	}
 
-	/** Notes that the store answers again. It may have dropped servers during the outage that are still alive. */
-	noteOutageEnd(now: number): void {
-		this._outageEndedAt = now;
+	/**
+	 * Notes that the list is known to be the newest, before its rows are applied. After an outage, the store may have
+	 * dropped servers that are still alive.
+	 *
+	 * @param sinceMs time since the list was last known to be the newest, in milliseconds; infinite for the first list
+	 */
+	noteConfirmed(sinceMs: number, now: number): void {
+		if (sinceMs >= minOutageMs && Number.isFinite(sinceMs)) {
+			this._outageEndedAt = now;
+		}
 	}
 
 	noteReport(id: string, report: EngineReport, now: number): void {
@@ -270,8 +277,8 @@
 	private _isListedOrInGrace({vanishedAt}: ServerState, now: number): boolean {
 		return (
 			vanishedAt === undefined ||
-			(now - this._outageEndedAt < postOutageWindowMs &&
-				now - vanishedAt < vanishedGraceMs)
+			(vanishedAt >= this._outageEndedAt &&
+				now - this._outageEndedAt < returnWindowMs)
 		);
 	}
 
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -362,16 +362,15 @@
 			clock,
 			rows: () => this._fleet.listedRows(),
 			apply: (copy, now) => {
-				if (copy.outageEndedMsAgo !== undefined) {
-					this._fleet.noteOutageEnd(now - copy.outageEndedMsAgo);
-				}
-
 				this._serversWatch?.noteVersion(copy.version);
 				this._fleet.applyAll(copy.rows, copy.version, now);
 				return this._onServersChanged();
 			},
 			fetch: async from => this._exchange.fetchServers(from),
 			staleAgeMs: staleServersAgeMs,
+			onConfirmed: (sinceMs, now) => {
+				this._fleet.noteConfirmed(sinceMs, now);
+			},
 			onChanged: () => {
 				this._peers.announce();
 			},
@@ -392,6 +391,7 @@
 			},
 			fetch: async from => this._exchange.fetchMembers(from),
 			staleAgeMs: staleMembersAgeMs,
+			onConfirmed: () => undefined,
 			onChanged: () => {
 				this._peers.announce();
 			},
@@ -494,8 +494,6 @@
 			},
 			onRegained: (table, lostForMs) => {
 				this._logDependencyRegained(table, lostForMs);
-				this._fleet.noteOutageEnd(clock());
-				this._servers.noteOutageEnd(clock());
 			},
 		});
 		this._watches.push(watch);
@@ -543,6 +541,7 @@
 		startedAt: number,
 	): void {
 		const now = clock();
+		this._servers.confirm(startedAt, now);
 		if (isSnapshot) {
 			this._fleet.applyAll(rows, version, now);
 		} else {
--- a/packages/daemon/src/direct/relayed-table.test.ts
+++ b/packages/daemon/src/direct/relayed-table.test.ts
@@ -11,6 +11,7 @@
 let rows: readonly string[];
 let fetches: string[];
 let changes: number;
+let gaps: number[];
 let table: RelayedTable<string>;
 let served: TableCopy<string>;
 
@@ -20,6 +21,7 @@
 		rows = [];
 		fetches = [];
 		changes = 0;
+		gaps = [];
 		served = {revision: 7, ageMs: 50, rows: ['a'], version: 3};
 		table = RelayedTable.create<string>({
 			name: 'servers',
@@ -35,6 +37,9 @@
 				return served;
 			},
 			staleAgeMs,
+			onConfirmed(sinceMs) {
+				gaps.push(sinceMs);
+			},
 			onChanged() {
 				changes++;
 			},
@@ -70,6 +75,17 @@
 		assert.notEqual(table.announcement(20)!.revision, first);
 	});
 
+	it('tells how long it was not known to be the newest before it applies newer rows', async () => {
+		table.noteRead(1, 0, true);
+		now = 4000;
+		table.onAnnouncement(root, {revision: 7, ageMs: 50}, true);
+		await nextTurn();
+		now = 4800;
+		table.onAnnouncement(root, {revision: 7, ageMs: 100}, true);
+		table.noteRead(4, 4600, false);
+		assert.deepEqual(gaps, [Infinity, 3950, 750]);
+	});
+
 	it('fetches from an entry that is not its parent only when its copy is stale', async () => {
 		table.noteRead(1, 0, true);
 		now = 500;
--- a/packages/daemon/src/direct/relayed-table.ts
+++ b/packages/daemon/src/direct/relayed-table.ts
@@ -13,8 +13,6 @@
 	readonly rows: readonly Row[];
 	/** Store version that the rows are as of. */
 	readonly version: number;
-	/** Time since the last outage of the store ended, in milliseconds. Absent without an outage. */
-	readonly outageEndedMsAgo?: number;
 };
 
 export type RelayedTableOptions<Row> = {
@@ -26,6 +24,12 @@
 	readonly fetch: (from: Endpoint) => Promise<TableCopy<Row>>;
 	/** Age of the copy from which it is fetched from any entry that has a newer one, in milliseconds. */
 	readonly staleAgeMs: number;
+	/**
+	 * Called when the copy is known to be the newest as of a later time than before, before its rows are applied.
+	 *
+	 * @param sinceMs time since it was last known to be the newest, in milliseconds; infinite for the first copy
+	 */
+	readonly onConfirmed: (sinceMs: number, now: number) => void;
 	/** Called when the table has changed, so that peers should hear of it. */
 	readonly onChanged: () => void;
 	readonly onError: (step: string, err: unknown) => void;
@@ -45,7 +49,6 @@
 	private _revision = Date.now();
 	private _version = -1;
 	private _confirmedAt = Number.NEGATIVE_INFINITY;
-	private _outageEndedAt: number | undefined;
 	private _isFetching = false;
 
 	private constructor(private readonly _options: RelayedTableOptions<Row>) {}
@@ -60,19 +63,23 @@
 		return this._version;
 	}
 
+	/** Notes that the copy, or the one that is about to be applied, was the newest at a time. */
+	confirm(at: number, now: number): void {
+		if (at > this._confirmedAt) {
+			this._options.onConfirmed(at - this._confirmedAt, now);
+			this._confirmedAt = at;
+		}
+	}
+
 	/** Records a read of the store that began at `startedAt`. The rows are already applied. */
 	noteRead(version: number, startedAt: number, hasChanged: boolean): void {
 		this._version = Math.max(this._version, version);
-		this._confirm(startedAt);
+		this.confirm(startedAt, this._options.clock());
 		if (hasChanged) {
 			this._noteChange();
 		}
 	}
 
-	noteOutageEnd(now: number): void {
-		this._outageEndedAt = now;
-	}
-
 	/** What to tell peers; undefined before the first read. */
 	announcement(now: number): TableAnnouncement | undefined {
 		return Number.isFinite(this._confirmedAt)
@@ -91,9 +98,6 @@
 				...announcement,
 				rows: this._options.rows(),
 				version: this._version,
-				...(this._outageEndedAt !== undefined && {
-					outageEndedMsAgo: Math.round(now - this._outageEndedAt),
-				}),
 			}
 		);
 	}
@@ -106,7 +110,7 @@
 	): void {
 		const now = this._options.clock();
 		if (this._fetched.get(peer.id) === revision) {
-			this._confirm(now - ageMs);
+			this.confirm(now - ageMs, now);
 			return;
 		}
 
@@ -131,14 +135,10 @@
 			const copy = await fetch(peer.endpoint);
 			const now = clock();
 			this._fetched.set(peer.id, copy.revision);
-			if (copy.outageEndedMsAgo !== undefined) {
-				this._outageEndedAt = now - copy.outageEndedMsAgo;
-			}
-
 			if (copy.version >= this._version) {
 				this._version = copy.version;
+				this.confirm(startedAt - copy.ageMs, now);
 				const hasChanged = apply(copy, now);
-				this._confirm(startedAt - copy.ageMs);
 				if (hasChanged) {
 					this._noteChange();
 				}
@@ -150,10 +150,6 @@
 		}
 	}
 
-	private _confirm(at: number): void {
-		this._confirmedAt = Math.max(this._confirmedAt, at);
-	}
-
 	private _noteChange(): void {
 		this._revision++;
 		this._options.onChanged();
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -179,6 +179,14 @@
 		to: '',
 		test: codec,
 	},
+	{
+		rule: 'DRAIN',
+		what: 'any time between two confirmations of the list counts as an outage, after which removed servers receive calls',
+		file: `${core}/placement/fleet-view.ts`,
+		from: 'if (sinceMs >= minOutageMs && Number.isFinite(sinceMs)) {',
+		to: 'if (sinceMs >= 0) {',
+		test: fleetView,
+	},
 	{
 		rule: 'DRAIN',
 		what: 'draining servers receive calls',
