Ignore a server's row from before it said that it drains, or of an earlier start

What callers saw (in a test): after a server said draining, a ready row that it had sent before and that the store carried out later made all entries send to it again, for longer than 2 s after the acknowledgement (DRAIN).

Cause: rows were ordered by row version only, the order in which the store carried them out, not the order in which the server sent them.

Not shown to be the cause of the users' cases.

A server never takes requests again after it said that it drains, until its next start, which its row tells (born). A row of an earlier start, or a ready row of the start that drains, no longer replaces the known one. Rows that do not tell a start are taken as before.

--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -334,6 +334,28 @@
 			assert.equal(chosen(plain, 100), 'noServer');
 		});
 
+		describe('with a row that they sent before the known one', () => {
+			const row = (rowVersion: number, changes: Partial<ServerRecord>) => [
+				{id: 'x', rowVersion, record: record('x', changes)},
+			];
+
+			// Guards against requests to a draining server (DRAIN) because an older check-in of it has a newer row version.
+			it('are not restored by it, but by their next start', () => {
+				fleet.apply(row(1, {born: 5}), 0);
+				fleet.apply(row(2, {born: 5, isDraining: true}), 1);
+				fleet.apply(row(3, {born: 5}), 2);
+				assert.equal(chosen(plain, 2), 'noServer');
+				fleet.apply(row(4, {born: 6}), 3);
+				assert.equal(chosen(plain, 3), 'x');
+			});
+
+			it('stay in the state of their newest start', () => {
+				fleet.apply(row(1, {born: 6, isDraining: true}), 0);
+				fleet.apply(row(2, {born: 5}), 1);
+				assert.equal(chosen(plain, 1), 'noServer');
+			});
+		});
+
 		it('are not restored by an older row', () => {
 			list(record('x'));
 			fleet.apply([{id: 'x', rowVersion: 3, record: undefined}], 1);
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -118,6 +118,10 @@
 				continue;
 			}
 
+			if (server !== undefined && isSuperseded(record, server.record)) {
+				continue;
+			}
+
 			this._noteCurrentServer(record, rowVersion);
 			if (server === undefined) {
 				this._servers.set(id, ServerState.create(record, now));
@@ -400,6 +404,19 @@
 	}
 }
 
+/**
+ * Whether the server sent the record before the known one. A write that is carried out late has a newer row version, but
+ * a server never takes requests again after it said that it drains, until its next start.
+ */
+function isSuperseded(record: ServerRecord, known: ServerRecord): boolean {
+	return (
+		record.born !== undefined &&
+		known.born !== undefined &&
+		(record.born < known.born ||
+			(record.born === known.born && known.isDraining && !record.isDraining))
+	);
+}
+
 function leastSuspensionMs(
 	servers: readonly ServerState[],
 	now: number,
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -187,6 +187,14 @@
 		to: 'if (sinceMs >= 0) {',
 		test: fleetView,
 	},
+	{
+		rule: 'DRAIN',
+		what: 'a check-in that a server sent before it said that it drains restores it',
+		file: `${core}/placement/fleet-view.ts`,
+		from: 'known.isDraining && !record.isDraining',
+		to: 'known.isDraining && record.isDraining',
+		test: fleetView,
+	},
 	{
 		rule: 'DRAIN',
 		what: 'draining servers receive calls',
