Read a table again at once when its history is lost

What callers saw (in a test): an entry without trouble sent requests to a removed server for more than 2 s after the store had acknowledged the removal (DRAIN), when the reader of its zone ended and the store had discarded its history.

Cause: a read that finds its history gone says nothing about the table, but the next one waited for the interval of 0.8 s as after any other read. The entry reads itself 1.2 s to 1.65 s after the last confirmation of the list, and then lost another 0.8 s.

--- a/packages/daemon/src/direct/table-watch.test.ts
+++ b/packages/daemon/src/direct/table-watch.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {performance} from 'node:perf_hooks';
 import {describe, it} from 'node:test';
 import {TableWatch} from './table-watch.js';
 import type {TableRead} from './types.js';
@@ -8,6 +9,7 @@
 /** Watches a table with the given responses and returns the events in order. */
 async function watchResponses(
 	responses: readonly StoreResponse[],
+	intervalMs = 0,
 ): Promise<readonly string[]> {
 	const events: string[] = [];
 	const remaining = [...responses];
@@ -38,7 +40,7 @@
 			readChanges: async after => next(`after ${after}`),
 		},
 		waitMs: () => 100,
-		intervalMs: 0,
+		intervalMs,
 		untilDueMs: () => 0,
 		minFailurePauseMs: () => 0,
 		clock: () => now,
@@ -83,6 +85,15 @@
 		assert.deepEqual(events.slice(2, 5), ['after 3', 'all', 'whole 9']);
 	});
 
+	// Guards against an old server list (DRAIN) while an entry waits to read again after the history was lost.
+	it('reads the whole table without a pause when the change history is lost', async () => {
+		const intervalMs = 400;
+		const startedAt = performance.now();
+		await watchResponses([read(3), 'historyLost', read(9)], intervalMs);
+		const tookMs = performance.now() - startedAt;
+		assert.ok(tookMs < 3 * intervalMs, `${tookMs} ms`);
+	});
+
 	it('ignores a response with an older version than one already seen', async () => {
 		const events = await watchResponses([read(7), read(6), read(8), read(8)]);
 		assert.deepEqual(events.slice(0, 5), [
--- a/packages/daemon/src/direct/table-watch.ts
+++ b/packages/daemon/src/direct/table-watch.ts
@@ -7,7 +7,7 @@
 	readonly source: TableSource<Row>;
 	/** Long-poll wait for a change, in milliseconds. */
 	readonly waitMs: () => number;
-	/** Minimum time between the starts of two reads, in milliseconds. */
+	/** Minimum time between the starts of two reads, in milliseconds. A read after a lost history does not wait. */
 	readonly intervalMs: number;
 	/** Time until this process has to read the table itself, in milliseconds. The first read is due at once. */
 	readonly untilDueMs: () => number;
@@ -65,7 +65,9 @@
 			// eslint-disable-next-line no-await-in-loop
 			if (await this._read(startedAt)) {
 				backoffMs = storeBackoffMs.initial;
-				pauseMs = intervalMs - (clock() - startedAt);
+				// A read that found the history lost has told nothing yet.
+				pauseMs =
+					this._version === undefined ? 0 : intervalMs - (clock() - startedAt);
 			} else {
 				pauseMs =
 					this._version === undefined
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -195,6 +195,14 @@
 		to: 'known.isDraining && record.isDraining',
 		test: fleetView,
 	},
+	{
+		rule: 'DRAIN',
+		what: 'an entry waits for its next turn to read the list again after its history was lost',
+		file: `${direct}/table-watch.ts`,
+		from: 'this._version === undefined ? 0 : intervalMs',
+		to: 'this._version === undefined ? intervalMs : intervalMs',
+		test: 'packages/daemon/dist/direct/table-watch.test.js',
+	},
 	{
 		rule: 'DRAIN',
 		what: 'draining servers receive calls',
