Do not count an entry's own suspension as an outage of the store

Cause: the gap in the confirmations of the list, from which an entry concludes that the store was out, was the entry's own absence.

Time in which the process did not run for 1 s or more is left out of the gap.

--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -148,7 +148,8 @@
 	 * Notes that the list is known to be the newest, before its rows are applied. After an outage, the store may have
 	 * dropped servers that are still alive.
 	 *
-	 * @param sinceMs time since the list was last known to be the newest, in milliseconds; infinite for the first list
+	 * @param sinceMs time in which this process ran since the list was last known to be the newest, in milliseconds; infinite
+	 *   for the first list
 	 */
 	noteConfirmed(sinceMs: number, now: number): void {
 		if (sinceMs >= minOutageMs && Number.isFinite(sinceMs)) {
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -70,6 +70,9 @@
 /** Minimum time between reads of the members table, in milliseconds. */
 export const membersIntervalMs = 1000;
 
+/** Interval at which an entry checks that it runs, in milliseconds. */
+export const stallCheckIntervalMs = 200;
+
 /** Timeout of a store call, in milliseconds, in addition to its long-poll wait. */
 export const storeTimeoutMs = 1000;
 
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -27,6 +27,7 @@
 	membersWaitMs,
 	relayedReadRetryMs,
 	serversIntervalMs,
+	stallCheckIntervalMs,
 	staleMembersAgeMs,
 	staleServersAgeMs,
 	storeBackoffMs,
@@ -44,6 +45,7 @@
 import {QuotaResponder} from './quota-responder.js';
 import {RelayedTable} from './relayed-table.js';
 import {ServerLog} from './server-log.js';
+import {StallMonitor} from './stall-monitor.js';
 import {TableExchange} from './table-exchange.js';
 import {TableWatch, type TableWatchOptions} from './table-watch.js';
 import {TextServer, type TextResponse} from './text-server.js';
@@ -89,6 +91,7 @@
 
 	private readonly _authority = AuthorityView.create();
 	private readonly _freshness: FreshnessMonitor;
+	private readonly _stallMonitor = StallMonitor.create(clock());
 	private readonly _ledger: QuotaLedger;
 	private readonly _fleet: FleetView;
 	private readonly _peers: EntryPeers;
@@ -116,6 +119,8 @@
 	private _serversDigest = '';
 	private _socket: DatagramSocket | undefined;
 	private _bounds: EntryBounds;
+	/** Time in which this process was stalled until the server list was last confirmed, in milliseconds. */
+	private _stalledMsAtList = 0;
 	private _hasServerList = false;
 	private _wasReady: boolean | undefined;
 
@@ -211,6 +216,9 @@
 		);
 		await this._ingress.listen(settings.front);
 		this._watchTables();
+		setInterval(() => {
+			this._stallMonitor.check(clock());
+		}, stallCheckIntervalMs);
 		this._peers.start();
 		this._agentClient.start();
 		void this._joinPeers();
@@ -369,7 +377,10 @@
 			fetch: async from => this._exchange.fetchServers(from),
 			staleAgeMs: staleServersAgeMs,
 			onConfirmed: (sinceMs, now) => {
-				this._fleet.noteConfirmed(sinceMs, now);
+				const stalledMs = this._stallMonitor.check(now);
+				const ranForMs = sinceMs - (stalledMs - this._stalledMsAtList);
+				this._stalledMsAtList = stalledMs;
+				this._fleet.noteConfirmed(ranForMs, now);
 			},
 			onChanged: () => {
 				this._peers.announce();
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -203,6 +203,14 @@
 		to: 'this._version === undefined ? intervalMs : intervalMs',
 		test: 'packages/daemon/dist/direct/table-watch.test.js',
 	},
+	{
+		rule: 'DRAIN',
+		what: 'an entry takes its own suspension for an outage of the store',
+		file: `${direct}/stall-monitor.ts`,
+		from: 'if (sinceMs >= minStallMs) {',
+		to: 'if (sinceMs < minStallMs - minStallMs) {',
+		test: 'packages/daemon/dist/direct/stall-monitor.test.js',
+	},
 	{
 		rule: 'DRAIN',
 		what: 'draining servers receive calls',
