--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -3,12 +3,12 @@
 import {eraGraceMs} from '../authority/constants.js';
 import type {ServiceSpec} from '../authority/types.js';
 import {
-	postOutageWindowMs,
+	minOutageMs,
 	replicaDelayMs,
 	maxLoadTargetDelayMs,
 	initialPrefillTokensPerMs,
 	silenceTimeoutMs,
-	vanishedGraceMs,
+	returnWindowMs,
 } from './constants.js';
 import {FleetView} from './fleet-view.js';
 import type {
@@ -430,13 +430,48 @@
 			assert.equal(chosen(plain, 1), 'noServer');
 		});
 
-		it('stay in use for a grace period if the store dropped them shortly after an outage', () => {
+		const removal = {id: 'x', rowVersion: 2, record: undefined};
+
+		it('stay in use until they may be back if the store dropped them around an outage', () => {
+			list(record('x'));
+			fleet.noteConfirmed(minOutageMs, 0);
+			fleet.apply([removal], 100);
+			assert.equal(chosen(plain, returnWindowMs - 1), 'x');
+			assert.equal(chosen(plain, returnWindowMs), 'noServer');
+		});
+
+		// Guards against requests to a removed server because a short failure counted as an outage (DRAIN).
+		it('get no requests once removed while the list is confirmed all the time, or before an outage', () => {
 			list(record('x'));
-			fleet.noteOutageEnd(0);
-			fleet.apply([{id: 'x', rowVersion: 2, record: undefined}], 100);
-			assert.equal(chosen(plain, 200), 'x');
-			assert.equal(chosen(plain, 100 + vanishedGraceMs), 'noServer');
-			assert.ok(vanishedGraceMs < postOutageWindowMs);
+			fleet.noteConfirmed(Infinity, 0);
+			fleet.noteConfirmed(minOutageMs - 1, 0);
+			fleet.server('x')!.noteSent(undefined, 0);
+			fleet.apply([removal], 0);
+			assert.equal(chosen(plain, 0), 'noServer');
+			fleet.noteConfirmed(minOutageMs, 100);
+			assert.equal(chosen(plain, 100), 'noServer');
+		});
+
+		describe('with a row that they sent before the known one', () => {
+			const row = (rowVersion: number, changes: Partial<ServerRecord>) => [
+				{id: 'x', rowVersion, record: record('x', changes)},
+			];
+
+			// Guards against requests to a draining server (DRAIN) because an older check-in of it has a newer row version.
+			it('are not restored by it, but by their next start', () => {
+				fleet.apply(row(1, {born: 5}), 0);
+				fleet.apply(row(2, {born: 5, isDraining: true}), 1);
+				fleet.apply(row(3, {born: 5}), 2);
+				assert.equal(chosen(plain, 2), 'noServer');
+				fleet.apply(row(4, {born: 6}), 3);
+				assert.equal(chosen(plain, 3), 'x');
+			});
+
+			it('stay in the state of their newest start', () => {
+				fleet.apply(row(1, {born: 6, isDraining: true}), 0);
+				fleet.apply(row(2, {born: 5}), 1);
+				assert.equal(chosen(plain, 1), 'noServer');
+			});
 		});
 
 		it('are not restored by an older row', () => {
@@ -473,10 +508,11 @@
 			fleet.apply([change(9, 0)], 0);
 			fleet.noteEra(1);
 			fleet.applyAll([], {era: 1, version: 3}, 1);
-			assert.equal(chosen(plain, vanishedGraceMs), 'x');
-			assert.equal(chosen(plain, 1 + vanishedGraceMs), 'noServer');
-			fleet.applyAll([change(4, 1)], {era: 1, version: 4}, 2000);
-			assert.equal(chosen(plain, 2000), 'x');
+			assert.equal(chosen(plain, returnWindowMs), 'x');
+			assert.equal(chosen(plain, 1 + returnWindowMs), 'noServer');
+			const backAt = 2 + returnWindowMs;
+			fleet.applyAll([change(4, 1)], {era: 1, version: 4}, backAt);
+			assert.equal(chosen(plain, backAt), 'x');
 		});
 
 		it('keeps a server whose row was lost twice in series', () => {
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -15,13 +15,13 @@
 	runningRequestCostMs,
 	maxMemoryUtilization,
 	crossZoneCostMs,
-	postOutageWindowMs,
+	minOutageMs,
 	resumptionIntervalMs,
+	returnWindowMs,
 	maxPlainRequestsPerSlot,
 	maxTrackedSessions,
 	cachedPromptCreditMs,
 	maxSlotUtilization,
-	vanishedGraceMs,
 } from './constants.js';
 import {ServerState} from './server-state.js';
 import type {
@@ -139,6 +139,10 @@
 				continue;
 			}
 
+			if (server !== undefined && isSuperseded(record, server.record)) {
+				continue;
+			}
+
 			this._noteCurrentServer(record, version);
 			if (server === undefined) {
 				this._servers.set(id, ServerState.create(record, now));
@@ -179,12 +183,20 @@
 	/** Notes that the store came back from a copy. It may have lost servers, and list some that have left. */
 	noteEra(now: number): void {
 		this._eraSettledAt = now + eraGraceMs;
-		this.noteOutageEnd(now);
+		this._outageEndedAt = now;
 	}
 
-	/** Notes that the store answers again. It may have dropped servers during the outage that are still alive. */
-	noteOutageEnd(now: number): void {
-		this._outageEndedAt = now;
+	/**
+	 * Notes that the list is known to be the newest, before its rows are applied. After an outage, the store may have
+	 * dropped servers that are still alive.
+	 *
+	 * @param sinceMs time in which this process ran since the list was last known to be the newest, in milliseconds; infinite
+	 *   for the first list
+	 */
+	noteConfirmed(sinceMs: number, now: number): void {
+		if (sinceMs >= minOutageMs && Number.isFinite(sinceMs)) {
+			this._outageEndedAt = now;
+		}
 	}
 
 	noteReport(id: string, report: EngineReport, now: number): void {
@@ -390,8 +402,8 @@
 	private _isListedOrInGrace({vanishedAt}: ServerState, now: number): boolean {
 		return (
 			vanishedAt === undefined ||
-			(now - this._outageEndedAt < postOutageWindowMs &&
-				now - vanishedAt < vanishedGraceMs)
+			(vanishedAt >= this._outageEndedAt &&
+				now - this._outageEndedAt < returnWindowMs)
 		);
 	}
 
@@ -518,6 +530,19 @@
 	}
 }
 
+/**
+ * Whether the server sent the record before the known one. A write that is carried out late has a newer row version, but
+ * a server never takes requests again after it said that it drains, until its next start.
+ */
+function isSuperseded(record: ServerRecord, known: ServerRecord): boolean {
+	return (
+		record.born !== undefined &&
+		known.born !== undefined &&
+		(record.born < known.born ||
+			(record.born === known.born && known.isDraining && !record.isDraining))
+	);
+}
+
 function leastSuspensionMs(
 	servers: readonly ServerState[],
 	now: number,
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -36,6 +36,7 @@
 	recallCheckMs,
 	relayedReadRetryMs,
 	serversIntervalMs,
+	stallCheckIntervalMs,
 	staleMembersAgeMs,
 	staleServersAgeMs,
 	storeBackoffMs,
@@ -54,6 +55,7 @@
 import {RelayedTable} from './relayed-table.js';
 import {SentCalls} from './sent-calls.js';
 import {ServerLog} from './server-log.js';
+import {StallMonitor} from './stall-monitor.js';
 import {StreamDirectory} from './stream-directory.js';
 import {TableExchange} from './table-exchange.js';
 import {TableWatch, type TableWatchOptions} from './table-watch.js';
@@ -102,6 +104,7 @@
 
 	private readonly _authority = AuthorityView.create();
 	private readonly _freshness: FreshnessMonitor;
+	private readonly _stallMonitor = StallMonitor.create(clock());
 	private readonly _ledger: QuotaLedger;
 	private readonly _fleet: FleetView;
 	private readonly _peers: EntryPeers;
@@ -139,6 +142,8 @@
 	private _serversDigest = '';
 	private _socket: DatagramSocket | undefined;
 	private _bounds: EntryBounds;
+	/** Time in which this process was stalled until the server list was last confirmed, in milliseconds. */
+	private _stalledMsAtList = 0;
 	private _hasServerList = false;
 	private _wasReady: boolean | undefined;
 
@@ -238,6 +243,9 @@
 		);
 		await this._ingress.listen(settings.front);
 		this._watchTables();
+		setInterval(() => {
+			this._stallMonitor.check(clock());
+		}, stallCheckIntervalMs);
 		this._peers.start();
 		this._agentClient.start();
 		void this._joinPeers();
@@ -438,16 +446,18 @@
 			rows: () => this._fleet.listedRows(),
 			apply: (copy, version, now) => {
 				this._noteEra(version.era, 'servers');
-				if (copy.outageEndedMsAgo !== undefined) {
-					this._fleet.noteOutageEnd(now - copy.outageEndedMsAgo);
-				}
-
 				this._serversWatch?.noteVersion(version);
 				this._fleet.applyAll(copy.rows, version, now);
 				return this._onServersChanged();
 			},
 			fetch: async from => this._exchange.fetchServers(from),
 			staleAgeMs: staleServersAgeMs,
+			onConfirmed: (sinceMs, now) => {
+				const stalledMs = this._stallMonitor.check(now);
+				const ranForMs = sinceMs - (stalledMs - this._stalledMsAtList);
+				this._stalledMsAtList = stalledMs;
+				this._fleet.noteConfirmed(ranForMs, now);
+			},
 			onChanged: () => {
 				this._peers.announce();
 			},
@@ -469,6 +479,7 @@
 			},
 			fetch: async from => this._exchange.fetchMembers(from),
 			staleAgeMs: staleMembersAgeMs,
+			onConfirmed: () => undefined,
 			onChanged: () => {
 				this._peers.announce();
 			},
@@ -577,8 +588,6 @@
 			},
 			onRegained: (table, lostForMs) => {
 				this._logDependencyRegained(table, lostForMs);
-				this._fleet.noteOutageEnd(clock());
-				this._servers.noteOutageEnd(clock());
 			},
 		});
 		this._watches.push(watch);
@@ -628,7 +637,6 @@
 
 		this._options.log.write({event: 'storeEra', era, source});
 		this._fleet.noteEra(now);
-		this._servers.noteOutageEnd(now);
 		setTimeout(() => {
 			this._servers.noteSettled();
 			this._members.noteSettled();
@@ -719,6 +727,7 @@
 	): void {
 		const now = clock();
 		const rows = rowsOfEra(read.rows, read.era);
+		this._servers.confirm(startedAt, read, now);
 		if (isSnapshot) {
 			this._fleet.applyAll(rows, read, now);
 		} else {
--- a/packages/daemon/src/direct/relayed-table.ts
+++ b/packages/daemon/src/direct/relayed-table.ts
@@ -16,8 +16,6 @@
 	readonly rows: readonly Row[];
 	/** Store version, in the announced era, that the rows are as of. */
 	readonly version: number;
-	/** Time since the last outage of the store ended, in milliseconds. Absent without an outage. */
-	readonly outageEndedMsAgo?: number;
 };
 
 export type RelayedTableOptions<Row> = {
@@ -33,6 +31,12 @@
 	readonly fetch: (from: Endpoint) => Promise<TableCopy<Row>>;
 	/** Age of the copy from which it is fetched from any entry that has a newer one, in milliseconds. */
 	readonly staleAgeMs: number;
+	/**
+	 * Called when the copy is known to be the newest as of a later time than before, before its rows are applied.
+	 *
+	 * @param sinceMs time since it was last known to be the newest, in milliseconds; infinite for the first copy
+	 */
+	readonly onConfirmed: (sinceMs: number, now: number) => void;
 	/** Called when the table has changed, so that peers should hear of it. */
 	readonly onChanged: () => void;
 	readonly onError: (step: string, err: unknown) => void;
@@ -52,7 +56,6 @@
 	private _revision = Date.now();
 	private _version: StoreVersion = {era: 0, version: -1};
 	private _confirmedAt = Number.NEGATIVE_INFINITY;
-	private _outageEndedAt: number | undefined;
 	private _isFetching = false;
 
 	private constructor(private readonly _options: RelayedTableOptions<Row>) {}
@@ -67,22 +70,34 @@
 		return this._version;
 	}
 
+	/**
+	 * Notes that the rows of a version, applied or about to be, were the newest at a time. What was known of an earlier era
+	 * no longer counts.
+	 */
+	confirm(at: number, version: StoreVersion, now: number): void {
+		const isNewEra = version.era > this._version.era;
+		if (isNewEra || at > this._confirmedAt) {
+			this._options.onConfirmed(at - this._confirmedAt, now);
+			this._confirmedAt = at;
+		}
+
+		if (compareStoreVersions(version, this._version) > 0) {
+			this._version = version;
+		}
+	}
+
 	/** Records a read of the store that began at `startedAt`. The rows are already applied. */
 	noteRead(
 		version: StoreVersion,
 		startedAt: number,
 		hasChanged: boolean,
 	): void {
-		this._confirm(startedAt, version);
+		this.confirm(startedAt, version, this._options.clock());
 		if (hasChanged) {
 			this._noteChange();
 		}
 	}
 
-	noteOutageEnd(now: number): void {
-		this._outageEndedAt = now;
-	}
-
 	/** Fetches the copies of peers again, since what became of rows that the store has lost is decided now. */
 	noteSettled(): void {
 		this._fetched.clear();
@@ -107,9 +122,6 @@
 				...announcement,
 				rows: this._options.rows(),
 				version: this._version.version,
-				...(this._outageEndedAt !== undefined && {
-					outageEndedMsAgo: Math.round(now - this._outageEndedAt),
-				}),
 			}
 		);
 	}
@@ -128,7 +140,7 @@
 
 		const isNewEra = era > this._version.era;
 		if (!isNewEra && this._fetched.get(peer.id) === revision) {
-			this._confirm(now - ageMs, this._version);
+			this.confirm(now - ageMs, this._version, now);
 			return;
 		}
 
@@ -152,15 +164,11 @@
 			const startedAt = clock();
 			const copy = await fetch(peer.endpoint);
 			const now = clock();
-			if (copy.outageEndedMsAgo !== undefined) {
-				this._outageEndedAt = now - copy.outageEndedMsAgo;
-			}
-
 			const version = {era: copy.era ?? 0, version: copy.version};
 			if (compareStoreVersions(version, this._version) >= 0) {
 				this._fetched.set(peer.id, copy.revision);
+				this.confirm(startedAt - copy.ageMs, version, now);
 				const hasChanged = apply(copy, version, now);
-				this._confirm(startedAt - copy.ageMs, version);
 				if (hasChanged) {
 					this._noteChange();
 				}
@@ -172,15 +180,6 @@
 		}
 	}
 
-	/** Notes that the rows were the newest of a version's era at a time. What was known of an earlier era no longer counts. */
-	private _confirm(at: number, version: StoreVersion): void {
-		this._confirmedAt =
-			version.era > this._version.era ? at : Math.max(this._confirmedAt, at);
-		if (compareStoreVersions(version, this._version) > 0) {
-			this._version = version;
-		}
-	}
-
 	private _noteChange(): void {
 		this._revision++;
 		this._options.onChanged();
--- a/packages/daemon/src/direct/table-watch.test.ts
+++ b/packages/daemon/src/direct/table-watch.test.ts
@@ -95,6 +95,15 @@
 		assert.deepEqual(events.slice(2, 5), ['after 3', 'all', 'whole 9']);
 	});
 
+	// Guards against an old server list (DRAIN) while an entry waits to read again after the history was lost.
+	it('reads the whole table without a pause when the change history is lost', async () => {
+		const intervalMs = 400;
+		const startedAt = performance.now();
+		await watchResponses([read(3), 'historyLost', read(9)], {intervalMs});
+		const tookMs = performance.now() - startedAt;
+		assert.ok(tookMs < 3 * intervalMs, `${tookMs} ms`);
+	});
+
 	it('ignores a response with an older version than one already seen', async () => {
 		const events = await watchResponses([read(7), read(6), read(8), read(8)]);
 		assert.deepEqual(events.slice(0, 5), [
