Let one module say on which adapter version a request may still begin

No change of behaviour. The shares of the time limit were applied in two places of the entry's runtime and once more in the schedules' test, and the check of headers that were written some time before was the proxied call's own. Now `VersionBounds` (core, the time is an argument) holds both shares and is the only caller of `AuthorityView.minVersion`; `FleetView.acceptsHeaders` holds the check of the headers. The schedules' test uses the same module as the entry.

--- a/packages/core/src/authority/constants.ts
+++ b/packages/core/src/authority/constants.ts
@@ -5,3 +5,12 @@
  * owners write them again.
  */
 export const eraGraceMs = 3000;
+
+/**
+ * Share of the time limit on older adapter versions for which requests are still sent to them. The rest is for the way to
+ * the server and the wait there.
+ */
+export const versionGraceShare = 0.8;
+
+/** Share of that time limit after which requests that have not begun on an older version are taken back from its server. */
+export const versionRecallShare = 0.9;
--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -94,15 +94,6 @@
 /** Maximum number of concurrent loads of an engine, as the platform specifies. */
 export const maxPendingAdapters = 4;
 
-/**
- * Share of the time limit on older adapter versions for which requests are still sent to them. The rest is for the way to
- * the server and the wait there.
- */
-export const versionGraceShare = 0.8;
-
-/** Share of that time limit after which requests that have not begun on an older version are taken back from its server. */
-export const versionRecallShare = 0.9;
-
 /**
  * Time in which the list was not known to be the newest that counts as an outage of the store, in milliseconds. While the
  * store answers, entries learn of changes sooner; in a shorter outage, the store drops no server that is alive.
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -336,6 +336,25 @@
 			: {kind: 'outdated'};
 	}
 
+	/**
+	 * Whether a request may be sent to the server now whose headers were written some time before.
+	 *
+	 * @param expected version that the headers tell the server to expect; undefined if they accept any
+	 */
+	acceptsHeaders(
+		id: string,
+		need: Pick<ServerNeed, 'model' | 'adapter'>,
+		expected: number | undefined,
+		now: number,
+	): boolean {
+		const toExpect = this.versionToExpect(id, need, now);
+		return (
+			toExpect.kind === 'any' ||
+			(toExpect.kind === 'exactly' &&
+				(expected ?? toExpect.version) === toExpect.version)
+		);
+	}
+
 	/**
 	 * Whether a row of a whole list may be older than the exit of its server, which this entry read in an earlier era: the
 	 * store has lost the exit, and the server may not have written it again yet.
--- a/packages/daemon/src/direct/adapter-version-schedules.test.ts
+++ b/packages/daemon/src/direct/adapter-version-schedules.test.ts
@@ -5,8 +5,7 @@
 	createRandom,
 	FleetView,
 	FreshnessLease,
-	versionGraceShare,
-	versionRecallShare,
+	VersionBounds,
 	type AuthorityRow,
 	type EngineReport,
 } from '@balsamtray/core';
@@ -40,6 +39,11 @@
 	}
 
 	readonly authority = AuthorityView.create();
+	readonly bounds = VersionBounds.create({
+		authority: this.authority,
+		versionMs: () => versionMs,
+	});
+
 	readonly lease = FreshnessLease.create(() => revokeMs);
 	readonly calls = SentCalls.create();
 	/** Times at which requests are checked for outdated versions. */
@@ -50,12 +54,7 @@
 		newestVersion: (model, adapter) =>
 			this.authority.newestVersion(model, adapter),
 		minVersion: (model, adapter, now) =>
-			this.authority.minVersion(
-				model,
-				adapter,
-				versionMs * versionGraceShare,
-				now,
-			),
+			this.bounds.oldest('sending', model, adapter, now),
 		serviceOf: () => undefined,
 		coldBound: () => 1000,
 		entryCount: () => 1,
@@ -96,7 +95,7 @@
 		this.lease.prove(readAt, 0, 0);
 		for (const {since} of change.declared) {
 			this.recallTimes.push(
-				Math.max(now, since + versionMs * versionRecallShare),
+				now + Math.max(0, this.bounds.untilEndMs('waiting', since, now)),
 			);
 		}
 	}
@@ -109,12 +108,7 @@
 				...this.recallTimes.filter(at => at > now),
 			);
 			this.calls.recallOutdated((model, adapter) =>
-				this.authority.minVersion(
-					model,
-					adapter,
-					versionMs * versionRecallShare,
-					now,
-				),
+				this.bounds.oldest('waiting', model, adapter, now),
 			);
 		}
 	}
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -17,8 +17,7 @@
 	StoreEra,
 	StreamOrigins,
 	SuspectRegistry,
-	versionGraceShare,
-	versionRecallShare,
+	VersionBounds,
 	type AuthorityChange,
 	type AuthorityRow,
 	type ServerChange,
@@ -103,6 +102,11 @@
 	}
 
 	private readonly _authority = AuthorityView.create();
+	private readonly _versionBounds = VersionBounds.create({
+		authority: this._authority,
+		versionMs: () => this._bounds.versionMs,
+	});
+
 	private readonly _freshness: FreshnessMonitor;
 	private readonly _stallMonitor = StallMonitor.create(clock());
 	private readonly _ledger: QuotaLedger;
@@ -340,7 +344,7 @@
 			newestVersion: (model, adapter) =>
 				this._authority.newestVersion(model, adapter),
 			minVersion: (model, adapter, now) =>
-				this._minVersion(model, adapter, versionGraceShare, now),
+				this._versionBounds.oldest('sending', model, adapter, now),
 			serviceOf: name => this._serviceOf(name),
 			coldBound: service => this._bounds.coldBound(service),
 			entryCount: () => this._peers.entryCount,
@@ -648,8 +652,11 @@
 
 	/** Takes outdated requests back once a version that was declared after `since` ends the use of older ones. */
 	private _scheduleRecall(since: number): void {
-		const untilDueMs =
-			this._bounds.versionMs * versionRecallShare - (clock() - since);
+		const untilDueMs = this._versionBounds.untilEndMs(
+			'waiting',
+			since,
+			clock(),
+		);
 		if (untilDueMs <= 0) {
 			this._recallOutdated();
 			return;
@@ -668,21 +675,10 @@
 	private _recallOutdated(): void {
 		const now = clock();
 		this._sentCalls.recallOutdated((model, adapter) =>
-			this._minVersion(model, adapter, versionRecallShare, now),
+			this._versionBounds.oldest('waiting', model, adapter, now),
 		);
 	}
 
-	/** @param graceShare share of the time limit on older versions for which they are accepted */
-	private _minVersion(
-		model: string,
-		adapter: string,
-		graceShare: number,
-		now: number,
-	): number {
-		const graceMs = this._bounds.versionMs * graceShare;
-		return this._authority.minVersion(model, adapter, graceMs, now);
-	}
-
 	private _onAuthorityChange(change: AuthorityChange, source: string): void {
 		const {log} = this._options;
 		const {
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -536,16 +536,6 @@
 		return fleet.versionToExpect(server, this._metadata, clock());
 	}
 
-	/** Whether the request expects a version at the server that is still accepted. Its headers may be some time old. */
-	private _expectsAcceptedVersion(attempt: Attempt): boolean {
-		const toExpect = this._versionToExpect(attempt);
-		return (
-			toExpect.kind === 'any' ||
-			(toExpect.kind === 'exactly' &&
-				(attempt.expectedVersion ?? toExpect.version) === toExpect.version)
-		);
-	}
-
 	/** Whether an assigned server still takes the request, and has not restarted with other software meanwhile. */
 	private _isStillUsable(id: string): boolean {
 		const {fleet, clock} = this._context;
@@ -672,7 +662,12 @@
 				const isTaken =
 					this._isStillUsable(attempt.server) &&
 					fleet.mayDispatch(attempt.server, clock());
-				const isVersionAccepted = this._expectsAcceptedVersion(attempt);
+				const isVersionAccepted = fleet.acceptsHeaders(
+					attempt.server,
+					this._metadata,
+					attempt.expectedVersion,
+					clock(),
+				);
 				if (isCurrent() && late === undefined && isTaken && isVersionAccepted) {
 					attempt.isSent = true;
 					this._hasSent = true;
