Want the newest version of an adapter, whichever entry asked last

What callers saw: nothing reported; found by reading. An adapter whose new version is required stays away for one more load than needed.

Cause: the agent's queue kept the version that the last demand named. An entry that has not heard of the newest version, or lost the datagram, overwrote a want for it. The agent then ordered the older one by name (a replacement names its version), or took the want as satisfied when the engine held the older one. A decision of one moment of one entry, carried out for all.

Fix: of several versions the queue keeps the newest one, as long as some entry asked for it within the lifetime of a want.

Not shown: a request that began on an older version because of it.

--- a/packages/core/src/orders/want-queue.ts
+++ b/packages/core/src/orders/want-queue.ts
@@ -6,6 +6,8 @@
 	readonly want: AdapterWant;
 	readonly firstNotedAt: number;
 	readonly lastNotedAt: number;
+	/** Time at which an entry last asked for this version or a newer one. */
+	readonly versionNotedAt: number;
 	/** Number of waiting requests that each entry reported, by entry identifier. */
 	readonly waiting: ReadonlyMap<string, number>;
 };
@@ -30,7 +32,8 @@
 	}
 
 	/**
-	 * Adds a want, or refreshes it if it is already queued.
+	 * Adds a want, or refreshes it if it is already queued. Of several versions, it is for the newest one that an entry
+	 * asks for; others may not have heard of that one yet.
 	 *
 	 * @param from identifier of the entry that reports the want
 	 */
@@ -39,10 +42,15 @@
 		const known = this._wants.get(key);
 		const waiting = new Map(known?.waiting);
 		waiting.set(from, want.waiting ?? 1);
+		const isOutdated =
+			known !== undefined &&
+			want.version < known.want.version &&
+			now - known.versionNotedAt < wantLifetimeMs;
 		this._wants.set(key, {
-			want,
+			want: isOutdated ? known.want : want,
 			firstNotedAt: known?.firstNotedAt ?? now,
 			lastNotedAt: now,
+			versionNotedAt: isOutdated ? known.versionNotedAt : now,
 			waiting,
 		});
 	}
