Send no request without an expected version once one is required

What callers saw: a request can run on an old version longer than 5 s after the acknowledgement of the next one.

Cause: the headers of a request are written when it is dispatched, and it is sent when a connection is free. Before the first declared version of an adapter is due, headers name no version. If it became due during the wait, only the version by the server's last report was looked at, and the request went out without an expected version. A report is some hundred ms old; a server that had carried out a late order for an older version since then, or had restarted and loaded one, ran the request on that. The recall had its turn already.

Evidence: new schedules without network in `adapter-version-schedules.test.ts` (orders carried out 2 to 12 s late that name the version before, restarts, all entries killed at once, versions 0.3 to 13 s apart, proofs of up to 3.4 s, waits for a connection and in the server's queue).

Fix: headers that name no version count only while none is required. Otherwise the request gets new headers, on the way on which an outdated one did before.

--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -396,6 +396,20 @@
 				});
 			}
 		});
+
+		// Guards against a request that was ready to send before the grace period ended and then runs on whatever the server
+		// holds.
+		it('may have headers without a version only during the grace period', () => {
+			assert.equal(fleet.acceptsHeaders('x', need, undefined, 0), true);
+			minVersion = 2;
+			fleet.noteReport('y', report({a: 2}), 0);
+			assert.equal(fleet.acceptsHeaders('y', need, 2, 0), true);
+			for (const expected of [undefined, 1, 3]) {
+				assert.equal(fleet.acceptsHeaders('y', need, expected, 0), false);
+			}
+
+			assert.equal(fleet.acceptsHeaders('x', need, 1, 0), false);
+		});
 	});
 
 	describe('a server that turns cold after requests were assigned to it', () => {
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -350,8 +350,7 @@
 		const toExpect = this.versionToExpect(id, need, now);
 		return (
 			toExpect.kind === 'any' ||
-			(toExpect.kind === 'exactly' &&
-				(expected ?? toExpect.version) === toExpect.version)
+			(toExpect.kind === 'exactly' && expected === toExpect.version)
 		);
 	}
 
--- a/packages/daemon/src/direct/adapter-version-schedules.test.ts
+++ b/packages/daemon/src/direct/adapter-version-schedules.test.ts
@@ -114,7 +114,7 @@
 	}
 }
 
-function reportOf(version: number): EngineReport {
+function reportOf(version: number | undefined): EngineReport {
 	return {
 		born: 1,
 		sequence: 0,
@@ -123,7 +123,7 @@
 		waiting: 0,
 		memoryUsed: 0,
 		memoryTotal: 1000,
-		models: [{name: 'm', adapters: {a: version}}],
+		models: [{name: 'm', adapters: version === undefined ? {} : {a: version}}],
 		pending: [],
 	};
 }
@@ -273,6 +273,336 @@
 	return {outdated, begun};
 }
 
+/** What a server did last: it holds a version, or none. */
+type Holding = {readonly at: number; readonly version: number | undefined};
+
+type ServerCall = {
+	readonly server: VirtualServer;
+	readonly queueMs: number;
+	/** Time at which its caller gives up. The server is told what is left then. */
+	readonly deadlineAt: number;
+	expected: number | undefined;
+	/** Time at which a connection is free; undefined before its headers are written. */
+	connectedAt: number | undefined;
+	beginsAt: number | undefined;
+	isEnded: boolean;
+	isRecalled: boolean;
+};
+
+type VirtualOrder = {readonly dueAt: number; readonly version: number};
+
+/** A server that carries out orders late, restarts, and reports what it held some time before. */
+class VirtualServer {
+	static create(id: string): VirtualServer {
+		return new VirtualServer(id);
+	}
+
+	held: number | undefined = 1;
+	downUntil = 0;
+	calls: ServerCall[] = [];
+	private _orders: VirtualOrder[] = [];
+	private _load: VirtualOrder | undefined;
+	private readonly _history: Holding[] = [{at: 0, version: 1}];
+
+	private constructor(readonly id: string) {}
+
+	get isLoading(): boolean {
+		return this._load !== undefined;
+	}
+
+	order(order: VirtualOrder): void {
+		this._orders.push(order);
+	}
+
+	restart(now: number, downMs: number): void {
+		this._end();
+		this._load = undefined;
+		this.downUntil = now + downMs;
+		this._hold(undefined, now);
+	}
+
+	/** Carries out the orders that are due, with what they named or what was newest when they were sent. */
+	step(now: number, loadMs: number): void {
+		if (now < this.downUntil) {
+			return;
+		}
+
+		if (this._load !== undefined && now >= this._load.dueAt) {
+			this._hold(this._load.version, now);
+			this._load = undefined;
+		}
+
+		const due = this._orders.find(({dueAt}) => now >= dueAt);
+		if (due !== undefined && this._load === undefined) {
+			this._orders = this._orders.filter(order => order !== due);
+			this._load = {version: due.version, dueAt: now + loadMs};
+			// Requests that have not begun are refused until the order is complete.
+			this._end();
+		}
+	}
+
+	/** Version that the server held at a time; undefined if none. */
+	heldAt(at: number): number | undefined {
+		return this._history.findLast(holding => holding.at <= at)?.version;
+	}
+
+	/** Takes a request. Returns whether it is in the queue. */
+	accept(call: ServerCall, now: number): boolean {
+		const isHeld =
+			this.held !== undefined && (call.expected ?? this.held) === this.held;
+		if (now < this.downUntil || this.isLoading || !isHeld) {
+			return false;
+		}
+
+		this.calls.push(call);
+		return true;
+	}
+
+	private _hold(version: number | undefined, now: number): void {
+		this.held = version;
+		this._history.push({at: now, version});
+	}
+
+	private _end(): void {
+		for (const call of this.calls) {
+			call.isEnded = true;
+		}
+
+		this.calls = [];
+	}
+}
+
+/** An entry of a schedule with servers that carry out orders late, with its requests. */
+type EntryInSchedule = {
+	entry: VirtualEntry;
+	calls: ServerCall[];
+	nextReadAt: number;
+};
+
+/** Sends a request once it has a connection, with new headers if those that it has are outdated by then. */
+function sendIfDue(
+	call: ServerCall,
+	entry: VirtualEntry,
+	now: number,
+	connectMs: number,
+): void {
+	const {id} = call.server;
+	if (call.connectedAt === undefined) {
+		const toExpect = entry.fleet.versionToExpect(id, need, now);
+		call.isEnded = toExpect.kind === 'outdated' || !entry.lease.isFresh(now);
+		call.expected = toExpect.kind === 'exactly' ? toExpect.version : undefined;
+		call.connectedAt = now + connectMs;
+		return;
+	}
+
+	if (call.beginsAt !== undefined || now < call.connectedAt) {
+		return;
+	}
+
+	if (!entry.fleet.acceptsHeaders(id, need, call.expected, now)) {
+		call.connectedAt = undefined;
+		return;
+	}
+
+	call.beginsAt = now + call.queueMs;
+	call.isEnded = !call.server.accept(call, now);
+	const sent = entry.calls.add({
+		model: 'm',
+		adapter: 'a',
+		version: () =>
+			call.expected ?? entry.fleet.server(id)?.adapterVersion('m', 'a', now),
+		recall() {
+			sent.dispose();
+			call.isRecalled = true;
+		},
+	});
+}
+
+/** Times between two versions, in milliseconds: the same adapter is named again at once, or much later. */
+const versionGapsMs = [300, 1900, 2500, 5000, 13_000] as const;
+
+/** Schedule of two entries, which may all be killed at once, and servers that carry out orders up to 12 s late. */
+class LateOrderSchedule {
+	static create(seed: number): LateOrderSchedule {
+		return new LateOrderSchedule(createRandom(seed));
+	}
+
+	/** Requests that began on too old a version. */
+	readonly outdated: string[] = [];
+	/** Number of requests that began. */
+	begun = 0;
+	private readonly _gapMs: number;
+	private readonly _maxConnectMs: number;
+	private readonly _maxQueueMs: number;
+	private readonly _lateShare: number;
+	private readonly _maxReadGapMs: number;
+	/** Version 1 was never declared, so requests expect none before the first declaration. */
+	private readonly _declared: Declaration[] = [];
+	private readonly _hosts = servers.map(id => VirtualServer.create(id));
+	private _entries = [startEntry(0), startEntry(0)];
+	private _declareAt: number;
+	private _killAt: number;
+
+	private constructor(private readonly _random: () => number) {
+		this._gapMs = versionGapsMs[Math.floor(_random() * versionGapsMs.length)]!;
+		this._maxConnectMs = this._between(0, 6000);
+		this._maxQueueMs = this._between(0, 8000);
+		this._lateShare = this._between(0, 0.6);
+		this._maxReadGapMs = this._between(200, maxReadGapMs);
+		this._declareAt = this._between(500, 4000);
+		this._killAt =
+			_random() < 0.5 ? this._between(2000, 20_000) : Number.POSITIVE_INFINITY;
+	}
+
+	play(): this {
+		for (let now = 0; now < durationMs; now += tickMs) {
+			this._declareIfDue(now);
+			this._killIfDue(now);
+			for (const host of this._hosts) {
+				this._stepHost(host, now);
+			}
+
+			for (const state of this._entries) {
+				this._readAndReport(state, now);
+				state.entry.recallIfDue(now);
+				this._sendCalls(state, now);
+			}
+
+			for (const host of this._hosts) {
+				this._beginCalls(host, now);
+			}
+		}
+
+		return this;
+	}
+
+	private _between(min: number, max: number): number {
+		return min + this._random() * (max - min);
+	}
+
+	private get _newest(): number {
+		return this._declared.at(-1)?.version ?? 1;
+	}
+
+	private _declareIfDue(now: number): void {
+		if (now >= this._declareAt) {
+			this._declared.push({version: this._newest + 1, at: now});
+			this._declareAt = now + this._gapMs * this._between(0.9, 1.1);
+		}
+	}
+
+	private _killIfDue(now: number): void {
+		if (now < this._killAt) {
+			return;
+		}
+
+		for (const call of this._entries.flatMap(({calls}) => calls)) {
+			call.isRecalled = true;
+		}
+
+		this._entries = this._entries.map(() =>
+			startEntry(now + this._between(300, 1500)),
+		);
+		this._killAt = now + this._between(4000, 12_000);
+	}
+
+	private _stepHost(host: VirtualServer, now: number): void {
+		if (this._random() < 0.01) {
+			const isLate = this._random() < this._lateShare;
+			const dueMs = isLate
+				? this._between(2000, 12_000)
+				: this._between(20, 300);
+			// An entry that has not heard of the newest version may name the one before.
+			const version = Math.max(
+				1,
+				this._newest - (this._random() < 0.3 ? 1 : 0),
+			);
+			host.order({dueAt: now + dueMs, version});
+		}
+
+		if (this._random() < 0.002) {
+			host.restart(now, this._between(200, 3000));
+		}
+
+		host.step(now, this._between(60, 800));
+	}
+
+	private _readAndReport(state: EntryInSchedule, now: number): void {
+		const {entry} = state;
+		if (now >= state.nextReadAt) {
+			const readAt = Math.max(0, now - this._between(0, 1200));
+			entry.learn(this._declared, readAt, now);
+			state.nextReadAt = now + this._between(50, this._maxReadGapMs);
+		}
+
+		for (const host of this._hosts) {
+			if (now >= host.downUntil && this._random() < 0.2) {
+				const version = host.heldAt(now - this._between(0, 500));
+				entry.fleet.noteReport(host.id, reportOf(version), now);
+			}
+		}
+	}
+
+	private _sendCalls(state: EntryInSchedule, now: number): void {
+		const {entry} = state;
+		if (this._random() < 0.2 && entry.lease.isFresh(now)) {
+			const choice = entry.fleet.choose(need, now);
+			if (choice.kind === 'send') {
+				state.calls.push({
+					server: this._hosts.find(({id}) => id === choice.server)!,
+					queueMs: this._between(0, this._maxQueueMs),
+					deadlineAt: now + this._between(1000, 15_000),
+					expected: undefined,
+					connectedAt: undefined,
+					beginsAt: undefined,
+					isEnded: false,
+					isRecalled: false,
+				});
+			}
+		}
+
+		for (const call of state.calls) {
+			call.isEnded ||= now >= call.deadlineAt;
+			if (!call.isEnded) {
+				sendIfDue(call, entry, now, this._between(0, this._maxConnectMs));
+			}
+		}
+
+		state.calls = state.calls.filter(
+			({isEnded, isRecalled}) => !isEnded && !isRecalled,
+		);
+	}
+
+	private _beginCalls(host: VirtualServer, now: number): void {
+		for (const call of host.calls) {
+			// The server drops a request whose connection is closed.
+			call.isEnded ||= now >= call.deadlineAt || call.isRecalled;
+			if (!call.isEnded && now >= call.beginsAt!) {
+				call.isEnded = true;
+				this._noteBegin(host.held ?? 0, now);
+			}
+		}
+
+		host.calls = host.calls.filter(({isEnded}) => !isEnded);
+	}
+
+	private _noteBegin(version: number, now: number): void {
+		this.begun++;
+		const newer = this._declared.find(
+			other => other.version > version && now - other.at > versionMs,
+		);
+		if (newer !== undefined) {
+			this.outdated.push(
+				`version ${version} at ${now}, ${now - newer.at} ms after ${newer.version}`,
+			);
+		}
+	}
+}
+
+function startEntry(now: number): EntryInSchedule {
+	return {entry: VirtualEntry.create(), calls: [], nextReadAt: now};
+}
+
 describe('requests for an adapter whose versions change', () => {
 	// Guards against a version limit that is taken from the wrong version, from the wrong time, or before a last wait.
 	it(`never begin on one older than a version that was acknowledged longer ago than the bound, in ${seeds} schedules`, () => {
@@ -285,4 +615,17 @@
 
 		assert.ok(begun > 10 * seeds, `only ${begun} requests began`);
 	});
+
+	// Guards against a version that a server was known to hold, taken for the one that it holds when the request arrives
+	// or begins: orders are carried out late, servers restart, and entries are killed meanwhile.
+	it(`never begin on one at servers that carry out orders late, in ${seeds} schedules`, () => {
+		let begun = 0;
+		for (let seed = 1; seed <= seeds; seed++) {
+			const result = LateOrderSchedule.create(seed).play();
+			assert.deepEqual(result.outdated, [], `seed ${seed}`);
+			begun += result.begun;
+		}
+
+		assert.ok(begun > 10 * seeds, `only ${begun} requests began`);
+	});
 });
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -473,6 +473,14 @@
 		to: 'if (minVersion >= 0) {',
 		test: versionSchedules,
 	},
+	{
+		rule: 'VERSION',
+		what: 'headers that name no version are sent after a version is required',
+		file: `${core}/placement/fleet-view.ts`,
+		from: 'expected === toExpect.version',
+		to: '(expected ?? toExpect.version) === toExpect.version',
+		test: versionSchedules,
+	},
 	{
 		rule: 'VERSION',
 		what: 'requests are not taken back from servers with an outdated version',
