Drop a first read that is older than a copy which arrived meanwhile

An entry whose first read of the server list or of the members is slow could keep a removed server, or a removed entry among the owners of customers' rates, until the next change of the table.

Cause: TableCursor compares a read with the versions of relayed copies only once it has rows. Before that, an older whole table was applied over a newer copy; rows that the copy lacks, and of which nothing else was known, came back. The peer's revision counts as fetched, so its announcements confirmed the list from then on, and an entry that does not read for its zone had no reason to read again.

Fix: the cursor keeps the version and the time of a copy that comes before the rows; an older read that began before that time is stale and is repeated. One that began later counts whatever its version, as a store without eras may go back.

--- a/packages/core/src/authority/table-cursor.ts
+++ b/packages/core/src/authority/table-cursor.ts
@@ -25,6 +25,12 @@
 
 	private _position = initialStoreVersion;
 	private _hasRows = false;
+	/** Newest version that this process got from elsewhere before its first rows, and the time at which it did. */
+	private _copied = {
+		version: initialStoreVersion,
+		at: Number.NEGATIVE_INFINITY,
+	};
+
 	/** Newest era of which the whole table was read after its rows were written again. */
 	private _settledEra = 0;
 
@@ -62,8 +68,10 @@
 	}
 
 	/** Skips changes up to a version, because this process got them from elsewhere. */
-	noteVersion(version: StoreVersion): void {
-		if (this._hasRows && compareStoreVersions(version, this._position) > 0) {
+	noteVersion(version: StoreVersion, now: number): void {
+		if (!this._hasRows) {
+			this._copied = {version, at: now};
+		} else if (compareStoreVersions(version, this._position) > 0) {
 			this._position = version;
 		}
 	}
@@ -89,8 +97,7 @@
 		}
 
 		if (
-			this._hasRows &&
-			compareStoreVersions({era, version}, this._position) < 0
+			compareStoreVersions({era, version}, this._newestBefore(startedAt)) < 0
 		) {
 			return 'stale';
 		}
@@ -103,4 +110,14 @@
 		this._hasRows = true;
 		return 'current';
 	}
+
+	/** Newest version that this process had when a read was answered, unless the read began after the process got it. */
+	private _newestBefore(startedAt: number): StoreVersion {
+		if (this._hasRows) {
+			return this._position;
+		}
+
+		const {version, at} = this._copied;
+		return startedAt < at ? version : initialStoreVersion;
+	}
 }
--- a/packages/daemon/src/direct/table-watch.test.ts
+++ b/packages/daemon/src/direct/table-watch.test.ts
@@ -10,7 +10,18 @@
 /** Watches a table with the given responses and returns the events in order. */
 async function watchResponses(
 	responses: readonly StoreResponse[],
-	{msPerRead = 1, intervalMs = 0, instantRead = -1} = {},
+	{
+		msPerRead = 1,
+		intervalMs = 0,
+		instantRead = -1,
+		copies = [],
+	}: {
+		readonly msPerRead?: number;
+		readonly intervalMs?: number;
+		readonly instantRead?: number;
+		/** Versions of copies that arrive from a peer during the reads, one during each. */
+		readonly copies?: readonly number[];
+	} = {},
 ): Promise<readonly string[]> {
 	const events: string[] = [];
 	const remaining = [...responses];
@@ -19,6 +30,11 @@
 	const next = async (kind: string): Promise<Exclude<StoreResponse, Error>> => {
 		now += responses.length - remaining.length === instantRead ? 0 : msPerRead;
 		events.push(kind);
+		const copy = copies[responses.length - remaining.length];
+		if (copy !== undefined) {
+			watch.noteVersion({era: 0, version: copy});
+		}
+
 		const response = remaining.shift();
 		if (remaining.length === 0) {
 			watch.dispose();
@@ -115,6 +131,31 @@
 		]);
 	});
 
+	// Guards against a removed server or entry that a slow first read brings back after a copy of a peer without it, and
+	// that stays, since the peer has nothing newer to tell.
+	it('drops a first read that is older than a copy which arrived meanwhile', async () => {
+		const events = await watchResponses(
+			[read(10), read(20), read(21), read(21)],
+			{copies: [20]},
+		);
+		assert.deepEqual(events.slice(0, 5), [
+			'all',
+			'all',
+			'whole 20',
+			'after 20',
+			'changes 21',
+		]);
+	});
+
+	// Guards against a store without eras that went back and is not read any more.
+	it('takes a first read that began after the copy, whatever its version', async () => {
+		const events = await watchResponses(
+			[read(10), read(11), read(12), read(12)],
+			{copies: [20]},
+		);
+		assert.deepEqual(events.slice(0, 3), ['all', 'all', 'whole 11']);
+	});
+
 	describe('when the store came back from a copy', () => {
 		// Guards against changes that are read from a version of an earlier era.
 		it('reads the whole table, though the versions have caught up', async () => {
--- a/packages/daemon/src/direct/table-watch.ts
+++ b/packages/daemon/src/direct/table-watch.ts
@@ -94,7 +94,7 @@
 
 	/** Skips changes up to a version, because this process got them from elsewhere. */
 	noteVersion(version: StoreVersion): void {
-		this._cursor.noteVersion(version);
+		this._cursor.noteVersion(version, this._options.clock());
 	}
 
 	private async _untilDue(): Promise<void> {
