Expect the held version from the first declaration of an adapter on

What callers would see: a request that begins on version 1 up to 5.3 s after version 2 was acknowledged, without trouble of the store or of links, where an agent is silent for up to 3 s and a late order has put an older version back. Cause: during the time limit of the first declared version, requests expected none, and whether they were taken back was decided by the server's last report. Fix: once a version is declared, a request expects the one that its server is known to hold, as after every later declaration. A server that has changed it since refuses the request, which has not run then and is sent elsewhere. Replaced: the test that any version may be expected during the time limit; it now asks for the held one, and that headers without a version are taken only before the first declaration.

--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -379,7 +379,13 @@
 			assert.equal(chosen(), 'y');
 		});
 
-		it('may be expected in any version during the grace period', () => {
+		it('must be expected in the version that the server holds during the grace period, whichever it is', () => {
+			assert.deepEqual(fleet.versionToExpect('x', need, 0), {
+				kind: 'exactly',
+				version: 1,
+			});
+			assert.deepEqual(fleet.versionToExpect('y', need, 0), {kind: 'any'});
+			newestVersion = undefined;
 			assert.deepEqual(fleet.versionToExpect('x', need, 0), {kind: 'any'});
 		});
 
@@ -399,8 +405,11 @@
 
 		// Guards against a request that was ready to send before the grace period ended and then runs on whatever the server
 		// holds.
-		it('may have headers without a version only during the grace period', () => {
+		it('may have headers without a version only before one was declared', () => {
+			assert.equal(fleet.acceptsHeaders('x', need, undefined, 0), false);
+			newestVersion = undefined;
 			assert.equal(fleet.acceptsHeaders('x', need, undefined, 0), true);
+			newestVersion = 2;
 			minVersion = 2;
 			fleet.noteReport('y', report({a: 2}), 0);
 			assert.equal(fleet.acceptsHeaders('y', need, 2, 0), true);
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -325,12 +325,17 @@
 			return {kind: 'any'};
 		}
 
+		const {newestVersion} = this._options;
 		const minVersion = this._options.minVersion(model, adapter, now);
+		const version = this._servers.get(id)?.adapterVersion(model, adapter, now);
 		if (minVersion === 0) {
-			return {kind: 'any'};
+			// From a declaration on, the server's report may be older than what it holds when the request arrives.
+			return version === undefined ||
+				newestVersion(model, adapter) === undefined
+				? {kind: 'any'}
+				: {kind: 'exactly', version};
 		}
 
-		const version = this._servers.get(id)?.adapterVersion(model, adapter, now);
 		return version !== undefined && version >= minVersion
 			? {kind: 'exactly', version}
 			: {kind: 'outdated'};
