Queue no request on an older adapter version

What callers would see: a request that begins on an older version after its time limit, at a server that keeps requests whose connections are closed; most servers drop them, not all. A deadline for the server that ends with the time limit was ruled out, as it would cut running streams. Fix: while newer versions are loaded, older ones are used only at servers whose report shows no queue.

--- a/packages/core/src/placement/adapter-placement.ts
+++ b/packages/core/src/placement/adapter-placement.ts
@@ -51,12 +51,16 @@
 		{model, adapter}: AdapterNeed,
 		now: number,
 	): readonly ServerState[] {
-		const minVersion = this._options.minVersion(model, adapter, now);
+		const {minVersion, newestVersion} = this._options;
+		const oldest = minVersion(model, adapter, now);
+		const newest = newestVersion(model, adapter) ?? 0;
 		const holders = usable.filter(server => {
 			const version = server.adapterVersion(model, adapter, now);
 			return (
 				version !== undefined &&
-				version >= minVersion &&
+				version >= oldest &&
+				// A server may keep a request that is taken back, and begin it on the old version once its turn comes.
+				(version >= newest || !server.hasQueue(now)) &&
 				!server.isPending(model, adapter, now)
 			);
 		});
--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -372,6 +372,16 @@
 			assert.deepEqual(wanted, ['y']);
 		});
 
+		// Guards against a request on the old version that waits in a server's queue until after the grace period; a server may
+		// keep it although its connection is closed (VERSION).
+		it('do not queue on the old version', () => {
+			fleet.noteReport('x', {...report({a: 1}), waiting: 1}, 0);
+			assert.equal(chosen(), 'awaitAdapter');
+			assert.deepEqual(wanted, ['y']);
+			fleet.noteReport('y', {...report({a: 2}), waiting: 1}, 0);
+			assert.equal(chosen(), 'y');
+		});
+
 		it('run only on the new version after the grace period', () => {
 			minVersion = 2;
 			assert.equal(chosen(), 'awaitAdapter');
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -160,6 +160,11 @@
 		);
 	}
 
+	/** Whether requests wait at the server, by its report. */
+	hasQueue(now: number): boolean {
+		return this.hasFreshReport(now) && this._report!.waiting > 0;
+	}
+
 	/** Estimated requests at the server per slot. */
 	slotUtilization(now: number): number {
 		return this.requestCount(now) / this._record.slots;
