--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -61,6 +61,8 @@
 export * from './direct/dispatch-check.js';
 export * from './direct/retry-allowance.js';
 export {SuspectRegistry} from './entry/suspect-registry.js';
+export {PartSuspects} from './suspects/part-suspects.js';
+export type * from './suspects/types.js';
 export * from './direct/shutdown.js';
 export * from './direct/event-stream-splitter.js';
 export type * from './topology/types.js';
