Keep a request quarantined when one of its crashes is reported again

What callers saw: requests that had crashed two servers were let through once more. Cause: the registry kept the last two reports before it dropped duplicates, so the reports A, B, B left B alone. Fix: duplicates are dropped first.

--- a/packages/core/src/entry/suspect-registry.ts
+++ b/packages/core/src/entry/suspect-registry.ts
@@ -27,7 +27,9 @@
 			const bootIds = this._find(fingerprint, now)?.bootIds ?? [];
 			this._suspects.delete(fingerprint);
 			this._suspects.set(fingerprint, {
-				bootIds: new Set([...bootIds, bootId].slice(-crashesUntilQuarantine)),
+				bootIds: new Set(
+					[...new Set([...bootIds, bootId])].slice(-crashesUntilQuarantine),
+				),
 				lastCrashAt: now,
 			});
 		}
