Quarantine parts of prompts under which servers end

Cause: suspects were counted by a digest of the whole request, so requests that share only a part of their prompts were never counted together, and each of them ended up to two servers. The class: evidence that is kept under too narrow a key.

Fix: an entry follows each request with shared parts until its answer goes on (PartExposures). An answer that is interrupted before that is evidence against all its parts, one that goes on clears them (PartSuspects). Three moments quarantine a part: it is refused at the choice, the dispatch and the send, and what waits at servers with it is taken back. Evidence goes over the entries' links once; a digest in the heartbeats lets an entry that starts or was cut off fetch it; the part's owner keeps it in the store for the case that all entries end at once. One request at a time is let through after 8 s, then 32 s, and so on. Operators list and lift quarantines.

Ruled out: counting by caller, route or first part, as sound requests share these.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -54,6 +54,7 @@
 export type * from './placement/types.js';
 export * from './placement/prompt-pacer.js';
 export * from './placement/prefill-rate.js';
+export {silenceTimeoutMs} from './placement/constants.js';
 export {ServerState} from './placement/server-state.js';
 export * from './placement/fleet-view.js';
 export * from './orders/order-planner.js';
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -72,7 +72,7 @@
 	 */
 	get softwareVersion(): string {
 		const {softwareVersion = '', born} = this._record;
-		return born !== undefined && this._born > born ? '' : softwareVersion;
+		return born !== undefined && this.born > born ? '' : softwareVersion;
 	}
 
 	/** Number of times that the server turned cold, by its records. */
@@ -244,11 +244,18 @@
 
 	/** Whether other servers are preferred: a connection broke, or an engine with a report went silent. */
 	isSuspected(now: number): boolean {
+		return now - this._suspectedAt < suspicionMs || this.isSilent(now);
+	}
+
+	/** Whether an engine with a report went silent. */
+	isSilent(now: number): boolean {
 		const silentForMs = now - Math.max(this._reportedAt, this._lastActivityAt);
-		return (
-			now - this._suspectedAt < suspicionMs ||
-			(this._report !== undefined && silentForMs >= silenceTimeoutMs)
-		);
+		return this._report !== undefined && silentForMs >= silenceTimeoutMs;
+	}
+
+	/** Time of the server's last known start, in milliseconds since the epoch; 0 if unknown. */
+	get born(): number {
+		return Math.max(this._report?.born ?? 0, this._record.born ?? 0);
 	}
 
 	/** Whether the server said that it is leaving, and nothing newer says that it is back. */
@@ -258,7 +265,7 @@
 
 	/** Notes that the server says in a response that it is leaving. Rows that are older than that may still arrive. */
 	noteLeaving(): void {
-		this._leavingBorn ??= this._born;
+		this._leavingBorn ??= this.born;
 	}
 
 	/**
@@ -364,10 +371,6 @@
 		return [...used];
 	}
 
-	private get _born(): number {
-		return Math.max(this._report?.born ?? 0, this._record.born ?? 0);
-	}
-
 	/**
 	 * Ends the leaving if the record is of a newer start. Of a server that does not tell its start, the list must have
 	 * said that it leaves.
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -10,6 +10,7 @@
 import type {EntryPeers} from './entry-peers.js';
 import type {EventLog} from './event-log.js';
 import type {KeyCounts} from './key-counts.js';
+import type {PartQuarantine} from './part-quarantine.js';
 import type {StreamDirectory} from './stream-directory.js';
 import type {CallCodec} from './types.js';
 import type {SentCalls} from './sent-calls.js';
@@ -27,6 +28,8 @@
 	readonly agentClient: AgentClient;
 	/** Requests that were running on a server when its connection broke, and may have crashed it. */
 	readonly suspects: SuspectRegistry;
+	/** Parts of prompts under which servers ended. */
+	readonly partQuarantine: PartQuarantine;
 	readonly upstream: Upstream;
 	readonly waitQueue: WaitQueue;
 	/** Requests that are assigned to a server and wait for prefill there, counted by adapter. */
--- a/packages/daemon/src/direct/call-record.ts
+++ b/packages/daemon/src/direct/call-record.ts
@@ -114,6 +114,9 @@
 			...(customer !== undefined && {customer}),
 			...(adapter !== undefined && {adapter}),
 			...(refusal && {reason: refusal.reason, notRun: refusal.isNotRun}),
+			...(refusal?.quarantinedPart !== undefined && {
+				quarantinedPart: refusal.quarantinedPart,
+			}),
 			...(refusal?.retryAfterMs !== undefined && {
 				retryAfterMs: Math.round(refusal.retryAfterMs),
 			}),
--- a/packages/daemon/src/direct/call-refusal.ts
+++ b/packages/daemon/src/direct/call-refusal.ts
@@ -7,6 +7,8 @@
 	/** Whether the request is certain not to have run. */
 	readonly isNotRun: boolean;
 	readonly retryAfterMs?: number;
+	/** The quarantined part of the prompt for which the request is refused. */
+	readonly quarantinedPart?: string;
 };
 
 /** Refusal of a request that did not run and may be retried soon. */
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -150,3 +150,18 @@
 
 /** Time for which an entry gets reports after its last demand, in milliseconds. */
 export const demandLifetimeMs = 3000;
+
+/** Interval at which an entry looks for servers that ended without breaking their connections, in milliseconds. */
+export const exposureCheckMs = 200;
+
+/** Number of given-up requests that are kept in case a server turns out to have ended under them. */
+export const maxLeftExposures = 256;
+
+/** Time for which such a request is kept, in milliseconds: a server that ended is back after some seconds. */
+export const leftExposureLifetimeMs = 8000;
+
+/** Maximum number of parts in one datagram, so that it fits into one packet. */
+export const maxPartsPerNote = 8;
+
+/** Minimum time between two fetches of other entries' evidence on parts, in milliseconds. */
+export const suspectsFetchIntervalMs = 500;
--- a/packages/daemon/src/direct/direct-metrics.ts
+++ b/packages/daemon/src/direct/direct-metrics.ts
@@ -10,6 +10,8 @@
 export type DirectGauges = {
 	/** Number of waiting requests. */
 	readonly waiting?: () => number;
+	/** Number of quarantined parts of prompts. */
+	readonly quarantinedParts?: () => number;
 	/** Estimated prefill rate of the engine, in tokens per millisecond. */
 	readonly prefillTokensPerMs?: () => number;
 	/** Estimated concurrent loads that the weight store serves at full speed. */
@@ -40,13 +42,22 @@
 	private readonly _peerCall = this._histogram(metricDefinitions.peerCall);
 	private readonly _proofAge = this._histogram(metricDefinitions.proofAge);
 
-	private constructor({waiting, prefillTokensPerMs, loadLimit}: DirectGauges) {
+	private constructor({
+		waiting,
+		quarantinedParts,
+		prefillTokensPerMs,
+		loadLimit,
+	}: DirectGauges) {
 		const delays = monitorEventLoopDelay();
 		delays.enable();
 		if (waiting !== undefined) {
 			this._gauge(metricDefinitions.waiting, waiting);
 		}
 
+		if (quarantinedParts !== undefined) {
+			this._gauge(metricDefinitions.quarantinedParts, quarantinedParts);
+		}
+
 		if (prefillTokensPerMs !== undefined) {
 			this._gauge(metricDefinitions.prefillRate, prefillTokensPerMs);
 		}
--- a/packages/daemon/src/direct/entry-fleet.testing.ts
+++ b/packages/daemon/src/direct/entry-fleet.testing.ts
@@ -201,6 +201,8 @@
 			fetchStatements: async () => [],
 			onStatements: () => undefined,
 			onRootChanged: () => undefined,
+			quarantine: () => '',
+			onQuarantine: () => undefined,
 			onQueryEnded: () => undefined,
 			onLost: () => undefined,
 			onRegained: () => undefined,
@@ -240,8 +242,9 @@
 			break;
 		}
 
+		case 'partNote':
 		case 'suspect': {
-			peers.passOnSuspect(message);
+			peers.passOn(message);
 			break;
 		}
 
--- a/packages/daemon/src/direct/entry-peers.test.ts
+++ b/packages/daemon/src/direct/entry-peers.test.ts
@@ -78,6 +78,8 @@
 		onStatements() {
 			known = served;
 		},
+		quarantine: () => '',
+		onQuarantine: () => undefined,
 		onQueryEnded: () => undefined,
 		onLost: () => undefined,
 		onRegained: () => undefined,
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -11,6 +11,7 @@
 	EntryHeartbeat,
 	GossipMessage,
 	GossipTable,
+	PartNote,
 	QuotaQuery,
 	SuspectMessage,
 } from '@balsamtray/protocol';
@@ -69,6 +70,13 @@
 	readonly onStatements: (rows: readonly AuthorityRow[], from: string) => void;
 	/** Called when this entry begins or stops to read the store for its zone. */
 	readonly onRootChanged: (isRoot: boolean, parent: string | undefined) => void;
+	/** Text that differs if this entry has quarantined other parts of prompts; empty without any. */
+	readonly quarantine: () => string;
+	/** Called with what a heartbeat says of the peer's quarantined parts. */
+	readonly onQuarantine: (
+		peer: {readonly id: string; readonly endpoint: Endpoint},
+		digest: string | undefined,
+	) => void;
 	/** Called when a quota query to another entry ends. */
 	readonly onQueryEnded: PendingQueriesOptions['onEnded'];
 	readonly onLost: (peer: string, err: unknown) => void;
@@ -124,6 +132,7 @@
 	/** Identifiers of the crash reports that were passed on, oldest first. */
 	private readonly _seenReports = new Set<string>();
 	private _reportCount = 0;
+	private readonly _startedAt = Date.now();
 	private _heartbeatEpoch = -1;
 	/** Time of the first heartbeat in the current clock epoch. Echoes of earlier heartbeats prove nothing. */
 	private _epochStartedAt = 0;
@@ -277,12 +286,17 @@
 
 	/** Tells all entries that a request was running on a server that broke. */
 	spreadSuspect(fingerprint: string, server: string): void {
-		const reportId = `${this._options.hostId}/${this._reportCount++}`;
-		this.passOnSuspect({type: 'suspect', fingerprint, server, reportId});
+		const reportId = this._nextReportId();
+		this.passOn({type: 'suspect', fingerprint, server, reportId});
+	}
+
+	/** Sends evidence on parts of prompts to all entries. */
+	spreadPartNote(note: Pick<PartNote, 'suspects' | 'cleared'>): void {
+		this.passOn({type: 'partNote', reportId: this._nextReportId(), ...note});
 	}
 
 	/** Passes a crash report on to the linked entries. Returns false if it was already passed on. */
-	passOnSuspect(message: SuspectMessage): boolean {
+	passOn(message: SuspectMessage | PartNote): boolean {
 		const {reportId} = message;
 		if (reportId !== undefined) {
 			if (this._seenReports.has(reportId)) {
@@ -372,7 +386,9 @@
 		this._options.ledger.recordPeerLevels(heartbeat.levels, now);
 		this._applyProof(heartbeat, peer);
 		const isParent = id === this._parent;
-		this._options.onTables({id, endpoint: peer.endpoint}, heartbeat, isParent);
+		const sender = {id, endpoint: peer.endpoint};
+		this._options.onTables(sender, heartbeat, isParent);
+		this._options.onQuarantine(sender, heartbeat.quarantine);
 	}
 
 	onQuotaReply(askId: number, grant: QuotaGrant): void {
@@ -429,6 +445,11 @@
 		}
 	}
 
+	/** The start time tells reports from those of an earlier process of this host. */
+	private _nextReportId(): string {
+		return `${this._options.hostId}/${this._startedAt}/${this._reportCount++}`;
+	}
+
 	private readonly _isLost = (id: string): boolean =>
 		this._peers.get(id)?.isLost ?? false;
 
@@ -559,6 +580,7 @@
 		const settledEra = this._options.settledEra();
 		const {lastHeartbeat, endpoint} = peer;
 		const proofAgeMs = now - provenAt();
+		const quarantine = this._options.quarantine();
 		const zoneLost =
 			peer.zone === zone
 				? [...this._peers]
@@ -583,6 +605,7 @@
 					)
 					.map(({customer, level}) => ({customer, level: roundMs(level)})),
 				...this._options.tables(),
+				...(quarantine !== '' && {quarantine}),
 				...(zoneLost.length > 0 && {zoneLost}),
 				...(Number.isFinite(proofAgeMs) && {
 					proofAgeMs: Math.ceil(proofAgeMs),
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -10,6 +10,7 @@
 	maxRelayedProofAgeMs,
 	maxRelayedServersAgeMs,
 	msUntilRead,
+	PartSuspects,
 	QuotaLedger,
 	RetryAllowance,
 	rowsOfEra,
@@ -28,6 +29,7 @@
 import type {CallContext} from './call-context.js';
 import {
 	authorityWaitMs,
+	exposureCheckMs,
 	graceMarginMs,
 	maxRewriteDelayMs,
 	membersIntervalMs,
@@ -50,6 +52,8 @@
 import {FreshnessMonitor} from './freshness-monitor.js';
 import {Ingress} from './ingress.js';
 import {KeyCounts} from './key-counts.js';
+import {PartQuarantine} from './part-quarantine.js';
+import type {ServerStart} from './part-exposures.js';
 import {QuotaResponder} from './quota-responder.js';
 import {RelayedTable} from './relayed-table.js';
 import {SentCalls} from './sent-calls.js';
@@ -92,6 +96,9 @@
 /** Minimum number of entries that share a server's connections, which leaves room for new entries. */
 const minConnectionEntries = 8;
 
+/** Path on the address of the metrics where operators list and lift quarantines of parts of prompts. */
+const quarantinePath = '/quarantine';
+
 /** Maximum connections to a server whose service is not known yet. */
 const initialConnections = 8;
 
@@ -121,6 +128,7 @@
 	private readonly _prefillWaiting = KeyCounts.create();
 	private readonly _sentCalls = SentCalls.create();
 	private readonly _suspects = SuspectRegistry.create();
+	private readonly _partQuarantine: PartQuarantine;
 	private readonly _exchange: TableExchange;
 	private readonly _servers: RelayedTable<ServerChange>;
 	private readonly _members: RelayedTable<MemberRow>;
@@ -131,6 +139,7 @@
 	private readonly _serverLog: ServerLog;
 	private readonly _metrics = DirectMetrics.create({
 		waiting: () => this._waitQueue.size,
+		quarantinedParts: () => this._partQuarantine.count(clock()),
 	});
 
 	private readonly _retryAllowances = new Map<string, RetryAllowance>();
@@ -183,7 +192,9 @@
 			authority: this._authority,
 			servers: () => this._servers.copy(clock()),
 			members: () => this._members.copy(clock()),
+			suspects: () => this._partQuarantine.entries(clock()),
 		});
+		this._partQuarantine = this._createPartQuarantine();
 		this._peers = this._createPeers();
 		this._quotaResponder = QuotaResponder.create({
 			clock,
@@ -242,17 +253,21 @@
 		await TextServer.listen(settings.peer, path =>
 			this._exchange.responseFor(path),
 		);
-		await TextServer.listen(settings.metrics, async () =>
-			this._metrics.render(),
+		await TextServer.listen(settings.metrics, async (path, method) =>
+			this._operatorsResponse(path, method),
 		);
 		await this._ingress.listen(settings.front);
 		this._watchTables();
 		setInterval(() => {
 			this._stallMonitor.check(clock());
 		}, stallCheckIntervalMs);
+		setInterval(() => {
+			this._partQuarantine.checkServers(clock());
+		}, exposureCheckMs);
 		this._peers.start();
 		this._agentClient.start();
 		void this._joinPeers();
+		void this._partQuarantine.restore();
 		log.write({
 			event: 'started',
 			role: 'entry',
@@ -302,6 +317,7 @@
 			streams: this._streams,
 			agentClient: this._agentClient,
 			suspects: this._suspects,
+			partQuarantine: this._partQuarantine,
 			upstream: this._upstream,
 			waitQueue: this._waitQueue,
 			prefillWaiting: this._prefillWaiting,
@@ -354,6 +370,35 @@
 		});
 	}
 
+	private _createPartQuarantine(): PartQuarantine {
+		return PartQuarantine.create({
+			clock,
+			suspects: PartSuspects.create(),
+			hasEnded: start => this._hasEnded(start),
+			isSilent: (server, now) =>
+				this._fleet.server(server)?.isSilent(now) ?? false,
+			isOwner: part => this._peers.isOwner(part),
+			spread: note => {
+				this._peers.spreadPartNote(note);
+			},
+			fetchSuspects: async from => this._exchange.fetchSuspects(from),
+			store: this._options.store.suspects,
+			log: this._options.log,
+			onError: (step, error) => {
+				this._logError(step, error);
+			},
+		});
+	}
+
+	/** Whether a server has started again, or another one has its address. */
+	private _hasEnded({server, born}: ServerStart): boolean {
+		const state = this._fleet.server(server);
+		return (
+			state !== undefined &&
+			((born > 0 && state.born > born) || this._fleet.isReplaced(state))
+		);
+	}
+
 	private _createStreams(): StreamDirectory {
 		return StreamDirectory.create({
 			hostId: this._options.settings.hostId,
@@ -428,6 +473,10 @@
 					reader: parent ?? settings.hostId,
 				});
 			},
+			quarantine: () => this._partQuarantine.digest(clock()),
+			onQuarantine: (peer, digest) => {
+				void this._partQuarantine.onDigest(peer, digest);
+			},
 			onQueryEnded: (outcome, durationMs) => {
 				this._metrics.noteQuery('rate', outcome, durationMs);
 			},
@@ -828,13 +877,21 @@
 
 			case 'suspect': {
 				const {fingerprint, server} = message;
-				if (this._peers.passOnSuspect(message)) {
+				if (this._peers.passOn(message)) {
 					this._suspects.noteCrash([fingerprint], server, clock());
 				}
 
 				break;
 			}
 
+			case 'partNote': {
+				if (this._peers.passOn(message)) {
+					this._partQuarantine.onNote(message, from.host, clock());
+				}
+
+				break;
+			}
+
 			case 'report': {
 				this._onReport(message);
 				break;
@@ -902,6 +959,21 @@
 				);
 	}
 
+	/** Metrics, and the quarantined parts of prompts, which operators list and lift. */
+	private async _operatorsResponse(
+		path: string,
+		method: string,
+	): Promise<TextResponse> {
+		const {pathname, searchParams} = new URL(path, 'http://entry');
+		return pathname === quarantinePath
+			? this._partQuarantine.respond(
+					method,
+					searchParams.get('part') ?? undefined,
+					clock(),
+				)
+			: this._metrics.render();
+	}
+
 	private _readinessResponse(): TextResponse {
 		const reason = this._notReadyReason();
 		const isReady = reason === undefined;
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -49,6 +49,37 @@
 			readonly provenMsAgo?: number;
 			readonly source: string;
 	  }
+	/**
+	 * A part of prompts was quarantined, as servers ended under it. `ends` are the starts of these servers; `source` is
+	 * `calls`, or the entry or table that told it.
+	 */
+	| {
+			readonly event: 'partQuarantined';
+			readonly part: string;
+			readonly ends: readonly string[];
+			readonly source: string;
+	  }
+	/** A part of prompts left the quarantine, as an answer went on (`answer`), or an operator lifted it (`operator`). */
+	| {
+			readonly event: 'partCleared';
+			readonly part: string;
+			readonly source: string;
+	  }
+	/** One request with a quarantined part is sent, to learn whether it still ends servers. */
+	| {
+			readonly event: 'partTrial';
+			readonly part: string;
+			readonly request?: string;
+	  }
+	/** An answer with these parts was interrupted before it went on. */
+	| {
+			readonly event: 'partsSuspected';
+			readonly parts: readonly string[];
+			readonly server: string;
+			readonly start: string;
+			/** `broke`, `silent`, `left` or `restarted`. */
+			readonly evidence: string;
+	  }
 	/** The store came back from a copy, which may have lost its last writes; `source` is the table or entry that told it. */
 	| {readonly event: 'storeEra'; readonly era: number; readonly source: string}
 	/** This entry began to read the store for its zone, or follows another entry (`reader`) that does. */
@@ -125,6 +156,8 @@
 	/** Why the response was not complete. Absent if it was. */
 	readonly reason?: string;
 	readonly notRun?: boolean;
+	/** The quarantined part of its prompt for which it was refused. */
+	readonly quarantinedPart?: string;
 	/**
 	 * Attempts in order: each server with the outcome of the attempt. Says so if only the connection delimited the
 	 * response, and how many bytes into an event it ended.
--- a/packages/daemon/src/direct/metric-definitions.ts
+++ b/packages/daemon/src/direct/metric-definitions.ts
@@ -66,6 +66,12 @@
 		help: 'Connections to servers that were closed, since a part of what the server sent did not end.',
 		labels: [],
 	},
+	quarantinedParts: {
+		kind: 'gauge',
+		name: 'balsamtray_quarantined_parts',
+		help: 'Parts of prompts that are quarantined, as servers ended under them.',
+		labels: [],
+	},
 	waiting: {
 		kind: 'gauge',
 		name: 'balsamtray_waiting',
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -11,6 +11,7 @@
 	checkDispatch,
 	pickShare,
 	type CustomerRule,
+	type PartVerdict,
 	type RouteRule,
 	type ServerChoice,
 	type ServerNeed,
@@ -30,6 +31,7 @@
 import type {CallContext} from './call-context.js';
 import {CallRecord} from './call-record.js';
 import type {Reservation} from './entry-peers.js';
+import type {PartExposure} from './part-exposures.js';
 import {cutResponse, isFramed} from './response-cut.js';
 import type {CallMetadata, ResponseMetadata} from './types.js';
 import type {ResponseFraming, UpstreamCall, UpstreamSink} from './upstream.js';
@@ -63,6 +65,8 @@
 	isSent: boolean;
 	/** Ends the registration with `SentCalls`; undefined before the request is sent. */
 	sent: Disposable | undefined;
+	/** What becomes of the parts of its prompt at the server; undefined before the request is sent. */
+	exposure: PartExposure | undefined;
 	/** Undefined until the response headers arrive. */
 	framing: ResponseFraming | undefined;
 	/** Whether a complete event of the stream has arrived. */
@@ -121,6 +125,8 @@
 	private _hasCountedRequest = false;
 	/** Whether some attempt was sent, so that another one is a retry. */
 	private _hasSent = false;
+	/** Whether the end of a server may have interrupted some attempt. */
+	private _wasInterrupted = false;
 	/** Whether the retry budget was charged for a send that has not happened yet. */
 	private _hasPaidRetry = false;
 	private _cachedFingerprint: string | undefined;
@@ -451,6 +457,7 @@
 			isAwaitingPrefill: false,
 			isSent: false,
 			sent: undefined,
+			exposure: undefined,
 			framing: undefined,
 			hasEvents: false,
 		};
@@ -643,15 +650,55 @@
 		return unavailable(check === 'tooLate' ? 'deadline' : 'suspended');
 	}
 
-	/** Returns the refusal of a request that crashed servers, here or at another entry. */
+	/** Returns the refusal of a request that crashed servers, or that has a part which did, here or at another entry. */
 	private _checkQuarantine(): CallRefusal | undefined {
 		const {suspects, clock} = this._context;
 		const retryAfterMs = suspects.quarantinedForMs(this._fingerprint, clock());
-		return retryAfterMs > 0
-			? {...unavailable('quarantined'), retryAfterMs}
+		if (retryAfterMs > 0) {
+			return {...unavailable('quarantined'), retryAfterMs};
+		}
+
+		const verdict = this._checkParts();
+		return verdict.kind === 'quarantined'
+			? {
+					...unavailable('quarantined'),
+					retryAfterMs: verdict.retryAfterMs,
+					quarantinedPart: verdict.part,
+				}
 			: undefined;
 	}
 
+	private _checkParts(): PartVerdict {
+		const {partQuarantine, clock} = this._context;
+		return partQuarantine.check(this._parts, this._wasInterrupted, clock());
+	}
+
+	/** Watches what becomes of the parts of the prompt at the server. Begins the trial of one that is due. */
+	private _expose(attempt: Attempt): void {
+		const {fleet, partQuarantine, clock} = this._context;
+		const parts = this._parts;
+		if (parts.length === 0) {
+			return;
+		}
+
+		const verdict = this._checkParts();
+		if (verdict.kind === 'trial') {
+			const {callId} = this._metadata;
+			partQuarantine.startTrial(verdict.part, callId, clock());
+		}
+
+		const {server} = attempt;
+		attempt.exposure = partQuarantine.add({
+			parts,
+			start: {server, born: fleet.server(server)?.born ?? 0},
+			recall: () => {
+				if (this._attempt === attempt) {
+					this._recall(attempt, 'quarantined');
+				}
+			},
+		});
+	}
+
 	/** Creates the sink of an attempt. Drops the events of an attempt that is no longer the current one. */
 	private _createSink(attempt: Attempt): UpstreamSink {
 		const isCurrent = () => this._attempt === attempt;
@@ -675,6 +722,7 @@
 					attempt.sentAt = this._context.clock();
 					fleet.server(attempt.server)?.noteDispatched(clock());
 					this._watchVersion(attempt);
+					this._expose(attempt);
 					return true;
 				}
 
@@ -734,20 +782,27 @@
 				fleet.server(attempt.server)?.adapterVersion(model, adapter, clock()),
 			recall: () => {
 				if (this._attempt === attempt) {
-					this._recall(attempt);
+					this._recall(attempt, 'adapterOutdated');
 				}
 			},
 		});
 	}
 
 	/** Takes the request back from its server. It may have begun there without a sign of it. */
-	private _recall(attempt: Attempt): void {
+	private _recall(
+		attempt: Attempt,
+		reason: 'adapterOutdated' | 'quarantined',
+	): void {
 		attempt.call?.abort();
 		this._mayHaveRun = true;
-		this._endAttempt('recalled: adapter version outdated');
+		this._endAttempt(
+			reason === 'quarantined'
+				? 'recalled: quarantined'
+				: 'recalled: adapter version outdated',
+		);
 		const now = this._context.clock();
 		this._waitDeadlineAt = now + (this._deadlineAt - now) * maxWaitShare;
-		this._retry(badGateway('adapterOutdated'), this._isRepeatable);
+		this._retry(badGateway(reason), this._isRepeatable);
 	}
 
 	private _onHeaders(
@@ -758,6 +813,7 @@
 	): void {
 		if (!response.isGenuine) {
 			attempt.call?.abort();
+			attempt.exposure?.dispose();
 			this._onAttemptFailed(
 				attempt,
 				new Error('response does not belong to this request'),
@@ -774,6 +830,7 @@
 		}
 
 		this._mayHaveRun = true;
+		attempt.exposure?.onHead();
 		if (this._res.headersSent) {
 			if (status !== 200) {
 				attempt.call?.abort();
@@ -863,7 +920,9 @@
 
 		const {bytes, lastEventId} = this._eventSplitter.push(chunk);
 		this._lastEventId = lastEventId ?? this._lastEventId;
-		if (bytes.length > 0 && !attempt.hasEvents) {
+		if (bytes.length > 0 && attempt.hasEvents) {
+			attempt.exposure?.onProgress();
+		} else if (bytes.length > 0) {
 			attempt.hasEvents = true;
 			this._onFirstEvent(attempt);
 		}
@@ -902,6 +961,7 @@
 	private _onEndlessEvent(attempt: Attempt, bytes: number): void {
 		const err = EndlessResponseError.create('event', bytes);
 		attempt.call?.abort();
+		attempt.exposure?.dispose();
 		this._context.onEndlessResponse(attempt.server, err);
 		this._onAttemptFailed(attempt, err);
 	}
@@ -951,6 +1011,7 @@
 			return;
 		}
 
+		attempt.exposure?.onProgress();
 		this._endAttempt(`answered${this._describeEnd(attempt)}`);
 		if (attempt.framing === 'connection' && isFramed(this._res)) {
 			// The stream was resumed, and the end of a chunked response would say that it is complete.
@@ -976,6 +1037,8 @@
 
 	/** Handles a broken connection or an unusable response. */
 	private _onAttemptFailed(attempt: Attempt, err: Error): void {
+		this._wasInterrupted ||= attempt.isSent;
+		attempt.exposure?.onBroke();
 		this._endAttempt(
 			attempt.isSent
 				? `broke: ${err.message}${this._describeEnd(attempt)}`
@@ -1047,6 +1110,7 @@
 		}
 
 		attempt.call?.abort();
+		attempt.exposure?.onLeft();
 		if (!attempt.isSent) {
 			this._endAttempt('not sent: deadline');
 			this._fail(unavailable('deadline'));
@@ -1065,6 +1129,7 @@
 		}
 
 		this._attempt?.call?.abort();
+		this._attempt?.exposure?.onLeft();
 		this._mayHaveRun ||= this._attempt?.isSent ?? false;
 		this._endAttempt('caller left');
 		this._finish({
@@ -1083,6 +1148,7 @@
 		this._attempt = undefined;
 		clearTimeout(this._prefillTimer);
 		attempt.sent?.dispose();
+		attempt.exposure?.dispose();
 		this._stopPrefillWait(attempt);
 		if (attempt.reservedPromptTokens !== undefined) {
 			this._context.agentClient.releasePrefill(
@@ -1150,6 +1216,12 @@
 		return this._cachedFingerprint;
 	}
 
+	/** Parts of the prompt that other requests share, at the service. */
+	private get _parts(): readonly string[] {
+		const {promptParts = []} = this._metadata;
+		return promptParts.map(id => `${this._service ?? ''}/${id}`);
+	}
+
 	private get _path(): string {
 		const url = this._req.url ?? '/';
 		const query = url.indexOf('?');
--- a/packages/daemon/src/direct/store-era.testing.ts
+++ b/packages/daemon/src/direct/store-era.testing.ts
@@ -496,6 +496,8 @@
 				}
 			},
 			onRootChanged: () => undefined,
+			quarantine: () => '',
+			onQuarantine: () => undefined,
 			onQueryEnded: () => undefined,
 			onLost: () => undefined,
 			onRegained: () => undefined,
--- a/packages/daemon/src/direct/stream-directory.testing.ts
+++ b/packages/daemon/src/direct/stream-directory.testing.ts
@@ -243,6 +243,7 @@
 		case 'quotaAnswer':
 		case 'quotaReturn':
 		case 'suspect':
+		case 'partNote':
 		case 'demand':
 		case 'turnAsk':
 		case 'turnAnswer':
--- a/packages/daemon/src/direct/table-exchange.ts
+++ b/packages/daemon/src/direct/table-exchange.ts
@@ -1,4 +1,9 @@
-import type {AuthorityRow, AuthorityView, ServerChange} from '@balsamtray/core';
+import type {
+	AuthorityRow,
+	AuthorityView,
+	PartSuspectEntry,
+	ServerChange,
+} from '@balsamtray/core';
 import {maxTableBytes, storeTimeoutMs} from './constants.js';
 import {HttpClient} from './http-client.js';
 import type {TableCopy} from './relayed-table.js';
@@ -10,12 +15,15 @@
 	statements: '/statements',
 	servers: '/servers',
 	members: '/members',
+	suspects: '/suspects',
 } as const;
 
 export type TableExchangeOptions = {
 	readonly authority: AuthorityView;
 	readonly servers: () => TableCopy<ServerChange> | undefined;
 	readonly members: () => TableCopy<MemberRow> | undefined;
+	/** Evidence on parts of prompts that may crash servers. */
+	readonly suspects: () => readonly PartSuspectEntry[];
 };
 
 /** Serves this entry's copies of the store's tables to other entries and fetches theirs. */
@@ -29,7 +37,7 @@
 	private constructor(private readonly _options: TableExchangeOptions) {}
 
 	responseFor(path: string): TextResponse {
-		const {authority, servers, members} = this._options;
+		const {authority, servers, members, suspects} = this._options;
 		switch (path) {
 			case paths.statements: {
 				return jsonResponse(authority.rows());
@@ -43,6 +51,10 @@
 				return jsonResponse(members());
 			}
 
+			case paths.suspects: {
+				return jsonResponse(suspects());
+			}
+
 			default: {
 				return {status: 404, contentType: 'text/plain', body: 'not found'};
 			}
@@ -69,6 +81,15 @@
 		return asTableCopy<MemberRow>(await this._fetch(from, paths.members), from);
 	}
 
+	async fetchSuspects(from: Endpoint): Promise<readonly PartSuspectEntry[]> {
+		const entries = await this._fetch(from, paths.suspects);
+		if (!Array.isArray(entries)) {
+			throw new TypeError(`suspects from ${from.host}: expected an array`);
+		}
+
+		return entries as readonly PartSuspectEntry[];
+	}
+
 	private async _fetch(endpoint: Endpoint, path: string): Promise<unknown> {
 		const {status, body} = await this._client.call({
 			endpoint,
--- a/packages/daemon/src/direct/text-server.ts
+++ b/packages/daemon/src/direct/text-server.ts
@@ -12,10 +12,13 @@
 export class TextServer {
 	static async listen(
 		{host, port}: Endpoint,
-		handle: (path: string) => TextResponse | Promise<TextResponse>,
+		handle: (
+			path: string,
+			method: string,
+		) => TextResponse | Promise<TextResponse>,
 	): Promise<TextServer> {
 		const server = createServer((req, res) => {
-			void respond(handle(req.url ?? '/'), res);
+			void respond(handle(req.url ?? '/', req.method ?? 'GET'), res);
 		});
 		await new Promise<void>((resolve, reject) => {
 			server.once('error', reject);
--- a/packages/daemon/src/direct/types.ts
+++ b/packages/daemon/src/direct/types.ts
@@ -4,6 +4,7 @@
 	EngineOrder,
 	EngineReport,
 	OrderOutcome,
+	PartSuspectEntry,
 	RetryLimit,
 	ServerChange,
 	ServiceSpec,
@@ -46,6 +47,15 @@
 	/** Writes a member's row. Resolves with the version of the row. */
 	readonly join: (member: MemberRow) => Promise<StoreVersion>;
 	readonly leave: (id: string) => Promise<void>;
+	/** Parts of prompts that are quarantined, for entries that start when no other one knows. */
+	readonly suspects: SuspectStore;
+};
+
+/** Store access to the quarantined parts of prompts. Ages are as of the call. */
+export type SuspectStore = {
+	readonly readAll: (timeoutMs: number) => Promise<readonly PartSuspectEntry[]>;
+	readonly write: (entry: PartSuspectEntry) => Promise<void>;
+	readonly remove: (part: string) => Promise<void>;
 };
 
 /** Metadata of a caller's request, decoded from its headers. */
@@ -62,6 +72,8 @@
 	readonly tokens: number | undefined;
 	/** Identifies the prompt prefix that the requests of a session share. */
 	readonly session: string | undefined;
+	/** Identifiers of the parts of the prompt that it may share with other requests. */
+	readonly promptParts?: readonly string[];
 	/** Id of the last event that the caller received of an interrupted stream. */
 	readonly lastEventId: string | undefined;
 	/** Identifier of the call that brought the first event of the stream that the caller resumes. */
--- a/packages/protocol/src/gossip/messages.ts
+++ b/packages/protocol/src/gossip/messages.ts
@@ -2,6 +2,7 @@
 import type {
 	EngineDemand,
 	EngineReport,
+	PartSuspectEntry,
 	QuotaGrant,
 	QuotaLevel,
 	StreamKnowledge,
@@ -47,6 +48,8 @@
 	readonly proofAgeMs?: number;
 	/** Whether the sender accepts requests and is not shutting down. */
 	readonly isServing: boolean;
+	/** Text that differs if the sender has quarantined other parts of prompts than the receiver. Absent if it has none. */
+	readonly quarantine?: string;
 	/** Remaining units of the customers whose rate the sender owns and the receiver may take over. */
 	readonly levels: readonly QuotaLevel[];
 };
@@ -134,6 +137,22 @@
 	readonly reportId?: string;
 };
 
+/**
+ * Evidence on parts of prompts that may crash servers. Entries pass it on to the entries that they are linked with. The
+ * evidence against a part and its trials are added to what is known; evidence of innocence clears what is older.
+ */
+export type PartNote = {
+	readonly type: 'partNote';
+	/** Identifies the note, so that entries pass it on only once. */
+	readonly reportId: string;
+	readonly suspects: readonly PartSuspectEntry[];
+	/** Parts of answers that went on, and the time since those answers began, in milliseconds. */
+	readonly cleared: ReadonlyArray<{
+		readonly part: string;
+		readonly agoMs: number;
+	}>;
+};
+
 /** Origins of streams, sent to entries that keep them as well. */
 export type StreamNote = {
 	readonly type: 'streamNote';
@@ -166,6 +185,7 @@
 	| QuotaReply
 	| QuotaReturn
 	| SuspectMessage
+	| PartNote
 	| DemandMessage
 	| PrefillQuery
 	| PrefillReply
@@ -181,6 +201,7 @@
 	'quotaAnswer',
 	'quotaReturn',
 	'suspect',
+	'partNote',
 	'demand',
 	'turnAsk',
 	'turnAnswer',
