Bound the notes of evidence on parts that an entry sends

A herd of kills, or callers whose parts come once each, could make an entry send a note for each new end of a server, each of which goes over every link of the fleet. Found by reading. Evidence now waits up to 50 ms for the next note, parts with most evidence first, so that parts that are seen once do not delay the one that crashes servers.

--- a/packages/core/src/suspects/part-suspects.ts
+++ b/packages/core/src/suspects/part-suspects.ts
@@ -159,6 +159,11 @@
 			.toSorted();
 	}
 
+	/** The evidence on one part, with ages; undefined without any. */
+	entryOf(part: string, now: number): PartSuspectEntry | undefined {
+		return this._evidence.get(part)?.toEntry(part, now);
+	}
+
 	/** All evidence, with ages, for an entry that starts or was cut off; at most `maxTrackedParts`. */
 	entries(now: number): readonly PartSuspectEntry[] {
 		return [...this._evidence]
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -165,3 +165,9 @@
 
 /** Minimum time between two fetches of other entries' evidence on parts, in milliseconds. */
 export const suspectsFetchIntervalMs = 500;
+
+/** Minimum time between two notes of evidence on parts from one entry, in milliseconds. */
+export const partNoteIntervalMs = 50;
+
+/** Maximum number of parts of which new evidence waits to be sent. */
+export const maxQueuedParts = 512;
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -381,6 +381,9 @@
 			spread: note => {
 				this._peers.spreadPartNote(note);
 			},
+			schedule(run, delayMs) {
+				setTimeout(run, delayMs);
+			},
 			fetchSuspects: async from => this._exchange.fetchSuspects(from),
 			store: this._options.store.suspects,
 			log: this._options.log,
--- a/packages/daemon/src/direct/part-quarantine.test.ts
+++ b/packages/daemon/src/direct/part-quarantine.test.ts
@@ -27,6 +27,7 @@
 	fetches = 0;
 	storeFailures = 0;
 	readonly quarantine: PartQuarantine;
+	private _timers: Array<{readonly run: () => void; readonly at: number}> = [];
 
 	private constructor(isOwner: boolean) {
 		const output = new Writable({
@@ -44,6 +45,9 @@
 			spread: note => {
 				this.notes.push(note);
 			},
+			schedule: (run, delayMs) => {
+				this._timers.push({run, at: this.now + delayMs});
+			},
 			fetchSuspects: async () => {
 				this.fetches++;
 				return this.fetched;
@@ -70,6 +74,16 @@
 		});
 	}
 
+	/** Lets time pass and runs the timers that are due. */
+	wait(ms: number): void {
+		this.now += ms;
+		const due = this._timers.filter(({at}) => at <= this.now);
+		this._timers = this._timers.filter(({at}) => at > this.now);
+		for (const {run} of due) {
+			run();
+		}
+	}
+
 	send(name: string, server: string) {
 		return this.quarantine.add({
 			parts: [name],
@@ -86,7 +100,7 @@
 			const exposure = this.send(part, `server-${i}`);
 			exposure.onHead();
 			exposure.onBroke();
-			this.now += 1000;
+			this.wait(1000);
 		}
 	}
 
@@ -233,7 +247,7 @@
 	describe('of a trial', () => {
 		it('is told to the others and kept in the store', () => {
 			entry.crash(3);
-			entry.now += 60_000;
+			entry.wait(60_000);
 			const {quarantine} = entry;
 			const verdict = quarantine.check([part], false, entry.now);
 			assert.deepEqual(verdict, {kind: 'trial', part});
--- a/packages/daemon/src/direct/part-quarantine.ts
+++ b/packages/daemon/src/direct/part-quarantine.ts
@@ -6,7 +6,6 @@
 } from '@balsamtray/core';
 import type {PartNote} from '@balsamtray/protocol';
 import {
-	maxPartsPerNote,
 	storeBackoffMs,
 	storeTimeoutMs,
 	suspectsFetchIntervalMs,
@@ -19,6 +18,7 @@
 	type PartExposure,
 	type PartExposuresOptions,
 } from './part-exposures.js';
+import {PartNoteQueue} from './part-note-queue.js';
 import type {TextResponse} from './text-server.js';
 import type {Endpoint, SuspectStore} from './types.js';
 
@@ -31,6 +31,8 @@
 	readonly isOwner: (part: string) => boolean;
 	/** Sends evidence to the linked entries. */
 	readonly spread: (note: Pick<PartNote, 'suspects' | 'cleared'>) => void;
+	/** Runs a function after a delay in milliseconds. */
+	readonly schedule: (run: () => void, delayMs: number) => void;
 	readonly fetchSuspects: (
 		from: Endpoint,
 	) => Promise<readonly PartSuspectEntry[]>;
@@ -49,9 +51,17 @@
 	}
 
 	private readonly _exposures: PartExposures;
+	private readonly _notes: PartNoteQueue;
 	private _fetchedAt = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly _options: PartQuarantineOptions) {
+		const {clock, spread, schedule} = _options;
+		this._notes = PartNoteQueue.create({
+			clock,
+			schedule,
+			rank: part => _options.suspects.entryOf(part, clock())?.ends.length ?? 0,
+			send: spread,
+		});
 		this._exposures = PartExposures.create({
 			..._options,
 			onInterrupted: (call, evidence, now) => {
@@ -120,7 +130,8 @@
 			part,
 			...(request !== undefined && {request}),
 		});
-		this._spreadSuspects(this._entriesOf([part], now));
+		const trials = suspects.entryOf(part, now)?.trials ?? 0;
+		this._notes.addTrial(part, trials, now);
 		this._save([part], now);
 	}
 
@@ -141,12 +152,12 @@
 
 	/** Lifts the quarantine of a part at all entries. Returns whether there was one. */
 	lift(part: string, now: number): boolean {
-		const {suspects, spread} = this._options;
+		const {suspects} = this._options;
 		if (!suspects.lift(part, now)) {
 			return false;
 		}
 
-		spread({suspects: [], cleared: [{part, agoMs: 0}]});
+		this._notes.addCleared([part], now);
 		this._onCleared(part, 'operator');
 		return true;
 	}
@@ -218,13 +229,10 @@
 			start: startId,
 			evidence,
 		});
-		this._spreadSuspects(
-			ends.map(({part, at}) => ({
-				part,
-				ends: [{start: startId, agoMs: Math.round(now - at)}],
-				trials: 0,
-			})),
-		);
+		for (const {part, at} of ends) {
+			this._notes.addEnds(part, startId, at);
+		}
+
 		this._onQuarantined(
 			free.filter(part => !isFree(part)),
 			'calls',
@@ -237,7 +245,7 @@
 		begunAt: number,
 		now: number,
 	): void {
-		const {suspects, spread} = this._options;
+		const {suspects} = this._options;
 		const quarantined = parts.filter(part => suspects.isQuarantined(part, now));
 		const cleared = suspects.noteProgress(parts, begunAt, now);
 		if (cleared.length === 0) {
@@ -250,8 +258,7 @@
 			}
 		}
 
-		const agoMs = Math.round(now - begunAt);
-		spread({suspects: [], cleared: cleared.map(part => ({part, agoMs}))});
+		this._notes.addCleared(cleared, begunAt);
 	}
 
 	/** Takes requests with newly quarantined parts back from servers that have not begun on them. */
@@ -305,16 +312,8 @@
 		parts: readonly string[],
 		now: number,
 	): readonly PartSuspectEntry[] {
-		return this._options.suspects
-			.entries(now)
-			.filter(({part}) => parts.includes(part));
-	}
-
-	private _spreadSuspects(entries: readonly PartSuspectEntry[]): void {
-		for (let i = 0; i < entries.length; i += maxPartsPerNote) {
-			const suspects = entries.slice(i, i + maxPartsPerNote);
-			this._options.spread({suspects, cleared: []});
-		}
+		const {suspects} = this._options;
+		return parts.flatMap(part => suspects.entryOf(part, now) ?? []);
 	}
 }
 
