--- a/packages/core/src/suspects/constants.ts
+++ b/packages/core/src/suspects/constants.ts
@@ -1,6 +1,22 @@
 /** Number of moments at which a part's servers ended until the part is quarantined. */
 export const momentsUntilQuarantine = 3;
 
+/**
+ * Number of starts of servers that quarantine a part before its third moment, if no answer with it has gone on for
+ * `noProgressMs`. A part that is asked for often ends all servers within a moment or two; a third one comes only when
+ * they are back.
+ */
+export const startsUntilQuarantine = 5;
+
+/** Time from the first end in which an answer of a sound part goes on where other servers are left, in milliseconds. */
+export const noProgressMs = 400;
+
+/**
+ * Length of the first quarantine at fewer than three moments, in milliseconds. All servers may have ended for another
+ * reason, and are back soon.
+ */
+export const briefQuarantineMs = 2000;
+
 /** Number of moments from which a request that was already interrupted isn't sent again. */
 export const momentsUntilNoRepeat = 2;
 
@@ -20,10 +36,10 @@
 export const endTtlMs = 10 * 60_000;
 
 /**
- * Time for which a request with several quarantined parts is not used as a trial after all of them are due, in
- * milliseconds. Requests with one of them come first, as they tell which part it is.
+ * Time by which a trial is put off for each further suspect part of the request, in milliseconds. Requests with the
+ * fewest come first: they tell best which part it is, and are the likeliest to clear the sound ones.
  */
-export const jointTrialDelayMs = 4000;
+export const jointTrialDelayMs = 1500;
 
 /** Minimum time to come back that is told to the caller of a quarantined part, in milliseconds. */
 export const minRetryAfterMs = 1000;
--- a/packages/core/src/suspects/part-evidence.ts
+++ b/packages/core/src/suspects/part-evidence.ts
@@ -1,11 +1,14 @@
 import {
 	ageToleranceMs,
+	briefQuarantineMs,
 	endTtlMs,
 	maxEndsPerPart,
 	maxMomentsPerPart,
 	maxQuarantineMs,
 	momentGapMs,
 	momentsUntilQuarantine,
+	noProgressMs,
+	startsUntilQuarantine,
 	trialBaseMs,
 	trialFactor,
 } from './constants.js';
@@ -24,6 +27,7 @@
 
 	/** Sorted by time. */
 	private _ends: readonly End[] = [];
+	private _moments = 0;
 	private _clearedAt = -Infinity;
 	private _trials = 0;
 	private _trialAt = -Infinity;
@@ -45,13 +49,16 @@
 		return first !== undefined && first.at <= this._trialAt ? this._trials : 0;
 	}
 
-	/** When the next trial may start. */
+	/**
+	 * When the next trial may start. A trial of which no end is known tells nothing if it never began, such as at a server
+	 * that was gone; the next one comes earlier then.
+	 */
 	get dueAt(): number {
 		const {trials} = this;
-		return (
-			Math.max(this._lastEndAt, trials > 0 ? this._trialAt : -Infinity) +
-			Math.min(trialBaseMs * trialFactor ** trials, maxQuarantineMs)
-		);
+		const lastEndAt = this._lastEndAt;
+		return trials === 0 || lastEndAt >= this._trialAt - ageToleranceMs
+			? lastEndAt + this._quarantineMs(trials)
+			: this._trialAt + this._quarantineMs(trials - 1);
 	}
 
 	/** Returns whether the end is new evidence. Of several reports of one end, the earliest time holds. */
@@ -68,7 +75,7 @@
 		const ends = this._ends.filter(end => end !== known);
 		ends.push({start, at});
 		ends.sort(compareEnds);
-		this._ends = boundEnds(ends);
+		this._setEnds(boundEnds(ends));
 		return known === undefined;
 	}
 
@@ -76,7 +83,10 @@
 	clear(begunAt: number): boolean {
 		const left = this._ends.filter(({at}) => at >= begunAt);
 		const isCleared = left.length < this._ends.length;
-		this._ends = left;
+		if (isCleared) {
+			this._setEnds(left);
+		}
+
 		this._clearedAt = Math.max(this._clearedAt, begunAt);
 		return isCleared;
 	}
@@ -88,18 +98,18 @@
 
 	/** Number of moments at which servers ended, at most `endTtlMs` before the newest of them. */
 	countMoments(now: number): number {
-		const lastEndAt = this._lastEndAt;
-		return now - lastEndAt > endTtlMs
-			? 0
-			: groupMoments(this._ends.filter(({at}) => lastEndAt - at <= endTtlMs))
-					.length;
+		return now - this._lastEndAt > endTtlMs ? 0 : this._moments;
 	}
 
 	/** A part stays quarantined with its trials, although its early ends are forgotten. */
 	isQuarantined(now: number): boolean {
 		const moments = this.countMoments(now);
 		return (
-			moments >= momentsUntilQuarantine || (moments > 0 && this.trials > 0)
+			moments >= momentsUntilQuarantine ||
+			(moments > 0 &&
+				(this.trials > 0 ||
+					(this._ends.length >= startsUntilQuarantine &&
+						now - this._ends[0]!.at >= noProgressMs)))
 		);
 	}
 
@@ -148,6 +158,19 @@
 	private get _lastEndAt(): number {
 		return this._ends.at(-1)?.at ?? -Infinity;
 	}
+
+	private _setEnds(ends: readonly End[]): void {
+		this._ends = ends;
+		this._moments = groupMoments(
+			ends.filter(({at}) => this._lastEndAt - at <= endTtlMs),
+		).length;
+	}
+
+	private _quarantineMs(trials: number): number {
+		return trials === 0 && this._moments < momentsUntilQuarantine
+			? briefQuarantineMs
+			: Math.min(trialBaseMs * trialFactor ** trials, maxQuarantineMs);
+	}
 }
 
 function compareEnds(a: End, b: End): number {
--- a/packages/core/src/suspects/part-suspects.ts
+++ b/packages/core/src/suspects/part-suspects.ts
@@ -93,38 +93,36 @@
 			return {kind: 'allowed'};
 		}
 
-		const suspects: Array<{part: string; evidence: PartEvidence}> = [];
-		let isTrialAllowed = true;
+		const refused: Array<{part: string; evidence: PartEvidence}> = [];
+		let suspectCount = 0;
 		for (const part of usedParts(parts)) {
 			const evidence = this._evidence.get(part);
 			if (evidence === undefined) {
 				continue;
 			}
 
+			const moments = evidence.countMoments(now);
+			suspectCount += moments > 0 ? 1 : 0;
 			if (evidence.isQuarantined(now)) {
-				suspects.push({part, evidence});
-			} else if (
-				isRepeat &&
-				evidence.countMoments(now) >= momentsUntilNoRepeat
-			) {
-				suspects.push({part, evidence});
-				isTrialAllowed = false;
+				refused.push({part, evidence});
+			} else if (isRepeat && moments >= momentsUntilNoRepeat) {
+				refused.push({part, evidence});
 			}
 		}
 
-		const [first] = suspects;
+		const [first] = refused;
 		if (first === undefined) {
 			return {kind: 'allowed'};
 		}
 
-		const dueAt = Math.max(...suspects.map(({evidence}) => evidence.dueAt));
-		const trialAt = dueAt + (suspects.length > 1 ? jointTrialDelayMs : 0);
-		if (isTrialAllowed && !isRepeat && now >= trialAt && isOwner(first.part)) {
-			first.evidence.trialPartners = suspects.slice(1).map(({part}) => part);
+		const dueAt = Math.max(...refused.map(({evidence}) => evidence.dueAt));
+		const trialAt = dueAt + (suspectCount - 1) * jointTrialDelayMs;
+		if (!isRepeat && now >= trialAt && isOwner(first.part)) {
+			first.evidence.trialPartners = refused.slice(1).map(({part}) => part);
 			return {kind: 'trial', part: first.part};
 		}
 
-		const last = suspects.find(({evidence}) => evidence.dueAt === dueAt)!;
+		const last = refused.find(({evidence}) => evidence.dueAt === dueAt)!;
 		return {
 			kind: 'quarantined',
 			part: last.part,
