Take only answers that have begun as evidence on parts of prompts

What callers would see: sound requests refused as quarantined after herds of kills, without any part to blame. Cause: what waits or prefills at a server when it ends counted against all its parts, and herds end many servers with the same first parts. A part crashes a server that begins to write, so its status line has arrived. Fix: interruptions count once the status line has arrived, dated by that. Not covered: a server that crashes before it writes a status line; whole requests are still quarantined then.

--- a/packages/daemon/src/direct/part-exposures.ts
+++ b/packages/daemon/src/direct/part-exposures.ts
@@ -39,9 +39,11 @@
 	readonly hasEnded: (start: ServerStart) => boolean;
 	/** Whether nothing is heard of a server. */
 	readonly isSilent: (server: string, now: number) => boolean;
+	/** @param begunAt time at which the answer began */
 	readonly onInterrupted: (
 		call: ExposedCall,
 		evidence: InterruptionEvidence,
+		begunAt: number,
 		now: number,
 	) => void;
 	/** @param begunAt time at which the answer began */
@@ -58,7 +60,10 @@
 	isInterrupted: boolean;
 };
 
-/** Requests with shared parts whose answers have not gone on yet. Tells which of them the end of their server interrupted. */
+/**
+ * Requests with shared parts whose answers have not gone on yet. Tells which of them the end of their server interrupted. A
+ * request of which no answer has begun is no evidence: a server that ends has many of these, whatever ended it.
+ */
 export class PartExposures {
 	static create(options: PartExposuresOptions): PartExposures {
 		return new PartExposures(options);
@@ -142,11 +147,11 @@
 
 	/** An answer that began and stayed silent until it was given up counts as interrupted at once. */
 	private _leave(exposure: Exposure, now: number): void {
-		if (exposure.isInterrupted) {
+		const {headAt, isInterrupted} = exposure;
+		if (isInterrupted || headAt === undefined) {
 			return;
 		}
 
-		const {headAt = now} = exposure;
 		if (now - headAt >= silenceTimeoutMs) {
 			this._interrupt(exposure, 'left', now);
 			return;
@@ -167,9 +172,10 @@
 		evidence: InterruptionEvidence,
 		now: number,
 	): void {
-		if (!exposure.isInterrupted) {
+		const {call, headAt, isInterrupted} = exposure;
+		if (!isInterrupted && headAt !== undefined) {
 			exposure.isInterrupted = true;
-			this._options.onInterrupted(exposure.call, evidence, now);
+			this._options.onInterrupted(call, evidence, headAt, now);
 		}
 	}
 }
--- a/packages/daemon/src/direct/part-quarantine.ts
+++ b/packages/daemon/src/direct/part-quarantine.ts
@@ -64,8 +64,8 @@
 		});
 		this._exposures = PartExposures.create({
 			..._options,
-			onInterrupted: (call, evidence, now) => {
-				this._onInterrupted(call, evidence, now);
+			onInterrupted: (call, evidence, begunAt, now) => {
+				this._onInterrupted(call, evidence, begunAt, now);
 			},
 			onProgress: (call, begunAt, now) => {
 				this._onProgress(call, begunAt, now);
@@ -211,13 +211,14 @@
 	private _onInterrupted(
 		{parts, start}: ExposedCall,
 		evidence: InterruptionEvidence,
+		begunAt: number,
 		now: number,
 	): void {
 		const {suspects, log} = this._options;
 		const isFree = (part: string) => !suspects.isQuarantined(part, now);
 		const free = parts.filter(part => isFree(part));
 		const startId = `${start.server}@${start.born}`;
-		const ends = suspects.noteEnds(parts, startId, now, now);
+		const ends = suspects.noteEnds(parts, startId, begunAt, now);
 		if (ends.length === 0) {
 			return;
 		}
