Send no request whose caller left while its entry did not run

What callers saw: nothing, as they had left; but their requests reached servers and took their places.

Cause: a stalled process finds requests and the closes that follow them in the buffers of its connections. It reads the requests first, in one turn of the event loop, and sends them at once; it reads the closes a turn later. The deadline doesn't help, as it counts from when the request is read.

Why it works: StallMonitor tells for a second after a stall of 0.4 s or more that requests may be read late. Such a request is sent only after three more turns of the event loop, and not if its connection has been closed by then. Without a stall nothing is delayed.

--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -49,6 +49,8 @@
 	readonly onServerChanged: () => void;
 	/** Called when a server was left, since what it sends does not end. */
 	readonly onEndlessResponse: (server: string, err: Error) => void;
+	/** Whether a request that is read now may have been sent during a stall of this process, long before. */
+	readonly isCatchingUp: () => boolean;
 	/** Random number in [0, 1). */
 	readonly random: () => number;
 	/** Progress of the shutdown; undefined while the entry is not stopping. */
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -319,6 +319,7 @@
 			onEndlessResponse: (server, err) => {
 				this._onEndlessResponse(server, err);
 			},
+			isCatchingUp: () => this._stallMonitor.isCatchingUp(clock()),
 			random: this._options.random,
 			shutdown: () => this._shutdown.progress,
 		};
--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -6,6 +6,7 @@
 	type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import type {CallerLimits} from '@balsamtray/core';
 import type {CallContext} from './call-context.js';
 import {ProxiedCall} from './proxied-call.js';
@@ -18,6 +19,9 @@
 /** Interval between checks for requests that exceed the receive timeouts, in milliseconds. */
 const timeoutCheckMs = 500;
 
+/** Turns of the event loop in which the close of a connection is read that followed a request. */
+const turnsUntilClose = 3;
+
 /** Limits used until the first configuration arrives. */
 const initialLimits: CallerLimits = {
 	maxHeaderBytes: 16 * 1024,
@@ -164,8 +168,11 @@
 			return;
 		}
 
+		const isLate = this._context.isCatchingUp();
 		const body = await readBody(req, this._limits.maxBodyBytes);
-		if (body === 'tooLarge') {
+		if (isLate && (await hasCallerLeft(socket))) {
+			socket.destroy();
+		} else if (body === 'tooLarge') {
 			call.refuse({status: 413, reason: 'bodyTooLarge', isNotRun: true});
 		} else if (body !== undefined) {
 			await call.run(body);
@@ -196,6 +203,17 @@
 	);
 }
 
+/** Whether a caller has closed its connection, by what can be read by now. */
+async function hasCallerLeft(socket: Socket): Promise<boolean> {
+	for (let i = 0; i < turnsUntilClose && !socket.readableEnded; i++) {
+		// Each turn reads what has arrived since the one before.
+		// eslint-disable-next-line no-await-in-loop
+		await nextTurn();
+	}
+
+	return socket.readableEnded || socket.destroyed;
+}
+
 /** Reads the complete body. Resolves with undefined if the caller disconnects first. */
 async function readBody(
 	req: IncomingMessage,
