A server that tells no start returns though nobody saw it drain

What callers saw: less capacity, for good. A server that does not tell its start and said in a response that it is leaving came back into use only if the list had shown it draining or removed. One that drained and returned between two reads of the list was never used again by that entry.

Cause: only the state in the list counted as evidence of its exit.

Evidence: 'that does not tell its start is chosen again once its row shows another start' failed before (1 of 49 tests), passes after.

Why it works: a row with another address or software version is of another start. So is one that says that the server is cold again, from 4 s after it last said that it leaves: it serves for 2 s more, and a row from before may be written late (tested). A server whose row shows none of these stays out of use, as before: that the rule DRAIN holds comes first. noteLeaving also takes the start that a message is about and ignores one on an earlier start.

--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -135,3 +135,9 @@
 
 /** Interval between two requests of one entry during that time, in milliseconds. */
 export const resumptionIntervalMs = 100;
+
+/**
+ * Time from when a server last said that it is leaving until a row that says that it is cold counts as a new start, in
+ * milliseconds: it serves for 2 s more, and rows from before may be written late.
+ */
+export const minReturnMs = 4000;
--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -4,6 +4,7 @@
 import type {ServiceSpec} from '../authority/types.js';
 import {
 	minOutageMs,
+	minReturnMs,
 	replicaDelayMs,
 	maxLoadTargetDelayMs,
 	initialPrefillTokensPerMs,
@@ -627,6 +628,7 @@
 			id: string,
 			rowVersion: number,
 			changes: Partial<ServerRecord> | undefined,
+			now = 0,
 		) => {
 			fleet.apply(
 				[
@@ -636,7 +638,7 @@
 						record: changes && record(id, {...held, ...changes}),
 					},
 				],
-				0,
+				now,
 			);
 		};
 
@@ -645,7 +647,7 @@
 			apply('s1', 1, {born: 5});
 			apply('s2', 1, {zone: 'z2'});
 			assert.equal(chosen(), 's1');
-			fleet.server('s1')!.noteLeaving();
+			fleet.server('s1')!.noteLeaving(0);
 			assert.equal(chosen(), 's2');
 			apply('s1', 2, {born: 5});
 			fleet.noteReport('s1', report({a: 1}, {born: 5}), 0);
@@ -661,20 +663,59 @@
 
 		it('is chosen again once it has started anew', () => {
 			apply('s1', 1, {born: 5});
-			fleet.server('s1')!.noteLeaving();
+			fleet.server('s1')!.noteLeaving(0);
 			apply('s1', 2, {born: 6});
 			assert.equal(chosen(), 's1');
 		});
 
 		it('that does not tell its start is chosen again only after the list has said that it leaves', () => {
 			apply('s1', 1, {});
-			fleet.server('s1')!.noteLeaving();
+			fleet.server('s1')!.noteLeaving(0);
 			apply('s1', 2, {});
 			assert.equal(chosen(), 'noServer');
 			apply('s1', 3, {isDraining: true});
 			apply('s1', 4, {});
 			assert.equal(chosen(), 's1');
 		});
+
+		// Guards against a server that stays out of use for good, as it drained and returned between two reads of the list.
+		it('that does not tell its start is chosen again once its row shows another start', () => {
+			for (const changes of [
+				{coldLeftMs: 5000},
+				{address: '10.0.0.9:1'},
+				{softwareVersion: 'v2'},
+			]) {
+				fleet = createFleet();
+				apply('s1', 1, {});
+				fleet.server('s1')!.noteLeaving(0);
+				apply('s1', 2, {models: [{name: 'm', adapters: {a: 1, b: 1}}]});
+				assert.equal(chosen(), 'noServer');
+				apply('s1', 3, changes, minReturnMs);
+				assert.equal(chosen({}, minReturnMs), 's1', JSON.stringify(changes));
+			}
+		});
+
+		// Guards against a row from the cold time before the leaving, carried out late, that puts the server back in use (DRAIN).
+		it('that does not tell its start is not chosen by a row that is written late', () => {
+			apply('s1', 1, {});
+			fleet.server('s1')!.noteLeaving(0);
+			apply('s1', 2, {coldLeftMs: 5000}, minReturnMs - 1);
+			assert.equal(chosen({}, minReturnMs - 1), 'noServer');
+		});
+
+		// Guards against a message on a leaving that arrives after the server has started anew.
+		it('stays in use if it has started since by what is known', () => {
+			apply('s1', 1, {born: 6});
+			const server = fleet.server('s1')!;
+			assert.equal(server.noteLeaving(0, 5), false);
+			assert.equal(chosen(), 's1');
+			assert.equal(server.noteLeaving(0, 7), true);
+			assert.equal(server.noteLeaving(0, 7), false);
+			apply('s1', 2, {born: 7});
+			assert.equal(chosen(), 'noServer');
+			apply('s1', 3, {born: 8});
+			assert.equal(chosen(), 's1');
+		});
 	});
 
 	describe('a server that turns requests away for a time', () => {
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -3,6 +3,7 @@
 	initialPrefillTokensPerMs,
 	maxReportedPrefills,
 	maxServerSuspensionMs,
+	minReturnMs,
 	reportLifetimeMs,
 	resumptionIntervalMs,
 	resumptionRampMs,
@@ -45,6 +46,8 @@
 	private _suspectedAt = Number.NEGATIVE_INFINITY;
 	/** Start time of the server when it said that it is leaving; 0 if unknown, undefined if it did not say so. */
 	private _leavingBorn: number | undefined;
+	/** Time at which it last said so. */
+	private _leavingSaidAt = Number.NEGATIVE_INFINITY;
 	/** Whether the list has confirmed the leaving: the server was listed as draining, or removed. */
 	private _hasListedLeaving = false;
 	private _suspendedUntil = Number.NEGATIVE_INFINITY;
@@ -89,7 +92,7 @@
 			this._coldStarts++;
 		}
 
-		this._noteListed(record);
+		this._noteListed(record, now);
 		this._record = record;
 		this._refused.clear();
 		this.vanishedAt = undefined;
@@ -112,7 +115,7 @@
 		this._report = report;
 		this._reportedAt = now;
 		if (report.isLeaving === true) {
-			this.noteLeaving();
+			this.noteLeaving(now);
 		}
 
 		this._unreportedDebt = 0;
@@ -256,9 +259,29 @@
 		return this._leavingBorn !== undefined;
 	}
 
-	/** Notes that the server says in a response that it is leaving. Rows that are older than that may still arrive. */
-	noteLeaving(): void {
-		this._leavingBorn ??= this._born;
+	/**
+	 * Notes that the server says in a response that it is leaving. Rows that are older than that may still arrive.
+	 *
+	 * @param born start time of the server that said so, 0 if unknown; an earlier start than the known one is ignored
+	 * @returns whether this is news
+	 */
+	noteLeaving(now: number, born: number = this._born): boolean {
+		if (born < this._born) {
+			return false;
+		}
+
+		this._leavingSaidAt = now;
+		const isNews = this._leavingBorn === undefined || this._leavingBorn < born;
+		if (isNews) {
+			this._leavingBorn = born;
+		}
+
+		return isNews;
+	}
+
+	/** Newest known start time of the server, in milliseconds since the epoch; 0 if it does not say. */
+	get born(): number {
+		return this._born;
 	}
 
 	/**
@@ -370,9 +393,9 @@
 
 	/**
 	 * Ends the leaving if the record is of a newer start. Of a server that does not tell its start, the list must have
-	 * said that it leaves.
+	 * said that it leaves, or the record must show another start: the server may have left and returned between two reads.
 	 */
-	private _noteListed(record: ServerRecord): void {
+	private _noteListed(record: ServerRecord, now: number): void {
 		this._noteBorn(record.born ?? 0);
 		this._hasListedLeaving =
 			this.isLeaving &&
@@ -380,15 +403,29 @@
 				record.isDraining ||
 				this.vanishedAt !== undefined);
 		if (
-			this._hasListedLeaving &&
 			this._leavingBorn === 0 &&
-			!record.isDraining
+			!record.isDraining &&
+			(this._hasListedLeaving || this._isOfOtherStart(record, now))
 		) {
 			this._hasListedLeaving = false;
 			this._leavingBorn = undefined;
 		}
 	}
 
+	/**
+	 * Whether the record differs from the known one in something that changes only at a start of the server. It is cold after
+	 * a start, but rows from before its leaving may say so too while they can still arrive.
+	 */
+	private _isOfOtherStart(record: ServerRecord, now: number): boolean {
+		const {address, softwareVersion, coldLeftMs} = this._record;
+		return (
+			record.address !== address ||
+			record.softwareVersion !== softwareVersion ||
+			(record.coldLeftMs > coldLeftMs &&
+				now - this._leavingSaidAt >= minReturnMs)
+		);
+	}
+
 	private _noteBorn(born: number): void {
 		if (this._leavingBorn !== undefined && born > this._leavingBorn) {
 			this._leavingBorn = this._leavingBorn === 0 ? born : undefined;
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -810,7 +810,7 @@
 		const {fleet, log, metrics, clock, random, onServerChanged} = this._context;
 		const state = fleet.server(server);
 		if (isLeaving && state?.isLeaving === false) {
-			state.noteLeaving();
+			state.noteLeaving(clock());
 			onServerChanged();
 		}
 
