Tell other entries of a server that says that it is leaving

What callers saw: an entry went on to send requests to a server that had told another entry that it leaves, until its row said so or it told this entry too. Agents tell of their engines; a plain service has no agent.

Evidence: 'gets no requests from the other entry either, until the list says that it is back' failed before: a request of the other entry reached the server.

Why it works: an entry that learns from a response that a server is leaving tells the entries that it is linked with, and each for which this is news passes it on, so an entry sends at most one message to each link for a leaving. The message names the start of the server; one on an earlier start than the known one is ignored, so a late message does not take a restarted server out of use.

Mutations for this and for requests read after a stall.

--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -45,8 +45,8 @@
 	readonly retryAllowance: (service: string) => RetryAllowance;
 	/** Maximum number of connections from this entry to one server of the service. */
 	readonly maxConnections: (service: string) => number;
-	/** Called when a response changed what is known of a server. */
-	readonly onServerChanged: () => void;
+	/** Called when a response says that its server is leaving, which is news. */
+	readonly onServerLeaving: (server: string) => void;
 	/** Called when a server was left, since what it sends does not end. */
 	readonly onEndlessResponse: (server: string, err: Error) => void;
 	/** Whether a request that is read now may have been sent during a stall of this process, long before. */
--- a/packages/daemon/src/direct/entry-fleet.testing.ts
+++ b/packages/daemon/src/direct/entry-fleet.testing.ts
@@ -256,6 +256,7 @@
 		}
 
 		case 'quotaReturn':
+		case 'leaving':
 		case 'streamNote':
 		case 'streamAsk':
 		case 'streamAnswer':
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -299,14 +299,18 @@
 			}
 		}
 
+		this.sendToLinks(message);
+		return true;
+	}
+
+	/** Sends a message to the linked entries. */
+	sendToLinks(message: GossipMessage): void {
 		const now = this._options.clock();
 		for (const peer of this._peers.values()) {
 			if (isInTouch(peer, now)) {
 				this._options.send(message, peer.endpoint);
 			}
 		}
-
-		return true;
 	}
 
 	/** Other entries that may keep the origin of a stream, in order. */
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -313,8 +313,8 @@
 			proofAgeMs: () => this._freshness.proofAgeMs(),
 			retryAllowance: service => this._retryAllowanceOf(service),
 			maxConnections: service => this._maxConnectionsTo(service),
-			onServerChanged: () => {
-				this._serverLog.update(this._fleet.servers());
+			onServerLeaving: server => {
+				this._onServerLeaving(server);
 			},
 			onEndlessResponse: (server, err) => {
 				this._onEndlessResponse(server, err);
@@ -325,6 +325,13 @@
 		};
 	}
 
+	/** Logs that a server says that it is leaving, and tells the linked entries, which may not get its responses. */
+	private _onServerLeaving(server: string): void {
+		this._serverLog.update(this._fleet.servers());
+		const born = this._fleet.server(server)?.born ?? 0;
+		this._peers.sendToLinks({type: 'leaving', server, born});
+	}
+
 	/** Lets requests prefer other servers for a while. */
 	private _onEndlessResponse(server: string, err: Error): void {
 		this._fleet.server(server)?.markSuspected(clock());
@@ -840,6 +847,15 @@
 				break;
 			}
 
+			case 'leaving': {
+				const {server, born} = message;
+				if (this._fleet.server(server)?.noteLeaving(clock(), born) === true) {
+					this._onServerLeaving(server);
+				}
+
+				break;
+			}
+
 			case 'report': {
 				this._onReport(message);
 				break;
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -65,7 +65,7 @@
 	  }
 	/** The host may have been suspended, so the monotonic clock may have stopped. */
 	| {readonly event: 'suspended'; readonly epoch: number}
-	/** A server joined, changed state or left. In state `leaving`, only its own responses have said that it leaves. */
+	/** A server joined, changed state or left. In state `leaving`, only its responses to this entry or another one have said that it leaves. */
 	| {
 			readonly event: 'serverChanged';
 			readonly server: string;
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -807,11 +807,11 @@
 		server: string,
 		{isLeaving, suspension}: ResponseMetadata,
 	): void {
-		const {fleet, log, metrics, clock, random, onServerChanged} = this._context;
+		const {fleet, log, metrics, clock, random, onServerLeaving} = this._context;
 		const state = fleet.server(server);
 		if (isLeaving && state?.isLeaving === false) {
 			state.noteLeaving(clock());
-			onServerChanged();
+			onServerLeaving(server);
 		}
 
 		if (suspension === undefined) {
--- a/packages/protocol/src/gossip/messages.ts
+++ b/packages/protocol/src/gossip/messages.ts
@@ -134,6 +134,17 @@
 	readonly reportId?: string;
 };
 
+/**
+ * Reports a server that says in a response that it is leaving. Entries for which this is news pass it on to the entries
+ * that they are linked with.
+ */
+export type LeavingMessage = {
+	readonly type: 'leaving';
+	readonly server: string;
+	/** Start time of the server, in milliseconds since the epoch; 0 if it does not say. */
+	readonly born: number;
+};
+
 /** Origins of streams, sent to entries that keep them as well. */
 export type StreamNote = {
 	readonly type: 'streamNote';
@@ -166,6 +177,7 @@
 	| QuotaReply
 	| QuotaReturn
 	| SuspectMessage
+	| LeavingMessage
 	| DemandMessage
 	| PrefillQuery
 	| PrefillReply
@@ -181,6 +193,7 @@
 	'quotaAnswer',
 	'quotaReturn',
 	'suspect',
+	'leaving',
 	'demand',
 	'turnAsk',
 	'turnAnswer',
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -465,6 +465,22 @@
 		to: 'const declared = [...known, {version, since: Math.max(0, since)}];',
 		test: 'packages/core/dist/authority/authority-view.test.js',
 	},
+	{
+		rule: 'DRAIN',
+		what: 'entries do not tell each other of a server that says that it is leaving',
+		file: `${direct}/entry-runtime.ts`,
+		from: "this._peers.sendToLinks({type: 'leaving', server, born});",
+		to: '',
+		test: path,
+	},
+	{
+		rule: 'GONE',
+		what: 'a request is sent at once though its caller may have left during a stall',
+		file: `${direct}/ingress.ts`,
+		from: 'if (isLate && (await hasCallerLeft(socket))) {',
+		to: 'if (isLate && socket.destroyed) {',
+		test: 'platform/dist/late-requests.test.js',
+	},
 	{
 		rule: 'VERSION',
 		what: 'a request is sent without a look at the version that it has to expect',
