--- a/packages/daemon/src/direct/entry-fleet.testing.ts
+++ b/packages/daemon/src/direct/entry-fleet.testing.ts
@@ -259,6 +259,7 @@
 		}
 
 		case 'quotaReturn':
+		case 'leaving':
 		case 'streamNote':
 		case 'streamAsk':
 		case 'streamAnswer':
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -859,11 +859,11 @@
 		server: string,
 		{isLeaving, suspension}: ResponseMetadata,
 	): void {
-		const {fleet, log, metrics, clock, random, onServerChanged} = this._context;
+		const {fleet, log, metrics, clock, random, onServerLeaving} = this._context;
 		const state = fleet.server(server);
 		if (isLeaving && state?.isLeaving === false) {
-			state.noteLeaving();
-			onServerChanged();
+			state.noteLeaving(clock());
+			onServerLeaving(server);
 		}
 
 		if (suspension === undefined) {
--- a/packages/protocol/src/gossip/messages.ts
+++ b/packages/protocol/src/gossip/messages.ts
@@ -153,6 +153,17 @@
 	}>;
 };
 
+/**
+ * Reports a server that says in a response that it is leaving. Entries for which this is news pass it on to the entries
+ * that they are linked with.
+ */
+export type LeavingMessage = {
+	readonly type: 'leaving';
+	readonly server: string;
+	/** Start time of the server, in milliseconds since the epoch; 0 if it does not say. */
+	readonly born: number;
+};
+
 /** Origins of streams, sent to entries that keep them as well. */
 export type StreamNote = {
 	readonly type: 'streamNote';
@@ -186,6 +197,7 @@
 	| QuotaReturn
 	| SuspectMessage
 	| PartNote
+	| LeavingMessage
 	| DemandMessage
 	| PrefillQuery
 	| PrefillReply
@@ -202,6 +214,7 @@
 	'quotaReturn',
 	'suspect',
 	'partNote',
+	'leaving',
 	'demand',
 	'turnAsk',
 	'turnAnswer',
