Mutations of rule BUDGET for the parts of prompts; bounds on merged evidence

What another entry sends is bounded as what this one notes: starts of at most 128 characters, 32 ends a part. Ends count together only within ten minutes for the rule of five starts too. Of 40 mutations of the class, four passed the unit tests (a moment that lasts from its last end, a repeat as a trial, quarantine kept by its trials, unbounded answers); a test each now, all fail.

--- a/packages/core/src/suspects/part-evidence.ts
+++ b/packages/core/src/suspects/part-evidence.ts
@@ -4,6 +4,7 @@
 	endTtlMs,
 	maxEndsPerPart,
 	maxMomentsPerPart,
+	maxPartLength,
 	maxQuarantineMs,
 	momentGapMs,
 	momentsUntilQuarantine,
@@ -27,6 +28,8 @@
 
 	/** Sorted by time. */
 	private _ends: readonly End[] = [];
+	/** The ends at most `endTtlMs` before the last one, and the number of their moments. */
+	private _recent: readonly End[] = [];
 	private _moments = 0;
 	private _clearedAt = -Infinity;
 	private _trials = 0;
@@ -108,8 +111,8 @@
 			moments >= momentsUntilQuarantine ||
 			(moments > 0 &&
 				(this.trials > 0 ||
-					(this._ends.length >= startsUntilQuarantine &&
-						now - this._ends[0]!.at >= noProgressMs)))
+					(this._recent.length >= startsUntilQuarantine &&
+						now - this._recent[0]!.at >= noProgressMs)))
 		);
 	}
 
@@ -139,9 +142,9 @@
 			this.clear(clearedAt);
 		}
 
-		for (const {start, agoMs} of entry.ends) {
+		for (const {start, agoMs} of entry.ends.slice(0, maxEndsPerPart)) {
 			const at = now - Math.max(0, agoMs);
-			if (now - at <= 2 * endTtlMs) {
+			if (now - at <= 2 * endTtlMs && start.length <= maxPartLength) {
 				this.noteEnd(start, at);
 			}
 		}
@@ -160,10 +163,10 @@
 	}
 
 	private _setEnds(ends: readonly End[]): void {
+		const lastEndAt = ends.at(-1)?.at ?? -Infinity;
 		this._ends = ends;
-		this._moments = groupMoments(
-			ends.filter(({at}) => this._lastEndAt - at <= endTtlMs),
-		).length;
+		this._recent = ends.filter(({at}) => lastEndAt - at <= endTtlMs);
+		this._moments = groupMoments(this._recent).length;
 	}
 
 	private _quarantineMs(trials: number): number {
--- a/packages/core/src/suspects/part-suspects.test.ts
+++ b/packages/core/src/suspects/part-suspects.test.ts
@@ -115,11 +115,15 @@
 		// Guards against moments that grow without end under steady ends, so that they never become three.
 		it('begins another moment by the first end of the one before', () => {
 			const suspects = PartSuspects.create();
-			for (let i = 0; i < 6; i++) {
+			for (let i = 0; i < startsUntilQuarantine - 1; i++) {
 				suspects.noteEnds([part], `s${i}@1`, t0 + i * 200, t0 + i * 200);
 			}
 
-			assert.equal(check(suspects, t0 + 1000).kind, 'quarantined');
+			const isRepeat = true;
+			assert.equal(
+				check(suspects, t0 + 600, [part], {isRepeat}).kind,
+				'quarantined',
+			);
 		});
 
 		// Guards against a sound part that is quarantined as three entries learn of one end at different times.
@@ -225,6 +229,16 @@
 	});
 
 	describe('trials', () => {
+		// Guards against a trial with a request that was already at a server that ended.
+		it('are not repeats', () => {
+			const suspects = createQuarantined();
+			const due = t0 + trialBaseMs;
+			assert.equal(
+				check(suspects, due, [part], {isRepeat: true}).kind,
+				'quarantined',
+			);
+		});
+
 		// Guards against a quarantine that each entry tries on its own.
 		it('start only at the owner, once due', () => {
 			const suspects = createQuarantined();
@@ -392,6 +406,27 @@
 				a.entries(now)[0]!.ends.map(({agoMs}) => now - agoMs),
 				[t0, t0 + 1000, now],
 			);
+			const [s1, s2] = b.entries(now)[0]!.ends;
+			assert.ok(Math.abs(now - s1!.agoMs - t0) < 2 * 3000);
+			assert.ok(now - s2!.agoMs < t0 + 3000);
+		});
+
+		// Guards against a sound part whose next trial is put off by each message.
+		it('does not make trials newer', () => {
+			const a = createQuarantined();
+			const b = PartSuspects.create();
+			let now = t0 + trialBaseMs;
+			a.startTrial(part, now);
+			for (let i = 0; i < 1000; i++) {
+				b.merge(a.entries(now), now + ageMs);
+				now += ageMs;
+				a.merge(b.entries(now), now + ageMs);
+				now += ageMs;
+			}
+
+			const {trials, trialAgoMs} = a.entries(now)[0]!;
+			assert.equal(trials, 1);
+			assert.equal(now - trialAgoMs!, t0 + trialBaseMs);
 		});
 
 		// Guards against clearances that get newer with each message and so void every new end.
@@ -469,6 +504,18 @@
 	});
 
 	describe('bounds', () => {
+		// Guards against memory that grows with the parts that were ever answered.
+		it('forget the least recent answers', () => {
+			const suspects = PartSuspects.create();
+			suspects.noteProgress([part, 'chat/kept'], t0, t0);
+			for (let i = 0; i < maxTrackedParts - 1; i++) {
+				suspects.noteProgress([`chat/${i}`], t0, t0);
+			}
+
+			const ends = suspects.noteEnds([part, 'chat/kept'], 's@1', t0 - 1, t0);
+			assert.deepEqual(ends, [{part, start: 's@1', at: t0 - 1}]);
+		});
+
 		// Guards against an attacker who pushes a quarantined part out by many parts that are seen once.
 		it('keep parts with several moments', () => {
 			const suspects = createQuarantined();
@@ -498,6 +545,11 @@
 			assert.equal(ends.length, maxPartsPerRequest - 1);
 			assert.deepEqual(suspects.noteEnds([part], long, t0, t0), []);
 			suspects.merge([{part: long, ends: [], trials: 0}], t0);
+			suspects.merge(
+				[{part: 'chat/0', ends: [{start: long, agoMs: 0}], trials: 0}],
+				t0,
+			);
+			assert.equal(suspects.entries(t0)[0]!.ends.length, 1);
 			assert.equal(suspects.entries(t0).length, maxPartsPerRequest - 1);
 		});
 	});
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -13,6 +13,7 @@
 const versionSchedules =
 	'packages/daemon/dist/direct/adapter-version-schedules.test.js';
 const planner = 'packages/core/dist/orders/order-planner.test.js';
+const suspectParts = 'packages/core/dist/suspects/part-suspects.test.js';
 const streamDirectory = 'packages/daemon/dist/direct/stream-directory.test.js';
 const streamVersions = 'platform/dist/stream-versions.test.js';
 
@@ -505,4 +506,92 @@
 		to: 'return report.models.length > 0',
 		test: planner,
 	},
+	{
+		rule: 'BUDGET',
+		what: 'a part under which servers ended at three moments is sent on',
+		file: `${core}/suspects/part-evidence.ts`,
+		from: 'moments >= momentsUntilQuarantine ||',
+		to: 'moments === Infinity ||',
+		test: suspectParts,
+	},
+	{
+		rule: 'BUDGET',
+		what: 'a part that ends all servers within a moment waits for a third one',
+		file: `${core}/suspects/part-evidence.ts`,
+		from: 'this._recent.length >= startsUntilQuarantine',
+		to: 'this._recent.length === Infinity',
+		test: suspectParts,
+	},
+	{
+		rule: 'BUDGET',
+		what: 'ends of one moment each count',
+		file: `${core}/suspects/part-evidence.ts`,
+		from: 'end.at - moment[0]!.at <= momentGapMs',
+		to: 'end.at < moment[0]!.at',
+		test: suspectParts,
+	},
+	{
+		rule: 'BUDGET',
+		what: 'ends of one start each count',
+		file: `${core}/suspects/part-evidence.ts`,
+		from: 'end => end.start === start',
+		to: '() => false',
+		test: suspectParts,
+	},
+	{
+		rule: 'BUDGET',
+		what: 'an answer that goes on does not clear its parts',
+		file: `${core}/suspects/part-evidence.ts`,
+		from: 'this._setEnds(left);',
+		to: '',
+		test: suspectParts,
+	},
+	{
+		rule: 'BUDGET',
+		what: 'older answers clear newer ends',
+		file: `${core}/suspects/part-evidence.ts`,
+		from: '({at}) => at >= begunAt',
+		to: '() => false',
+		test: suspectParts,
+	},
+	{
+		rule: 'BUDGET',
+		what: 'trials are not further apart each',
+		file: `${core}/suspects/part-evidence.ts`,
+		from: 'this._trials = this.trials + 1;',
+		to: 'this._trials = this.trials;',
+		test: suspectParts,
+	},
+	{
+		rule: 'BUDGET',
+		what: 'each entry starts trials of a part',
+		file: `${core}/suspects/part-suspects.ts`,
+		from: 'isOwner(first.part)',
+		to: '(isOwner(first.part) || now > 0)',
+		test: suspectParts,
+	},
+	{
+		rule: 'BUDGET',
+		what: 'a repeat of a request is sent on after two moments',
+		file: `${core}/suspects/part-suspects.ts`,
+		from: 'isRepeat && moments >= momentsUntilNoRepeat',
+		to: 'isRepeat && moments > momentsUntilNoRepeat',
+		test: suspectParts,
+	},
+	{
+		rule: 'BUDGET',
+		what: 'an entry that starts ignores the trials of others',
+		file: `${core}/suspects/part-evidence.ts`,
+		from: 'this._trials = Math.max(this.trials, entry.trials);',
+		to: '',
+		test: suspectParts,
+	},
+	{
+		rule: 'BUDGET',
+		what: 'many parts seen once push out a quarantined one',
+		file: `${core}/suspects/part-suspects.ts`,
+		from: ': a.rank - b.rank',
+		to: ': a.changedAt - b.changedAt',
+		test: suspectParts,
+	},
 ];
