--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -10,6 +10,7 @@
 import type {EntryPeers} from './entry-peers.js';
 import type {EventLog} from './event-log.js';
 import type {KeyCounts} from './key-counts.js';
+import type {PartQuarantine} from './part-quarantine.js';
 import type {StreamDirectory} from './stream-directory.js';
 import type {CallCodec} from './types.js';
 import type {SentCalls} from './sent-calls.js';
@@ -27,6 +28,8 @@
 	readonly agentClient: AgentClient;
 	/** Requests that were running on a server when its connection broke, and may have crashed it. */
 	readonly suspects: SuspectRegistry;
+	/** Parts of prompts under which servers ended. */
+	readonly partQuarantine: PartQuarantine;
 	readonly upstream: Upstream;
 	readonly waitQueue: WaitQueue;
 	/** Requests that are assigned to a server and wait for prefill there, counted by adapter. */
@@ -45,10 +48,12 @@
 	readonly retryAllowance: (service: string) => RetryAllowance;
 	/** Maximum number of connections from this entry to one server of the service. */
 	readonly maxConnections: (service: string) => number;
-	/** Called when a response changed what is known of a server. */
-	readonly onServerChanged: () => void;
+	/** Called when a response says that its server is leaving, which is news. */
+	readonly onServerLeaving: (server: string) => void;
 	/** Called when a server was left, since what it sends does not end. */
 	readonly onEndlessResponse: (server: string, err: Error) => void;
+	/** Whether a request that is read now may have been sent during a stall of this process, long before. */
+	readonly isCatchingUp: () => boolean;
 	/** Random number in [0, 1). */
 	readonly random: () => number;
 	/** Progress of the shutdown; undefined while the entry is not stopping. */
