Mutations of cold servers and of a lost history apply again

Since the source lines that the two mutations replace no longer exist, so prove-rules.js could not show that their tests would notice. Both name the present lines.

--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -341,8 +341,8 @@
 		rule: 'DRAIN',
 		what: 'an entry waits for its next turn to read the list again after its history was lost',
 		file: `${direct}/table-watch.ts`,
-		from: 'this._version === undefined ? 0 : intervalMs',
-		to: 'this._version === undefined ? intervalMs : intervalMs',
+		from: 'pauseMs = this._cursor.hasRows ? intervalMs - (clock() - startedAt) : 0;',
+		to: 'pauseMs = intervalMs - (clock() - startedAt);',
 		test: 'packages/daemon/dist/direct/table-watch.test.js',
 	},
 	{
@@ -413,8 +413,8 @@
 		rule: 'FAILBACK',
 		what: 'cold servers receive as many calls as others',
 		file: `${core}/placement/fleet-view.ts`,
-		from: 'return server.sentWithinSecond(now) < limit;',
-		to: 'return server.sentWithinSecond(now) < limit * 1000;',
+		from: 'return server.sentWithinSecond(now) < this._coldLimit(server, now);',
+		to: 'return server.sentWithinSecond(now) < Infinity;',
 		test: fleetView,
 	},
 	{
