Go on with a paused response in the next turn of the event loop

What callers saw: while a server sent tiny events as fast as its caller read them, the entry answered others late: probes took 435 to 969 ms on a busy machine.

Cause: a caller that reads fast drains each write at once. The response went on within the same turn of the event loop, until all that had been received was passed on: 64 KB, or 4,700 events of 9 bytes.

Why it works: after a drain the response goes on in the next turn, so a turn passes on about one write buffer (16 KB).

--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -934,8 +934,11 @@
 		if (!this._isPaused) {
 			this._isPaused = true;
 			this._res.once('drain', () => {
-				this._isPaused = false;
-				this._attempt?.call?.resume();
+				// A caller that reads fast drains each write in the same turn of the event loop, and would take all of it.
+				setImmediate(() => {
+					this._isPaused = false;
+					this._attempt?.call?.resume();
+				});
 			});
 		}
 
