Notice a gap in the server list before its new rows are known

What callers saw: a stream that no entry knows could go on at another software version than began it (ORDER): an entry that had no server list for more than 5 s took the only listed version for the only one of the whole time, though another may have come and left meanwhile.

Cause: SoftwareVersions compared the present with the time of the last confirmation before the list. Since the confirmation is noted before the rows are applied, so it compared with the confirmation of the same list, and found no gap, ever. A confirmation by a peer's announcement, without rows, was no gap either.

Fix: RelayedTable tells the time between two confirmations before it sets the new one; SoftwareVersions takes the gap from there (noteConfirmed), and update no longer takes a time that its caller must read before the confirmation. The tests of the core and of the stream schedules tell the same gaps through noteConfirmed.

--- a/packages/core/src/streams/software-versions.ts
+++ b/packages/core/src/streams/software-versions.ts
@@ -16,19 +16,19 @@
 	private constructor() {}
 
 	/**
-	 * Applies the list of servers.
+	 * Notes that the list is known to be the newest, before its rows are applied.
 	 *
-	 * @param confirmedAt time at which the list before this one was last known to be the newest
+	 * @param sinceMs time since it was last known to be the newest, in milliseconds; infinite for the first list
 	 */
-	update(
-		records: Iterable<ServerRecord>,
-		confirmedAt: number,
-		now: number,
-	): void {
-		if (
-			this._followedSince === Number.POSITIVE_INFINITY ||
-			now - confirmedAt > maxVersionListAgeMs
-		) {
+	noteConfirmed(sinceMs: number, now: number): void {
+		if (sinceMs > maxVersionListAgeMs) {
+			this._followedSince = now;
+		}
+	}
+
+	/** Applies the list of servers. */
+	update(records: Iterable<ServerRecord>, now: number): void {
+		if (this._followedSince === Number.POSITIVE_INFINITY) {
 			this._followedSince = now;
 		}
 
--- a/packages/core/src/streams/streams.test.ts
+++ b/packages/core/src/streams/streams.test.ts
@@ -99,7 +99,8 @@
 
 	/** Applies the list at a time, as entries do every second. */
 	function listAt(now: number, ...records: readonly ServerRecord[]): void {
-		versions.update(records, now - 1000, now);
+		versions.noteConfirmed(1000, now);
+		versions.update(records, now);
 	}
 
 	function onlyVersion(now: number, confirmedAt = now): string | undefined {
@@ -131,7 +132,8 @@
 		listAt(0, server('v1'));
 		const late = maxVersionListAgeMs + 2000;
 		assert.equal(onlyVersion(late, 1000), undefined);
-		versions.update([server('v1')], 1000, late);
+		versions.noteConfirmed(late - 1000, late);
+		versions.update([server('v1')], late);
 		assert.equal(onlyVersion(late + 999), undefined);
 		assert.equal(onlyVersion(late + 1000), 'v1');
 	});
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -461,6 +461,7 @@
 				const ranForMs = sinceMs - (stalledMs - this._stalledMsAtList);
 				this._stalledMsAtList = stalledMs;
 				this._fleet.noteConfirmed(ranForMs, now);
+				this._softwareVersions.noteConfirmed(sinceMs, now);
 			},
 			onChanged: () => {
 				this._peers.announce();
@@ -738,7 +739,6 @@
 		this._hasServerList = true;
 		this._softwareVersions.update(
 			this._fleet.listedRows().flatMap(({record}) => record ?? []),
-			this._servers.confirmedAt,
 			clock(),
 		);
 		this._serverLog.update(this._fleet.servers());
--- a/packages/daemon/src/direct/stream-directory.testing.ts
+++ b/packages/daemon/src/direct/stream-directory.testing.ts
@@ -207,7 +207,8 @@
 
 		if (!entry.isCutFromStore) {
 			const records = this.listed.map(version => serverOf(version));
-			process.versions.update(records, process.readAt, this.now);
+			process.versions.noteConfirmed(this.now - process.readAt, this.now);
+			process.versions.update(records, this.now);
 			process.readAt = this.now;
 		}
 
