--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -1040,7 +1040,7 @@
 
 	/** Handles a broken connection or an unusable response. */
 	private _onAttemptFailed(attempt: Attempt, err: Error): void {
-		this._wasInterrupted ||= attempt.isSent;
+		this._wasInterrupted ||= attempt.framing !== undefined;
 		attempt.exposure?.onBroke();
 		this._endAttempt(
 			attempt.isSent
