Act on quarantines of parts that only time brings

A part under which five servers ended is quarantined 0.4 s later if nothing has gone on; nobody logged that, took waiting requests back or wrote it to the store. The quarantined parts are compared now after each piece of evidence and several times a second. Failing test first: part-quarantine.test, 'notes a quarantine that only time brings'.

--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -59,7 +59,7 @@
 			readonly ends: readonly string[];
 			readonly source: string;
 	  }
-	/** A part of prompts left the quarantine, as an answer went on (`answer`), or an operator lifted it (`operator`). */
+	/** A part of prompts left the quarantine: an answer went on (`answer`), an operator lifted it (`operator`), an entry said so, or time passed (`calls`). */
 	| {
 			readonly event: 'partCleared';
 			readonly part: string;
--- a/packages/daemon/src/direct/part-quarantine.test.ts
+++ b/packages/daemon/src/direct/part-quarantine.test.ts
@@ -147,6 +147,24 @@
 			assert.deepEqual(entry.recalled, ['server-9']);
 		});
 
+		// Guards against a part that is asked for so often that all its servers end within a moment, and that nobody notes.
+		it('notes a quarantine that only time brings', () => {
+			for (let i = 0; i < 6; i++) {
+				const exposure = entry.send(part, `server-${i}`);
+				exposure.onHead();
+				exposure.onBroke();
+			}
+
+			assert.equal(entry.isAllowed(), true);
+			entry.send(part, 'server-9');
+			entry.wait(1000);
+			entry.quarantine.checkServers(entry.now);
+			assert.equal(entry.isAllowed(), false);
+			assert.equal(entry.eventsOf('partQuarantined').length, 1);
+			assert.deepEqual(entry.recalled, ['server-9']);
+			assert.deepEqual([...entry.stored.keys()], [part]);
+		});
+
 		it('writes it to the store at its owner only', () => {
 			entry = QuarantinedEntry.create(false);
 			entry.crash(3);
--- a/packages/daemon/src/direct/part-quarantine.ts
+++ b/packages/daemon/src/direct/part-quarantine.ts
@@ -52,6 +52,7 @@
 
 	private readonly _exposures: PartExposures;
 	private readonly _notes: PartNoteQueue;
+	private _quarantined: ReadonlySet<string> = new Set();
 	private _fetchedAt = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly _options: PartQuarantineOptions) {
@@ -158,30 +159,29 @@
 		}
 
 		this._notes.addCleared([part], now);
-		this._onCleared(part, 'operator');
+		this._noteChanges('operator', now);
 		return true;
 	}
 
-	/** Looks for servers that ended without breaking their connections. Runs several times per second. */
+	/** Looks for servers that ended without breaking their connections, and for what is due. Runs several times per second. */
 	checkServers(now: number): void {
 		this._exposures.check(now);
+		this._noteChanges('calls', now);
 	}
 
 	/** Takes another entry's evidence. */
 	onNote({suspects, cleared}: PartNote, from: string, now: number): void {
-		this.merge(suspects, from, now);
-		const known = this._options.suspects;
+		this._options.suspects.merge(suspects, now);
 		for (const {part, agoMs} of cleared) {
-			const hasBeen = known.isQuarantined(part, now);
-			known.noteCleared(part, now - agoMs, now);
-			if (hasBeen && !known.isQuarantined(part, now)) {
-				this._onCleared(part, from);
-			}
+			this._options.suspects.noteCleared(part, now - agoMs, now);
 		}
+
+		this._noteChanges(from, now);
 	}
 
 	merge(entries: readonly PartSuspectEntry[], from: string, now: number): void {
-		this._onQuarantined(this._options.suspects.merge(entries, now), from, now);
+		this._options.suspects.merge(entries, now);
+		this._noteChanges(from, now);
 	}
 
 	/** Fetches the evidence of an entry that has quarantined other parts than this one. */
@@ -215,8 +215,6 @@
 		now: number,
 	): void {
 		const {suspects, log} = this._options;
-		const isFree = (part: string) => !suspects.isQuarantined(part, now);
-		const free = parts.filter(part => isFree(part));
 		const startId = `${start.server}@${start.born}`;
 		const ends = suspects.noteEnds(parts, startId, begunAt, now);
 		if (ends.length === 0) {
@@ -234,11 +232,7 @@
 			this._notes.addEnds(part, startId, at);
 		}
 
-		this._onQuarantined(
-			free.filter(part => !isFree(part)),
-			'calls',
-			now,
-		);
+		this._noteChanges('calls', now);
 	}
 
 	private _onProgress(
@@ -247,19 +241,32 @@
 		now: number,
 	): void {
 		const {suspects} = this._options;
-		const quarantined = parts.filter(part => suspects.isQuarantined(part, now));
 		const cleared = suspects.noteProgress(parts, begunAt, now);
 		if (cleared.length === 0) {
 			return;
 		}
 
-		for (const part of quarantined) {
-			if (!suspects.isQuarantined(part, now)) {
-				this._onCleared(part, 'answer');
+		this._notes.addCleared(cleared, begunAt);
+		this._noteChanges('answer', now);
+	}
+
+	/**
+	 * Acts on parts that were quarantined or freed since the last call. Some are by the time that passes alone.
+	 *
+	 * @param source what told it
+	 */
+	private _noteChanges(source: string, now: number): void {
+		const quarantined = new Set(this._options.suspects.quarantined(now));
+		const before = this._quarantined;
+		this._quarantined = quarantined;
+		for (const part of before) {
+			if (!quarantined.has(part)) {
+				this._onCleared(part, source);
 			}
 		}
 
-		this._notes.addCleared(cleared, begunAt);
+		const added = [...quarantined].filter(part => !before.has(part));
+		this._onQuarantined(added, source, now);
 	}
 
 	/** Takes requests with newly quarantined parts back from servers that have not begun on them. */
