--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -16,6 +16,7 @@
 const suspectParts = 'packages/core/dist/suspects/part-suspects.test.js';
 const streamDirectory = 'packages/daemon/dist/direct/stream-directory.test.js';
 const streamVersions = 'platform/dist/stream-versions.test.js';
+const partQuarantine = 'packages/daemon/dist/direct/part-quarantine.test.js';
 
 export const mutations = [
 	{
@@ -222,8 +223,8 @@
 		rule: 'GONE',
 		what: 'a call is not aborted after its caller disconnects',
 		file: `${direct}/proxied-call.ts`,
-		from: 'this._attempt?.call?.abort();\n\t\tthis._mayHaveRun ||=',
-		to: 'this._mayHaveRun ||=',
+		from: 'this._attempt?.call?.abort();\n\t\tthis._attempt?.exposure?.onLeft();',
+		to: '',
 		test: path,
 	},
 	{
@@ -446,10 +447,42 @@
 		rule: 'VERSION',
 		what: 'outdated adapter versions are used without a time limit',
 		file: `${core}/placement/adapter-placement.ts`,
-		from: 'const minVersion = this._options.minVersion(model, adapter, now);',
-		to: 'const minVersion = 0;',
+		from: 'const oldest = minVersion(model, adapter, now);\n\t\tconst newest',
+		to: 'const oldest = 0;\n\t\tconst newest',
 		test: fleetView,
 	},
+	{
+		rule: 'VERSION',
+		what: 'requests queue on an outdated adapter version',
+		file: `${core}/placement/adapter-placement.ts`,
+		from: '(version >= newest || !server.hasQueue(now)) &&',
+		to: '',
+		test: fleetView,
+	},
+	{
+		rule: 'BUDGET',
+		what: 'requests that wait at servers with a quarantined part stay there',
+		file: `${direct}/part-quarantine.ts`,
+		from: 'this._exposures.recall(new Set(parts));',
+		to: '',
+		test: partQuarantine,
+	},
+	{
+		rule: 'BUDGET',
+		what: 'an entry that was cut off does not fetch the evidence of the others',
+		file: `${direct}/part-quarantine.ts`,
+		from: 'digest === undefined ||',
+		to: 'digest !== undefined ||',
+		test: partQuarantine,
+	},
+	{
+		rule: 'BUDGET',
+		what: 'a request of which no answer has begun counts against its parts',
+		file: `${direct}/part-exposures.ts`,
+		from: 'if (!isInterrupted && headAt !== undefined) {',
+		to: 'if (!isInterrupted) {',
+		test: 'packages/daemon/dist/direct/part-exposures.test.js',
+	},
 	{
 		rule: 'VERSION',
 		what: 'a newer version hides the time limits of those before it',
