--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -886,29 +886,14 @@
 				break;
 			}
 
-			case 'suspect': {
-				const {fingerprint, server} = message;
-				if (this._peers.passOn(message)) {
-					this._suspects.noteCrash([fingerprint], server, clock());
-				}
-
-				break;
-			}
-
+			case 'suspect':
 			case 'partNote': {
-				if (this._peers.passOn(message)) {
-					this._partQuarantine.onNote(message, from.host, clock());
-				}
-
+				this._onCrashReport(message, from);
 				break;
 			}
 
 			case 'leaving': {
-				const {server, born} = message;
-				if (this._fleet.server(server)?.noteLeaving(clock(), born) === true) {
-					this._onServerLeaving(server);
-				}
-
+				this._onLeaving(message);
 				break;
 			}
 
@@ -947,6 +932,32 @@
 		}
 	}
 
+	/** Takes and passes on what another entry knows of requests, or parts of them, that crash servers. */
+	private _onCrashReport(
+		message: Extract<GossipMessage, {type: 'suspect' | 'partNote'}>,
+		from: Endpoint,
+	): void {
+		if (!this._peers.passOn(message)) {
+			return;
+		}
+
+		if (message.type === 'partNote') {
+			this._partQuarantine.onNote(message, from.host, clock());
+		} else {
+			const {fingerprint, server} = message;
+			this._suspects.noteCrash([fingerprint], server, clock());
+		}
+	}
+
+	private _onLeaving({
+		server,
+		born,
+	}: Extract<GossipMessage, {type: 'leaving'}>): void {
+		if (this._fleet.server(server)?.noteLeaving(clock(), born) === true) {
+			this._onServerLeaving(server);
+		}
+	}
+
 	private _onReport(message: Extract<GossipMessage, {type: 'report'}>): void {
 		this._agentClient.onReport(message.server, message.report);
 		if (message.isRelayed !== true && this._peers.isRelay(message.server)) {
@@ -984,13 +995,9 @@
 		path: string,
 		method: string,
 	): Promise<TextResponse> {
-		const {pathname, searchParams} = new URL(path, 'http://entry');
+		const [pathname] = path.split('?', 1);
 		return pathname === quarantinePath
-			? this._partQuarantine.respond(
-					method,
-					searchParams.get('part') ?? undefined,
-					clock(),
-				)
+			? this._partQuarantine.respond(method, path, clock())
 			: this._metrics.render();
 	}
 
--- a/packages/daemon/src/direct/part-quarantine.ts
+++ b/packages/daemon/src/direct/part-quarantine.ts
@@ -136,14 +136,20 @@
 		this._save([part], now);
 	}
 
-	/** Answers an operator's request: GET lists the quarantined parts with their evidence, DELETE lifts one. */
-	respond(method: string, part: string | undefined, now: number): TextResponse {
+	/**
+	 * Answers an operator's request: GET lists the quarantined parts with their evidence, DELETE lifts one.
+	 *
+	 * @param path path with its query, which names the part to lift
+	 */
+	respond(method: string, path: string, now: number): TextResponse {
 		if (method === 'GET') {
 			const quarantined = this._options.suspects.quarantined(now);
 			return jsonResponse(200, this._entriesOf(quarantined, now));
 		}
 
-		if (method !== 'DELETE' || part === undefined) {
+		const query = path.slice(path.indexOf('?') + 1);
+		const part = new URLSearchParams(query).get('part');
+		if (method !== 'DELETE' || part === null) {
 			return jsonResponse(400, {error: 'expected GET, or DELETE with ?part='});
 		}
 
--- a/packages/daemon/src/direct/stream-directory.testing.ts
+++ b/packages/daemon/src/direct/stream-directory.testing.ts
@@ -245,6 +245,7 @@
 		case 'quotaReturn':
 		case 'suspect':
 		case 'partNote':
+		case 'leaving':
 		case 'demand':
 		case 'turnAsk':
 		case 'turnAnswer':
