--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -479,8 +479,8 @@
 		rule: 'BUDGET',
 		what: 'a request of which no answer has begun counts against its parts',
 		file: `${direct}/part-exposures.ts`,
-		from: 'if (!isInterrupted && headAt !== undefined) {',
-		to: 'if (!isInterrupted) {',
+		from: 'const {call, headAt, isInterrupted} = exposure;',
+		to: 'const {call, headAt = now, isInterrupted} = exposure;',
 		test: 'packages/daemon/dist/direct/part-exposures.test.js',
 	},
 	{
