Log why a shutdown ended, and each request that the exit cuts

The LOST report could not tell an exit that found nothing left from one at the end of the grace time, and a request that the exit cuts had no line: its record begins and ends at the server.

--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -281,7 +281,7 @@
 		const startedAt = clock();
 		log.write({event: 'stopping', running: this._ingress.running});
 		this._streams.handOver();
-		await this._shutdown.run(this._ingress);
+		const reason = await this._shutdown.run(this._ingress);
 		for (const watch of this._watches) {
 			watch.dispose();
 		}
@@ -298,7 +298,9 @@
 			event: 'stopped',
 			cut: this._ingress.running,
 			afterMs: Math.round(clock() - startedAt),
+			reason,
 		});
+		this._ingress.logCut();
 		this._ingress.cutUnframed();
 	}
 
--- a/packages/daemon/src/direct/entry-shutdown.ts
+++ b/packages/daemon/src/direct/entry-shutdown.ts
@@ -38,8 +38,8 @@
 		};
 	}
 
-	/** Resolves when no request or connection is left, or shortly before the grace time ends. */
-	async run(ingress: Ingress): Promise<void> {
+	/** Resolves when no request or connection is left, or shortly before the grace time ends, and says which. */
+	async run(ingress: Ingress): Promise<'drained' | 'graceOver'> {
 		const {clock, hasOthers} = this._options;
 		this._startedAt ??= clock();
 		const endAt = this._startedAt + this._shutdownMs;
@@ -58,6 +58,8 @@
 			// eslint-disable-next-line no-await-in-loop
 			await delay(pollIntervalMs);
 		}
+
+		return ingress.running === 0 ? 'drained' : 'graceOver';
 	}
 
 	/** Time from the stop signal until the process exits by itself, in milliseconds. */
--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -44,7 +44,7 @@
 	 * response, so it must not run.
 	 */
 	private readonly _closing = new WeakSet<Socket>();
-	private readonly _running = new Set<ServerResponse>();
+	private readonly _running = new Map<ServerResponse, ProxiedCall>();
 	private _limits = initialLimits;
 
 	private constructor(private readonly _context: CallContext) {
@@ -112,13 +112,20 @@
 
 	/** Cuts the running responses that would look complete when the process exits and the system closes their connections. */
 	cutUnframed(): void {
-		for (const res of this._running) {
+		for (const res of this._running.keys()) {
 			if (res.headersSent && !isFramed(res)) {
 				cutResponse(res);
 			}
 		}
 	}
 
+	/** Logs the running requests, which the exit of the process cuts. */
+	logCut(): void {
+		for (const call of this._running.values()) {
+			call.onProcessEnded();
+		}
+	}
+
 	dispose(): void {
 		this._server.close();
 		this._server.closeAllConnections();
@@ -135,7 +142,6 @@
 			return;
 		}
 
-		this._running.add(res);
 		this._runningBySocket.set(
 			socket,
 			(this._runningBySocket.get(socket) ?? 0) + 1,
@@ -154,6 +160,7 @@
 			metadata: metadata ?? malformedCallMetadata,
 			arrivedAt: clock(),
 		});
+		this._running.set(res, call);
 		if (metadata === undefined) {
 			call.refuse({status: 400, reason: 'malformed', isNotRun: true});
 			return;
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -8,8 +8,14 @@
 	  }
 	/** The process received a stop signal. */
 	| {readonly event: 'stopping'; readonly running: number}
-	/** The process exits; `cut` requests are aborted. */
-	| {readonly event: 'stopped'; readonly cut: number; readonly afterMs: number}
+	/** The process exits; `cut` requests are aborted, each with a `request` line of its own. */
+	| {
+			readonly event: 'stopped';
+			readonly cut: number;
+			readonly afterMs: number;
+			/** `drained` if nothing was left to do, `graceOver` if the grace time ended before; entries only. */
+			readonly reason?: 'drained' | 'graceOver';
+	  }
 	/** The settings were reloaded. */
 	| {readonly event: 'settingsReloaded'; readonly error?: string}
 	/** A dependency stopped responding: a store table, an entry, an agent or the engine. */
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -256,6 +256,19 @@
 		this._res.end(JSON.stringify({error: {code: reason, not_run: isNotRun}}));
 	}
 
+	/** Logs that the exit of the process cuts the request. */
+	onProcessEnded(): void {
+		if (!this._isEnded) {
+			this._mayHaveRun ||= this._attempt?.isSent ?? false;
+			this._endAttempt('cut by the exit');
+			this._finish({
+				status: 0,
+				reason: 'processEnded',
+				isNotRun: !this._mayHaveRun,
+			});
+		}
+	}
+
 	/** Finds out where a stream began that the caller resumes. Returns whether the request can go on. */
 	private async _findOrigin(): Promise<boolean> {
 		const {resumes, lastEventId} = this._metadata;
