Decide in one place what a stopping entry takes and when it may end (LOST)

Callers saw: a request taken 5.5 s after SIGTERM reached a server, and 5 ms later its run was cut and the caller's connection closed without an answer.

Cause: "nothing is left" was looked at in one place and acted on in another. EntryShutdown.run returned once no request ran and no connection was open; EntryRuntime.stop then waited for the store to remove the entry's row, while the listener was open and canAcceptWhileStopping still said yes, as it asked for the end of the grace time and not for the exit. An entry that was idle at the first look never stopped listening at all. The end of the grace time was computed twice too, once at the signal and once for each request, so a settings file that changed meanwhile moved only one of them.

Fix: EntryDrain, in the core and without I/O, decides both. The process may end early only if nothing runs, no connection is open and callers can't open one: an idle entry first stops listening, and looks again. Once the end is decided nothing is taken. The end is fixed at the signal, as the platform counts from there.

The tests of canAcceptWhileStopping moved to entry-drain.test.ts with their assertions.

Ruled out: a deadline, a recall or a broken server (each leaves an answer), the end of the grace time (2 s later by the record). That this is what the users saw is not proved, as there is no log; it is the only way found in which an entry ends with a request that it has just taken, 2 s before its time is over.

--- a/packages/core/src/direct/direct.test.ts
+++ b/packages/core/src/direct/direct.test.ts
@@ -1,10 +1,8 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
 import {describe, it} from 'node:test';
-import {shutdownLeaveMs} from './constants.js';
 import {EventStreamSplitter} from './event-stream-splitter.js';
 import {RetryAllowance} from './retry-allowance.js';
-import {canAcceptWhileStopping} from './shutdown.js';
 
 const limit = {windowMs: 10_000, ratio: 0.2, extra: 56};
 
@@ -89,28 +87,3 @@
 		assert.equal(resumed.lastEventId, '2');
 	});
 });
-
-describe('canAcceptWhileStopping', () => {
-	it('accepts streams only until balancers have noticed the shutdown', () => {
-		const early = {sinceMs: 500, leftMs: 7000, hasOthers: true};
-		const late = {sinceMs: 2500, leftMs: 5000, hasOthers: false};
-		assert.equal(canAcceptWhileStopping('stream', early), true);
-		assert.equal(canAcceptWhileStopping('stream', late), false);
-		assert.equal(canAcceptWhileStopping('once', late), true);
-	});
-
-	it('refuses all requests once callers had time to switch to another entry', () => {
-		const left = {sinceMs: shutdownLeaveMs, leftMs: 5000, hasOthers: true};
-		assert.equal(canAcceptWhileStopping('once', left), false);
-		assert.equal(
-			canAcceptWhileStopping('once', {...left, sinceMs: shutdownLeaveMs - 1}),
-			true,
-		);
-	});
-
-	it('refuses calls that would be interrupted by the end of the process', () => {
-		const end = {sinceMs: 7000, leftMs: 500, hasOthers: false};
-		assert.equal(canAcceptWhileStopping('idempotent', end), false);
-		assert.equal(canAcceptWhileStopping('once', end), false);
-	});
-});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -64,7 +64,7 @@
 export {SuspectRegistry} from './entry/suspect-registry.js';
 export {PartSuspects} from './suspects/part-suspects.js';
 export type * from './suspects/types.js';
-export * from './direct/shutdown.js';
+export * from './direct/entry-drain.js';
 export * from './direct/event-stream-splitter.js';
 export type * from './topology/types.js';
 export * from './topology/constants.js';
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -2,12 +2,12 @@
 	AuthorityView,
 	FleetView,
 	RetryAllowance,
-	ShutdownProgress,
 	SuspectRegistry,
 } from '@balsamtray/core';
 import type {DirectMetrics} from './direct-metrics.js';
 import type {AgentClient} from './agent-client.js';
 import type {EntryPeers} from './entry-peers.js';
+import type {EntryShutdown} from './entry-shutdown.js';
 import type {EventLog} from './event-log.js';
 import type {KeyCounts} from './key-counts.js';
 import type {PartQuarantine} from './part-quarantine.js';
@@ -56,6 +56,5 @@
 	readonly isCatchingUp: () => boolean;
 	/** Random number in [0, 1). */
 	readonly random: () => number;
-	/** Progress of the shutdown; undefined while the entry is not stopping. */
-	readonly shutdown: () => ShutdownProgress | undefined;
+	readonly shutdown: Pick<EntryShutdown, 'isStopping' | 'accepts'>;
 };
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -343,7 +343,7 @@
 			},
 			isCatchingUp: () => this._stallMonitor.isCatchingUp(clock()),
 			random: this._options.random,
-			shutdown: () => this._shutdown.progress,
+			shutdown: this._shutdown,
 		};
 	}
 
@@ -829,7 +829,7 @@
 
 		this._isJoining = true;
 		await delay(delayMs);
-		while (!this._isListed && this._shutdown.progress === undefined) {
+		while (!this._isListed && !this._shutdown.isStopping) {
 			// Retries until the store responds.
 			// eslint-disable-next-line no-await-in-loop
 			if (!(await this._tryJoin())) {
@@ -1019,7 +1019,7 @@
 	}
 
 	private _notReadyReason(): string | undefined {
-		if (this._shutdown.progress !== undefined) {
+		if (this._shutdown.isStopping) {
 			return 'stopping';
 		}
 
--- a/packages/daemon/src/direct/entry-shutdown.ts
+++ b/packages/daemon/src/direct/entry-shutdown.ts
@@ -1,5 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {shutdownLeaveMs, type ShutdownProgress} from '@balsamtray/core';
+import {EntryDrain, type DrainStep, type RouteKind} from '@balsamtray/core';
 import {graceMarginMs} from './constants.js';
 import type {Ingress} from './ingress.js';
 
@@ -11,7 +11,10 @@
 	readonly hasOthers: () => boolean;
 };
 
-/** Interval between checks for running requests, in milliseconds. */
+/** Why a shutdown ended: nothing was left, or the grace time ended before. */
+export type ShutdownEnd = Extract<DrainStep, 'drained' | 'graceOver'>;
+
+/** Interval between looks at what is left, in milliseconds. */
 const pollIntervalMs = 50;
 
 /** Drains an entry: moves callers to other entries and waits for running requests. */
@@ -20,50 +23,42 @@
 		return new EntryShutdown(options);
 	}
 
-	private _startedAt: number | undefined;
+	private _drain: EntryDrain | undefined;
 
 	private constructor(private readonly _options: EntryShutdownOptions) {}
 
-	/** Progress of the shutdown; undefined before it starts. */
-	get progress(): ShutdownProgress | undefined {
-		if (this._startedAt === undefined) {
-			return undefined;
-		}
-
-		const sinceMs = this._options.clock() - this._startedAt;
-		return {
-			sinceMs,
-			leftMs: this._shutdownMs - sinceMs,
-			hasOthers: this._options.hasOthers(),
-		};
+	get isStopping(): boolean {
+		return this._drain !== undefined;
 	}
 
-	/** Resolves when no request or connection is left, or shortly before the grace time ends, and says which. */
-	async run(ingress: Ingress): Promise<'drained' | 'graceOver'> {
+	/** Whether a request is taken that arrives now. */
+	accepts(kind: RouteKind): boolean {
 		const {clock, hasOthers} = this._options;
-		this._startedAt ??= clock();
-		const endAt = this._startedAt + this._shutdownMs;
-		await delay(shutdownLeaveMs);
-		// A connection closed in the last iteration still gets one poll interval to finish before the process exits.
-		while (
-			clock() < endAt &&
-			(ingress.running > 0 || ingress.connections > 0)
-		) {
-			if (hasOthers()) {
+		return this._drain?.accepts(kind, hasOthers(), clock()) ?? true;
+	}
+
+	/** Resolves when no request or connection is left and none can arrive, or shortly before the grace time ends. */
+	async run(ingress: Ingress): Promise<ShutdownEnd> {
+		const {clock, graceMs, hasOthers} = this._options;
+		this._drain ??= EntryDrain.create(graceMs() - graceMarginMs, clock());
+		for (;;) {
+			const {running, connections, isListening} = ingress;
+			const load = {running, connections, isListening};
+			const step = this._drain.next(load, hasOthers(), clock());
+			if (step === 'drained' || step === 'graceOver') {
+				return step;
+			}
+
+			if (step === 'stopListening') {
 				ingress.stopListening();
 			}
 
-			ingress.closeIdle();
-			// Polls until no request runs.
+			if (step !== 'wait') {
+				ingress.closeIdle();
+			}
+
 			// eslint-disable-next-line no-await-in-loop
 			await delay(pollIntervalMs);
 		}
-
-		return ingress.running === 0 ? 'drained' : 'graceOver';
-	}
-
-	/** Time from the stop signal until the process exits by itself, in milliseconds. */
-	private get _shutdownMs(): number {
-		return this._options.graceMs() - graceMarginMs;
 	}
 }
--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -79,6 +79,10 @@
 		).length;
 	}
 
+	get isListening(): boolean {
+		return this._server.listening;
+	}
+
 	async listen({host, port}: Endpoint): Promise<void> {
 		return new Promise((resolve, reject) => {
 			this._server.once('error', reject);
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -7,7 +7,6 @@
 import {
 	adapterKey,
 	EventStreamSplitter,
-	canAcceptWhileStopping,
 	checkDispatch,
 	pickShare,
 	type CustomerRule,
@@ -167,9 +166,8 @@
 			return false;
 		}
 
-		const shutdown = this._context.shutdown();
 		const {kind, timeoutMs} = this._route!;
-		if (shutdown !== undefined && !canAcceptWhileStopping(kind, shutdown)) {
+		if (!this._context.shutdown.accepts(kind)) {
 			this.refuse({
 				...unavailable('stopping'),
 				retryAfterMs: otherEntryRetryAfterMs,
@@ -249,7 +247,7 @@
 			);
 		}
 
-		if (!this._req.complete || this._context.shutdown() !== undefined) {
+		if (!this._req.complete || this._context.shutdown.isStopping) {
 			this._res.setHeader('connection', 'close');
 		}
 
@@ -915,7 +913,7 @@
 			}
 		}
 
-		if (this._context.shutdown() !== undefined) {
+		if (this._context.shutdown.isStopping) {
 			forwarded.connection = 'close';
 		}
 
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -254,10 +254,18 @@
 	{
 		rule: 'LOST',
 		what: 'an entry accepts calls until the end of its shutdown',
-		file: `${core}/direct/shutdown.ts`,
-		from: ': leftMs >= shutdownCallMs;',
-		to: ': leftMs >= 0 * shutdownCallMs;',
-		test: 'packages/core/dist/direct/direct.test.js',
+		file: `${core}/direct/entry-drain.ts`,
+		from: ': this._endsAt - now >= shutdownCallMs;',
+		to: ': this._endsAt - now >= 0 * shutdownCallMs;',
+		test: 'packages/core/dist/direct/entry-drain.test.js',
+	},
+	{
+		rule: 'LOST',
+		what: 'an entry takes requests between the last look and its exit',
+		file: `${core}/direct/entry-drain.ts`,
+		from: 'if (isIdle && !isListening) {',
+		to: 'if (isIdle) {',
+		test: 'packages/core/dist/direct/entry-drain.test.js',
 	},
 	{
 		rule: 'CONFIG',
