Answer what still runs when a stopping entry exits

Callers saw: a request that was still waiting, whose body had not come, or that ran at its server when the grace time ended got a closed connection and no answer, though the entry knew which of them had not run.

Cause: the exit of the process was the only end that such a request had.

Fix: before the exit each running request ends like one that is given up: a true 503 if no server has got it, a 502 if one may have, and a cut response only if its headers were sent. Once the end is decided nothing more is sent to a server, so a place that one of them leaves is not given to a request that is about to be cut.

--- a/packages/core/src/direct/entry-drain.test.ts
+++ b/packages/core/src/direct/entry-drain.test.ts
@@ -66,7 +66,9 @@
 		it('comes before the grace time ends, whatever runs', () => {
 			const busy = {running: 1, connections: 1, isListening: true};
 			assert.equal(drain.next(busy, false, lengthMs - 1), 'closeIdle');
+			assert.equal(drain.hasEnded, false);
 			assert.equal(drain.next(busy, false, lengthMs), 'graceOver');
+			assert.equal(drain.hasEnded, true);
 			assert.equal(drain.accepts('idempotent', false, lengthMs), false);
 		});
 	});
--- a/packages/core/src/direct/entry-drain.ts
+++ b/packages/core/src/direct/entry-drain.ts
@@ -35,7 +35,6 @@
 		return new EntryDrain(now, now + lengthMs);
 	}
 
-	/** Whether the end of the process is decided. */
 	private _hasEnded = false;
 
 	private constructor(
@@ -43,6 +42,11 @@
 		private readonly _endsAt: number,
 	) {}
 
+	/** Whether the end of the process is decided. No request is sent to a server from then on. */
+	get hasEnded(): boolean {
+		return this._hasEnded;
+	}
+
 	/**
 	 * Returns whether a request is taken that arrives now. Balancers keep sending requests for a while, and until the
 	 * process ends if a whole zone restarts. A request that can't finish in time is refused and can run elsewhere. Once
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -56,5 +56,5 @@
 	readonly isCatchingUp: () => boolean;
 	/** Random number in [0, 1). */
 	readonly random: () => number;
-	readonly shutdown: Pick<EntryShutdown, 'isStopping' | 'accepts'>;
+	readonly shutdown: Pick<EntryShutdown, 'isStopping' | 'hasEnded' | 'accepts'>;
 };
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -294,14 +294,14 @@
 			}),
 			delay(graceMarginMs / 2),
 		]);
+		const cut = this._ingress.running;
+		await this._shutdown.end(this._ingress);
 		log.write({
 			event: 'stopped',
-			cut: this._ingress.running,
+			cut,
 			afterMs: Math.round(clock() - startedAt),
 			reason,
 		});
-		this._ingress.logCut();
-		this._ingress.cutUnframed();
 	}
 
 	/** Replaces the bounds, effective at once. */
--- a/packages/daemon/src/direct/entry-shutdown.ts
+++ b/packages/daemon/src/direct/entry-shutdown.ts
@@ -17,6 +17,9 @@
 /** Interval between looks at what is left, in milliseconds. */
 const pollIntervalMs = 50;
 
+/** Maximum time until the last responses are written, in milliseconds. */
+const maxFlushMs = 100;
+
 /** Drains an entry: moves callers to other entries and waits for running requests. */
 export class EntryShutdown {
 	static create(options: EntryShutdownOptions): EntryShutdown {
@@ -31,6 +34,11 @@
 		return this._drain !== undefined;
 	}
 
+	/** Whether the process is about to exit. */
+	get hasEnded(): boolean {
+		return this._drain?.hasEnded ?? false;
+	}
+
 	/** Whether a request is taken that arrives now. */
 	accepts(kind: RouteKind): boolean {
 		const {clock, hasOthers} = this._options;
@@ -61,4 +69,17 @@
 			await delay(pollIntervalMs);
 		}
 	}
+
+	/** Ends what still runs when the process exits. Resolves when the last responses are written, or after some time. */
+	async end(ingress: Ingress): Promise<void> {
+		const {clock} = this._options;
+		const endAt = clock() + maxFlushMs;
+		ingress.endRunning();
+		while (ingress.running > 0 && clock() < endAt) {
+			// eslint-disable-next-line no-await-in-loop
+			await delay(pollIntervalMs / 5);
+		}
+
+		ingress.cutUnframed();
+	}
 }
--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -114,6 +114,13 @@
 		}
 	}
 
+	/** Ends the running requests, since the process exits: with an error response if the response has not begun. */
+	endRunning(): void {
+		for (const call of this._running.values()) {
+			call.onProcessEnding();
+		}
+	}
+
 	/** Cuts the running responses that would look complete when the process exits and the system closes their connections. */
 	cutUnframed(): void {
 		for (const res of this._running.keys()) {
@@ -123,13 +130,6 @@
 		}
 	}
 
-	/** Logs the running requests, which the exit of the process cuts. */
-	logCut(): void {
-		for (const call of this._running.values()) {
-			call.onProcessEnded();
-		}
-	}
-
 	dispose(): void {
 		this._server.close();
 		this._server.closeAllConnections();
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -8,7 +8,7 @@
 	  }
 	/** The process received a stop signal. */
 	| {readonly event: 'stopping'; readonly running: number}
-	/** The process exits; `cut` requests are aborted, each with a `request` line of its own. */
+	/** The process exits; `cut` requests were ended before they were complete, each with a `request` line of its own. */
 	| {
 			readonly event: 'stopped';
 			readonly cut: number;
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -83,6 +83,12 @@
 	'trailer',
 ]);
 
+/** Refusal of a request that another entry can serve, as this one stops. */
+const stoppingRefusal: CallRefusal = {
+	...unavailable('stopping'),
+	retryAfterMs: otherEntryRetryAfterMs,
+};
+
 /** Status that a server sends if it is not the addressed server or lacks the adapter that the request needs. */
 const misdirectedStatus = 421;
 
@@ -168,10 +174,7 @@
 
 		const {kind, timeoutMs} = this._route!;
 		if (!this._context.shutdown.accepts(kind)) {
-			this.refuse({
-				...unavailable('stopping'),
-				retryAfterMs: otherEntryRetryAfterMs,
-			});
+			this.refuse(stoppingRefusal);
 			return false;
 		}
 
@@ -254,17 +257,18 @@
 		this._res.end(JSON.stringify({error: {code: reason, not_run: isNotRun}}));
 	}
 
-	/** Logs that the exit of the process cuts the request. */
-	onProcessEnded(): void {
-		if (!this._isEnded) {
-			this._mayHaveRun ||= this._attempt?.isSent ?? false;
-			this._endAttempt('cut by the exit');
-			this._finish({
-				status: 0,
-				reason: 'processEnded',
-				isNotRun: !this._mayHaveRun,
-			});
+	/** Ends the request, since the process exits. One that no server has got is refused as not run. */
+	onProcessEnding(): void {
+		if (this._isEnded) {
+			return;
 		}
+
+		const {_attempt: attempt} = this;
+		attempt?.call?.abort();
+		attempt?.exposure?.onLeft();
+		this._mayHaveRun ||= attempt?.isSent ?? false;
+		this._endAttempt('cut by the exit');
+		this._fail(stoppingRefusal);
 	}
 
 	/** Finds out where a stream began that the caller resumes. Returns whether the request can go on. */
@@ -651,7 +655,11 @@
 
 	/** Returns the refusal of a request that may no longer be sent to a server. */
 	private _checkDispatch(): CallRefusal | undefined {
-		const {clock, epoch} = this._context;
+		const {clock, epoch, shutdown} = this._context;
+		if (shutdown.hasEnded) {
+			return stoppingRefusal;
+		}
+
 		const limits = {deadlineAt: this._deadlineAt, epoch: this._epoch};
 		const check = checkDispatch(limits, clock(), epoch());
 		if (check === 'allowed') {
