Read what has arrived before a stopping entry closes idle connections

Timers are due before sockets are read when the event loop goes on after a stall, so the check closed connections as idle whose requests had been waiting in the socket, and they got no answer.

Fix: after each pause, two turns of the event loop accept and read what has arrived; then the check looks.

--- a/packages/daemon/src/direct/entry-shutdown.ts
+++ b/packages/daemon/src/direct/entry-shutdown.ts
@@ -1,4 +1,7 @@
-import {setTimeout as delay} from 'node:timers/promises';
+import {
+	setImmediate as nextTurn,
+	setTimeout as delay,
+} from 'node:timers/promises';
 import {EntryDrain, type DrainStep, type RouteKind} from '@balsamtray/core';
 import {graceMarginMs} from './constants.js';
 import type {Ingress} from './ingress.js';
@@ -17,6 +20,9 @@
 /** Interval between looks at what is left, in milliseconds. */
 const pollIntervalMs = 50;
 
+/** Turns of the event loop in which a new connection is accepted and its first request is read. */
+const turnsUntilRead = 2;
+
 /** Maximum time until the last responses are written, in milliseconds. */
 const maxFlushMs = 100;
 
@@ -67,6 +73,11 @@
 
 			// eslint-disable-next-line no-await-in-loop
 			await delay(pollIntervalMs);
+			// Timers come first after a stall, before the requests that have arrived meanwhile.
+			for (let i = 0; i < turnsUntilRead; i++) {
+				// eslint-disable-next-line no-await-in-loop
+				await nextTurn();
+			}
 		}
 	}
 
--- a/packages/daemon/src/direct/ingress.test.ts
+++ b/packages/daemon/src/direct/ingress.test.ts
@@ -1,22 +1,11 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import {connect, createServer} from 'node:net';
+import {connect} from 'node:net';
 import {describe, it} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {CallContext} from './call-context.js';
 import {Ingress} from './ingress.js';
-
-/** Returns a port that was free when checked. */
-async function freePort(): Promise<number> {
-	const server = createServer();
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const address = server.address();
-	server.close();
-	await once(server, 'close');
-	assert.ok(address !== null && typeof address === 'object');
-	return address.port;
-}
+import {freePort} from './ingress.testing.js';
 
 describe('Ingress', () => {
 	it('does not run a request that arrives after its connection was closed as idle', async () => {
