Ignore further stop signals while an entry drains

Callers saw: requests reset at a second SIGTERM, within the grace time.

Cause: the handler was removed by the first signal, so the second had its default effect and ended the process at once.

The platform ends a process that takes too long by SIGKILL, so a second SIGTERM has nothing to add. The stand-alone daemon still stops at once at a second signal, as its pages say: there an operator may have no other way.

--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -1059,11 +1059,20 @@
 	}
 }
 
-/** Stops the runtime on SIGTERM and then exits the process. */
+/**
+ * Stops the runtime on SIGTERM and then exits the process. Further signals change nothing: the platform ends a process that
+ * takes too long by SIGKILL.
+ */
 export function stopOnSignal(runtime: {
 	readonly stop: () => Promise<void>;
 }): void {
-	process.once('SIGTERM', () => {
+	let isStopping = false;
+	process.on('SIGTERM', () => {
+		if (isStopping) {
+			return;
+		}
+
+		isStopping = true;
 		void runtime.stop().then(() => {
 			process.exit(0);
 		});
