Announce the close of a connection only in its last response

Callers saw: of two requests sent one behind the other on a connection of a stopping entry, the first response said that the connection closes; it closed, and the second, which had run, got no response.

Cause: every response of a stopping entry closed its connection, also if another request ran on it.

Fix: a response announces the close only if no other request runs on its connection. Without one behind it, the last one does.

--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -163,6 +163,7 @@
 			res,
 			metadata: metadata ?? malformedCallMetadata,
 			arrivedAt: clock(),
+			sharesConnection: () => (this._runningBySocket.get(socket) ?? 0) > 1,
 		});
 		this._running.set(res, call);
 		if (metadata === undefined) {
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -43,6 +43,8 @@
 	readonly metadata: CallMetadata;
 	/** Monotonic time at which the request headers were read, in milliseconds. */
 	readonly arrivedAt: number;
+	/** Whether another request runs on the connection. */
+	readonly sharesConnection: () => boolean;
 };
 
 /** One attempt to serve the request on a server. */
@@ -102,6 +104,7 @@
 	private readonly _res: ServerResponse;
 	private readonly _metadata: CallMetadata;
 	private readonly _arrivedAt: number;
+	private readonly _sharesConnection: () => boolean;
 	/** Clock epoch at the arrival. */
 	private readonly _epoch: number;
 	private _route: RouteRule | undefined;
@@ -142,12 +145,13 @@
 
 	private constructor(
 		private readonly _context: CallContext,
-		{req, res, metadata, arrivedAt}: CallExchange,
+		{req, res, metadata, arrivedAt, sharesConnection}: CallExchange,
 	) {
 		this._req = req;
 		this._res = res;
 		this._metadata = metadata;
 		this._arrivedAt = arrivedAt;
+		this._sharesConnection = sharesConnection;
 		this._epoch = _context.epoch();
 		this._randomShare = _context.random();
 		this._lastEventId = metadata.lastEventId;
@@ -250,7 +254,7 @@
 			);
 		}
 
-		if (!this._req.complete || this._context.shutdown.isStopping) {
+		if (!this._req.complete || this._isLastOnConnection) {
 			this._res.setHeader('connection', 'close');
 		}
 
@@ -921,7 +925,7 @@
 			}
 		}
 
-		if (this._context.shutdown.isStopping) {
+		if (this._isLastOnConnection) {
 			forwarded.connection = 'close';
 		}
 
@@ -1229,6 +1233,11 @@
 			: 1;
 	}
 
+	/** Whether the entry stops and the response ends its connection, as no request waits behind it for its response. */
+	private get _isLastOnConnection(): boolean {
+		return this._context.shutdown.isStopping && !this._sharesConnection();
+	}
+
 	/** Digest of customer, URL and body: equal for repeated requests. */
 	private get _fingerprint(): string {
 		this._cachedFingerprint ??= createHash('sha256')
