--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -347,7 +347,7 @@
 
 	/** Logs that a server says that it is leaving, and tells the linked entries, which may not get its responses. */
 	private _onServerLeaving(server: string): void {
-		this._serverLog.update(this._fleet.servers());
+		this._serverLog.update(this._fleet.servers(), clock());
 		const born = this._fleet.server(server)?.born ?? 0;
 		this._peers.sendToLinks({type: 'leaving', server, born});
 	}
@@ -801,7 +801,7 @@
 			this._fleet.listedRows().flatMap(({record}) => record ?? []),
 			clock(),
 		);
-		this._serverLog.update(this._fleet.servers());
+		this._serverLog.update(this._fleet.servers(), clock());
 		this._upstream.keepOnly(
 			new Set([...this._fleet.servers()].map(({record}) => record.id)),
 		);
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -103,6 +103,8 @@
 			readonly state: string;
 			/** Version of the server's software. Absent if the server does not say. */
 			readonly softwareVersion?: string;
+			/** Time for which the server still wants no requests from this host. Absent if it takes them. */
+			readonly suspendedForMs?: number;
 	  }
 	/** A server turned a request away and wants none from this host for a time; an invalid time (`value`) is ignored. */
 	| {
--- a/packages/daemon/src/direct/server-log.ts
+++ b/packages/daemon/src/direct/server-log.ts
@@ -4,6 +4,7 @@
 type ServerDescription = {
 	readonly state: string;
 	readonly softwareVersion: string | undefined;
+	readonly server: ServerState;
 };
 
 /** Logs each server that joins, changes state or leaves. */
@@ -17,29 +18,35 @@
 	private constructor(private readonly _log: EventLog) {}
 
 	/** @param servers all known servers */
-	update(servers: Iterable<ServerState>): void {
+	update(servers: Iterable<ServerState>, now: number): void {
 		const previous = this._states;
 		this._states = new Map(
 			[...servers].map(server => [server.record.id, describeServer(server)]),
 		);
-		for (const [server, {state, softwareVersion}] of this._states) {
-			const before = previous.get(server);
+		for (const [id, {state, softwareVersion, server}] of this._states) {
+			const before = previous.get(id);
 			if (
 				before?.state !== state ||
 				before.softwareVersion !== softwareVersion
 			) {
 				this._log.write({
 					event: 'serverChanged',
-					server,
+					server: id,
 					state,
 					...(softwareVersion !== undefined && {softwareVersion}),
+					...suspensionOf(server, now),
 				});
 			}
 		}
 
-		for (const server of previous.keys()) {
-			if (!this._states.has(server)) {
-				this._log.write({event: 'serverChanged', server, state: 'gone'});
+		for (const [id, {server}] of previous) {
+			if (!this._states.has(id)) {
+				this._log.write({
+					event: 'serverChanged',
+					server: id,
+					state: 'gone',
+					...suspensionOf(server, now),
+				});
 			}
 		}
 	}
@@ -47,7 +54,15 @@
 
 function describeServer(server: ServerState): ServerDescription {
 	const {softwareVersion} = server.record;
-	return {state: stateOf(server), softwareVersion};
+	return {state: stateOf(server), softwareVersion, server};
+}
+
+function suspensionOf(
+	server: ServerState,
+	now: number,
+): {readonly suspendedForMs?: number} {
+	const suspendedForMs = Math.round(server.suspendedForMs(now));
+	return suspendedForMs > 0 ? {suspendedForMs} : {};
 }
 
 function stateOf({record, vanishedAt, isLeaving}: ServerState): string {
