Note what servers say of themselves at the fleet view, not at a server's state

No change of behaviour except one: a server that repeats that it is leaving now renews the time at which it last said so, as messages of other entries already did. Prepares for keeping these statements apart from the list. The mutation of rule-mutations.js follows the changed source.

--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -161,7 +161,7 @@
 
 		it('waits for a server of that version that turns requests away, though another takes them', () => {
 			versions('v1', 'v2');
-			fleet.server('s0')!.suspend(500, 0, 0);
+			fleet.noteSuspension('s0', 500, 0, 0);
 			assert.equal(chosen({softwareVersion: 'v1'}), 'serversSuspended');
 		});
 
@@ -680,7 +680,7 @@
 			apply('s1', 1, {born: 5});
 			apply('s2', 1, {zone: 'z2'});
 			assert.equal(chosen(), 's1');
-			fleet.server('s1')!.noteLeaving(0);
+			fleet.noteLeaving('s1', 0);
 			assert.equal(chosen(), 's2');
 			apply('s1', 2, {born: 5});
 			fleet.noteReport('s1', report({a: 1}, {born: 5}), 0);
@@ -696,14 +696,14 @@
 
 		it('is chosen again once it has started anew', () => {
 			apply('s1', 1, {born: 5});
-			fleet.server('s1')!.noteLeaving(0);
+			fleet.noteLeaving('s1', 0);
 			apply('s1', 2, {born: 6});
 			assert.equal(chosen(), 's1');
 		});
 
 		it('that does not tell its start is chosen again only after the list has said that it leaves', () => {
 			apply('s1', 1, {});
-			fleet.server('s1')!.noteLeaving(0);
+			fleet.noteLeaving('s1', 0);
 			apply('s1', 2, {});
 			assert.equal(chosen(), 'noServer');
 			apply('s1', 3, {isDraining: true});
@@ -720,7 +720,7 @@
 			]) {
 				fleet = createFleet();
 				apply('s1', 1, {});
-				fleet.server('s1')!.noteLeaving(0);
+				fleet.noteLeaving('s1', 0);
 				apply('s1', 2, {models: [{name: 'm', adapters: {a: 1, b: 1}}]});
 				assert.equal(chosen(), 'noServer');
 				apply('s1', 3, changes, minReturnMs);
@@ -731,7 +731,7 @@
 		// Guards against a row from the cold time before the leaving, carried out late, that puts the server back in use (DRAIN).
 		it('that does not tell its start is not chosen by a row that is written late', () => {
 			apply('s1', 1, {});
-			fleet.server('s1')!.noteLeaving(0);
+			fleet.noteLeaving('s1', 0);
 			apply('s1', 2, {coldLeftMs: 5000}, minReturnMs - 1);
 			assert.equal(chosen({}, minReturnMs - 1), 'noServer');
 		});
@@ -739,11 +739,10 @@
 		// Guards against a message on a leaving that arrives after the server has started anew.
 		it('stays in use if it has started since by what is known', () => {
 			apply('s1', 1, {born: 6});
-			const server = fleet.server('s1')!;
-			assert.equal(server.noteLeaving(0, 5), false);
+			assert.equal(fleet.noteLeaving('s1', 0, 5), false);
 			assert.equal(chosen(), 's1');
-			assert.equal(server.noteLeaving(0, 7), true);
-			assert.equal(server.noteLeaving(0, 7), false);
+			assert.equal(fleet.noteLeaving('s1', 0, 7), true);
+			assert.equal(fleet.noteLeaving('s1', 0, 7), false);
 			apply('s1', 2, {born: 7});
 			assert.equal(chosen(), 'noServer');
 			apply('s1', 3, {born: 8});
@@ -760,17 +759,16 @@
 
 		// Guards against requests to a server that wants none from this host (BUDGET).
 		it('gets none until then, and the longest of several times counts', () => {
-			const server = fleet.server('s1')!;
-			server.suspend(3000, 0, 0);
-			server.suspend(1000, 0, 100);
+			fleet.noteSuspension('s1', 3000, 0, 0);
+			fleet.noteSuspension('s1', 1000, 0, 100);
 			assert.equal(fleet.isUsable('s1', 2999), false);
 			assert.equal(chosen(plain, 2999), 's2');
 			assert.equal(fleet.isUsable('s1', 3000), true);
 		});
 
 		it('lets the caller know the shortest time if all servers do', () => {
-			fleet.server('s1')!.suspend(3000, 0, 0);
-			fleet.server('s2')!.suspend(2000, 0, 0);
+			fleet.noteSuspension('s1', 3000, 0, 0);
+			fleet.noteSuspension('s2', 2000, 0, 0);
 			assert.deepEqual(fleet.choose(plain, 500), {
 				kind: 'serversSuspended',
 				delayMs: 1500,
@@ -784,8 +782,8 @@
 		it('gets requests at a limited rate for a second after it', () => {
 			list(record('s2', {isDraining: true}));
 			const server = fleet.server('s1')!;
-			server.suspend(1000, 0, 0);
-			fleet.server('s2')!.suspend(60_000, 0, 0);
+			fleet.noteSuspension('s1', 1000, 0, 0);
+			fleet.noteSuspension('s2', 60_000, 0, 0);
 			let sent = 0;
 			for (let now = 1000; now < 2000; now += 10) {
 				if (chosen(plain, now) === 's1') {
@@ -801,13 +799,13 @@
 
 		it('spreads the first requests of the entries', () => {
 			const server = fleet.server('s1')!;
-			server.suspend(1000, 0.5, 0);
+			fleet.noteSuspension('s1', 1000, 0.5, 0);
 			assert.equal(server.suspendedForMs(1000), 150);
 		});
 
 		it('does not get lost by an absurd time', () => {
 			const server = fleet.server('s1')!;
-			server.suspend(1e12, 0, 0);
+			fleet.noteSuspension('s1', 1e12, 0, 0);
 			assert.equal(server.suspendedForMs(0), 600_000);
 		});
 	});
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -207,6 +207,25 @@
 		}
 	}
 
+	/**
+	 * Notes that a server turns requests away for a time.
+	 *
+	 * @param share random number in [0, 1) that spreads the first requests of the entries after that time
+	 */
+	noteSuspension(id: string, forMs: number, share: number, now: number): void {
+		this._servers.get(id)?.suspend(forMs, share, now);
+	}
+
+	/**
+	 * Notes that a server says in a response that it is leaving.
+	 *
+	 * @param born start time of the server that said so, 0 if unknown; absent if it is the known one
+	 * @returns whether this is news
+	 */
+	noteLeaving(id: string, now: number, born?: number): boolean {
+		return this._servers.get(id)?.noteLeaving(now, born) ?? false;
+	}
+
 	/** Number of pending loads over all servers with a fresh report. */
 	pendingLoads(now: number): number {
 		let count = 0;
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -953,7 +953,7 @@
 		server,
 		born,
 	}: Extract<GossipMessage, {type: 'leaving'}>): void {
-		if (this._fleet.server(server)?.noteLeaving(clock(), born) === true) {
+		if (this._fleet.noteLeaving(server, clock(), born)) {
 			this._onServerLeaving(server);
 		}
 	}
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -860,9 +860,7 @@
 		{isLeaving, suspension}: ResponseMetadata,
 	): void {
 		const {fleet, log, metrics, clock, random, onServerLeaving} = this._context;
-		const state = fleet.server(server);
-		if (isLeaving && state?.isLeaving === false) {
-			state.noteLeaving(clock());
+		if (isLeaving && fleet.noteLeaving(server, clock())) {
 			onServerLeaving(server);
 		}
 
@@ -873,7 +871,7 @@
 		metrics.noteSuspension(suspension.kind);
 		if (suspension.kind === 'valid') {
 			const {forMs} = suspension;
-			state?.suspend(forMs, random(), clock());
+			fleet.noteSuspension(server, forMs, random(), clock());
 			log.write({event: 'serverSuspended', server, forMs});
 		} else {
 			log.write({event: 'serverSuspended', server, value: suspension.value});
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -159,8 +159,8 @@
 		rule: 'DRAIN',
 		what: 'a server that says in its responses that it is leaving receives calls',
 		file: `${direct}/proxied-call.ts`,
-		from: 'if (isLeaving && state?.isLeaving === false) {',
-		to: 'if (isLeaving && state?.isLeaving === true) {',
+		from: 'if (isLeaving && fleet.noteLeaving(server, clock())) {',
+		to: 'if (isLeaving && server === clock().toString()) {',
 		test: path,
 	},
 	{
