--- a/packages/core/src/placement/fleet-view-schedules.test.ts
+++ b/packages/core/src/placement/fleet-view-schedules.test.ts
@@ -1,15 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {StoreEra} from '../authority/store-era.js';
-import {
-	compareStoreVersions,
-	initialStoreVersion,
-	rowsOfEra,
-	type StoreVersion,
-} from '../authority/store-version.js';
-import {TableCursor} from '../authority/table-cursor.js';
 import {createRandom, type Random} from '../common/random.js';
-import {FleetView} from './fleet-view.js';
+import {ListFollower} from './list-follower.testing.js';
 import type {ServerChange, ServerRecord} from './types.js';
 
 const schedules = 1000;
@@ -106,66 +98,11 @@
 			};
 }
 
-/** An entry's list of servers, with the store version that it is as of. */
-class Follower {
-	readonly era = StoreEra.create();
-	readonly cursor = TableCursor.create(this.era);
-	readonly fleet = FleetView.create({
-		zone: 'z',
-		isZoneOut: () => false,
-		newestVersion: () => undefined,
-		minVersion: () => 0,
-		serviceOf: () => undefined,
-		coldBound: () => 0,
-		entryCount: () => 1,
-		onNewWant: () => undefined,
-	});
-
-	version: StoreVersion = initialStoreVersion;
-
-	noteEra(era: number, now: number): void {
-		if (this.era.note(era, now)) {
-			this.fleet.noteEra(now);
-		}
-	}
-
-	read(table: ServerTable, now: number): void {
-		const isSnapshot = this.cursor.needsSnapshot(now);
-		const read = table.read(isSnapshot ? undefined : this.cursor.version);
-		if (read === undefined) {
-			this.cursor.noteHistoryLost();
-			return;
-		}
-
-		this.noteEra(read.era, now);
-		if (this.cursor.judge(read, isSnapshot, now) !== 'current') {
-			return;
-		}
-
-		const rows = rowsOfEra(read.rows, read.era);
-		if (isSnapshot) {
-			this.fleet.applyAll(rows, read, now);
-		} else {
-			this.fleet.apply(rows, now);
-		}
-
-		this.version = {era: read.era, version: read.version};
-	}
-
-	copyFrom(other: Follower, now: number): void {
-		if (compareStoreVersions(other.version, this.version) >= 0) {
-			this.noteEra(other.version.era, now);
-			this.fleet.applyAll(other.fleet.listedRows(), other.version, now);
-			this.version = other.version;
-		}
-	}
-}
-
 function play(seed: number): void {
 	const random = createRandom(seed);
 	const table = new ServerTable();
-	const reader = new Follower();
-	const relay = new Follower();
+	const reader = new ListFollower();
+	const relay = new ListFollower();
 	const events = [
 		...serverIds.map(id => ({
 			at: 0,
@@ -200,7 +137,7 @@
 			},
 		})),
 	].toSorted((a, b) => a.at - b.at);
-	const exited = new Map<Follower, Set<string>>([
+	const exited = new Map<ListFollower, Set<string>>([
 		[reader, new Set()],
 		[relay, new Set()],
 	]);
