Keep a server's wish for rest for as long as it holds, not as long as its row

What callers saw: entries went on sending to servers that had answered 503 with Retry-After, each such request cost a repeat, and servers that had to recover did not (BUDGET: more than two requests within a rest).

Cause: the rest was a field of ServerState, which is dropped when the server's row vanishes or can't be read while the entry has no request there, and begun anew when the row is back. A row goes after three check-ins that were late, which is likely for a server that is too busy to take requests.

Class: a statement kept under something with a shorter life than the statement. ServerSuspensions holds the rests by server identifier, the one thing that they are about: a response does not say its server's start or address. Price: a server that starts anew under its identifier gets requests of that entry only after the rest that its earlier start asked for. Another server at its address is not concerned. At most 16,384 are kept, the oldest forgotten first.

FleetView._admission is now the one place that says whether a request may go to a server; choose, isUsable and mayDispatch ask it. While no server of a service is listed, but one whose row is gone still rests, callers that no server has turned away yet are told so: at once with the time left if that is beyond their time to wait.

The schedules' bound became stricter: a new start no longer excuses requests.

Ruled out: a send that isn't checked again; onSending asks mayDispatch, which asks for the rest, whatever the request waited for.

--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -118,6 +118,12 @@
 /** Maximum time for which a server may turn requests away, in milliseconds. Longer ones are taken as this. */
 export const maxServerSuspensionMs = 600_000;
 
+/**
+ * Maximum number of servers whose statements of themselves are remembered, listed or not. It exceeds the largest fleet, so
+ * only servers that were replaced long ago are forgotten.
+ */
+export const maxRememberedServers = 16_384;
+
 /** Time over which the entries spread their first requests to a server that takes them again, in milliseconds. */
 export const resumptionSpreadMs = 300;
 
--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -778,6 +778,55 @@
 			assert.equal(fleet.suspensionMs({...plain, tried}, 2000), 0);
 		});
 
+		describe('and whose row goes and comes back', () => {
+			beforeEach(() => {
+				fleet.noteSuspension('s1', 3000, 0, 0);
+				for (const id of ['s1', 's2']) {
+					fleet.apply([{id, rowVersion: 2, record: undefined}], 1000);
+				}
+			});
+
+			// Guards against a server's wish for rest that is forgotten with its row (BUDGET).
+			it('gets none until then', () => {
+				fleet.apply(
+					[{id: 's1', rowVersion: 3, record: record('s1', {models: []})}],
+					1500,
+				);
+				assert.equal(fleet.mayDispatch('s1', 2999), false);
+				assert.deepEqual(fleet.choose(plain, 1500), {
+					kind: 'serversSuspended',
+					delayMs: 1500,
+				});
+				assert.equal(chosen(plain, 3000), 's1');
+			});
+
+			it('lets the caller know the time while the row is away', () => {
+				assert.deepEqual(fleet.choose(plain, 1200), {
+					kind: 'serversSuspended',
+					delayMs: 1800,
+				});
+				assert.equal(chosen({...plain, service: 't'}, 1200), 'noServer');
+				assert.equal(chosen(plain, 3000), 'noServer');
+			});
+
+			it('does not hold up a request that another server has turned away', () => {
+				const tried = new Set(['s2']);
+				assert.equal(chosen({...plain, tried}, 1200), 'noServer');
+				assert.equal(fleet.suspensionMs({...plain, tried}, 1200), 1800);
+			});
+
+			it('does not hold up a stream whose software version has no server any more', () => {
+				const need = {...plain, softwareVersion: 'v1'};
+				assert.equal(chosen(need, 1200), 'noServer');
+			});
+
+			it('does not hold for another server at its address', () => {
+				const successor = record('s3', {address: 's1', models: []});
+				fleet.apply([{id: 's3', rowVersion: 3, record: successor}], 1500);
+				assert.equal(chosen(plain, 1500), 's3');
+			});
+		});
+
 		// Answers the pattern of many waiting requests that return to a busy server at once.
 		it('gets requests at a limited rate for a second after it', () => {
 			list(record('s2', {isDraining: true}));
@@ -794,19 +843,17 @@
 			}
 
 			assert.equal(sent, 10);
-			assert.equal(server.isTakingRequests(2000), true);
+			assert.equal(chosen(plain, 2000), 's1');
 		});
 
 		it('spreads the first requests of the entries', () => {
-			const server = fleet.server('s1')!;
 			fleet.noteSuspension('s1', 1000, 0.5, 0);
-			assert.equal(server.suspendedForMs(1000), 150);
+			assert.equal(fleet.suspendedForMs('s1', 1000), 150);
 		});
 
 		it('does not get lost by an absurd time', () => {
-			const server = fleet.server('s1')!;
 			fleet.noteSuspension('s1', 1e12, 0, 0);
-			assert.equal(server.suspendedForMs(0), 600_000);
+			assert.equal(fleet.suspendedForMs('s1', 0), 600_000);
 		});
 	});
 });
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -24,6 +24,7 @@
 	maxSlotUtilization,
 } from './constants.js';
 import {ServerState} from './server-state.js';
+import {ServerSuspensions} from './server-suspensions.js';
 import type {
 	EngineReport,
 	ServerChange,
@@ -35,6 +36,9 @@
 
 const noServers: ReadonlySet<string> = new Set();
 
+/** Whether a request may go to a server: `resuming` servers get requests at a limited rate after a suspension. */
+type ServerAdmission = 'open' | 'resuming' | 'suspended' | 'closed';
+
 /** Dependencies and settings of a `FleetView`. */
 export type FleetViewOptions = Pick<
 	AdapterPlacementOptions,
@@ -70,6 +74,7 @@
 	private readonly _lostByStore = new Set<string>();
 	private _outageEndedAt = Number.NEGATIVE_INFINITY;
 	private _eraSettledAt = Number.NEGATIVE_INFINITY;
+	private readonly _suspensions = ServerSuspensions.create();
 	private readonly _placement: AdapterPlacement;
 
 	private constructor(private readonly _options: FleetViewOptions) {
@@ -213,7 +218,13 @@
 	 * @param share random number in [0, 1) that spreads the first requests of the entries after that time
 	 */
 	noteSuspension(id: string, forMs: number, share: number, now: number): void {
-		this._servers.get(id)?.suspend(forMs, share, now);
+		const service = this._servers.get(id)?.record.service ?? '';
+		this._suspensions.note(id, {forMs, share, service}, now);
+	}
+
+	/** Time for which a server wants no requests, listed or not, in milliseconds; 0 if it takes them. */
+	suspendedForMs(id: string, now: number): number {
+		return this._suspensions.remainingMs(id, now);
 	}
 
 	/**
@@ -267,17 +278,18 @@
 	/** Chooses a server, or returns what the request has to wait for. */
 	choose(need: ServerNeed, now: number): ServerChoice {
 		const candidates = this._usable(need, now);
-		if (candidates.length === 0) {
-			return {kind: 'noServer'};
-		}
-
-		const usable = candidates.filter(server => server.isTakingRequests(now));
+		const usable = candidates.filter(
+			server => this._admission(server, now) === 'open',
+		);
 		if (usable.length === 0) {
-			const delayMs = Math.max(
-				resumptionIntervalMs,
-				leastSuspensionMs(candidates, now),
-			);
-			return {kind: 'serversSuspended', delayMs};
+			const suspensionMs = this._leastSuspensionMs(need, candidates, now);
+			return candidates.length === 0 &&
+				(suspensionMs === 0 || need.tried.size > 0)
+				? {kind: 'noServer'}
+				: {
+						kind: 'serversSuspended',
+						delayMs: Math.max(resumptionIntervalMs, suspensionMs),
+					};
 		}
 
 		if (need.model === undefined) {
@@ -306,12 +318,10 @@
 		}
 	}
 
-	/** Time until a server of the service takes requests, tried or not, in milliseconds. 0 if one does, or if none is usable. */
+	/** Time until a server of the service takes requests, tried or not, in milliseconds. 0 if one does, or if none is known. */
 	suspensionMs(need: ServerNeed, now: number): number {
-		return leastSuspensionMs(
-			this._usable({...need, tried: noServers}, now),
-			now,
-		);
+		const untried = {...need, tried: noServers};
+		return this._leastSuspensionMs(untried, this._usable(untried, now), now);
 	}
 
 	/** Whether a request may be dispatched to the server now, which it was assigned to some time before. */
@@ -327,11 +337,9 @@
 	/** Whether the server may get requests. */
 	isUsable(id: string, now: number): boolean {
 		const server = this._servers.get(id);
-		return (
-			server !== undefined &&
-			this._isUsable(server, now) &&
-			server.suspendedForMs(now) === 0
-		);
+		const admission =
+			server === undefined ? 'closed' : this._admission(server, now);
+		return admission === 'open' || admission === 'resuming';
 	}
 
 	/** Returns the version that a request sent to the server now has to expect. */
@@ -449,7 +457,24 @@
 		);
 	}
 
-	private _isUsable(server: ServerState, now: number): boolean {
+	/** Whether a request may go to the server now, by the list and by what the server has said of itself. */
+	private _admission(server: ServerState, now: number): ServerAdmission {
+		if (!this._isOpen(server, now)) {
+			return 'closed';
+		}
+
+		const {id} = server.record;
+		if (this._suspensions.remainingMs(id, now) > 0) {
+			return 'suspended';
+		}
+
+		const sentSince = (at: number) => server.sentSince(at);
+		return this._suspensions.isTakingRequests(id, sentSince, now)
+			? 'open'
+			: 'resuming';
+	}
+
+	private _isOpen(server: ServerState, now: number): boolean {
 		const {isDraining, zone} = server.record;
 		return (
 			!isDraining &&
@@ -468,12 +493,37 @@
 				!need.tried.has(server.record.id) &&
 				(softwareVersion === undefined ||
 					server.softwareVersion === softwareVersion) &&
-				this._isUsable(server, now),
+				this._admission(server, now) !== 'closed',
 		);
 		const unsuspected = usable.filter(server => !server.isSuspected(now));
 		return unsuspected.length > 0 ? unsuspected : usable;
 	}
 
+	/**
+	 * Time until the first of the servers takes requests, in milliseconds. Without any, that of those that want none and
+	 * whose rows are gone, since they may return.
+	 */
+	private _leastSuspensionMs(
+		{service, tried, softwareVersion}: ServerNeed,
+		servers: readonly ServerState[],
+		now: number,
+	): number {
+		const ids =
+			servers.length > 0 || softwareVersion !== undefined
+				? servers.map(({record: {id}}) => id)
+				: this._suspensions
+						.suspendedServers(service, now)
+						.filter(id => !tried.has(id) && this._isUnlisted(id));
+		return ids.length === 0
+			? 0
+			: Math.min(...ids.map(id => this.suspendedForMs(id, now)));
+	}
+
+	private _isUnlisted(id: string): boolean {
+		const server = this._servers.get(id);
+		return server === undefined || server.vanishedAt !== undefined;
+	}
+
 	private _choosePlain(
 		usable: readonly ServerState[],
 		now: number,
@@ -585,15 +635,6 @@
 	);
 }
 
-function leastSuspensionMs(
-	servers: readonly ServerState[],
-	now: number,
-): number {
-	return servers.length === 0
-		? 0
-		: Math.min(...servers.map(server => server.suspendedForMs(now)));
-}
-
 /** Whether a record is of a later start of the server than the known one, by its own account. */
 function isNewerStart(
 	{born = 0}: ServerRecord,
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -2,12 +2,8 @@
 import {
 	initialPrefillTokensPerMs,
 	maxReportedPrefills,
-	maxServerSuspensionMs,
 	minReturnMs,
 	reportLifetimeMs,
-	resumptionIntervalMs,
-	resumptionRampMs,
-	resumptionSpreadMs,
 	silenceTimeoutMs,
 	suspicionMs,
 	typicalPromptTokens,
@@ -50,7 +46,6 @@
 	private _leavingSaidAt = Number.NEGATIVE_INFINITY;
 	/** Whether the list has confirmed the leaving: the server was listed as draining, or removed. */
 	private _hasListedLeaving = false;
-	private _suspendedUntil = Number.NEGATIVE_INFINITY;
 	private readonly _wants = new Map<string, {want: AdapterWant; at: number}>();
 	/** Number of this entry's requests on each adapter, by adapter key. */
 	private readonly _inUse = new Map<string, number>();
@@ -192,6 +187,11 @@
 		return this._sentAt.filter(at => now - at <= 1000).length;
 	}
 
+	/** Number of requests that this entry assigned to the server from a time within the last second on. */
+	sentSince(at: number): number {
+		return this._sentAt.filter(sentAt => sentAt >= at).length;
+	}
+
 	/** Number of requests that this entry dispatched within the last second, after any wait for prefill or a connection. */
 	dispatchedWithinSecond(now: number): number {
 		return this._dispatchedAt.filter(at => now - at <= 1000).length;
@@ -291,34 +291,6 @@
 		return isNews;
 	}
 
-	/**
-	 * Notes that the server turns requests away for a time. Of several such times, the one that ends last counts.
-	 *
-	 * @param share random number in [0, 1) that spreads the first requests of the entries after that time
-	 */
-	suspend(forMs: number, share: number, now: number): void {
-		this._suspendedUntil = Math.max(
-			this._suspendedUntil,
-			now + Math.min(forMs, maxServerSuspensionMs) + share * resumptionSpreadMs,
-		);
-	}
-
-	/** Time for which the server turns requests away, in milliseconds; 0 if it takes them. */
-	suspendedForMs(now: number): number {
-		return Math.max(0, this._suspendedUntil - now);
-	}
-
-	/** Whether the server takes another request. After a suspension, the requests of an entry rise slowly. */
-	isTakingRequests(now: number): boolean {
-		const sinceMs = now - this._suspendedUntil;
-		if (sinceMs < 0 || sinceMs >= resumptionRampMs) {
-			return sinceMs >= 0;
-		}
-
-		const sent = this._sentAt.filter(at => at >= this._suspendedUntil).length;
-		return sent <= sinceMs / resumptionIntervalMs;
-	}
-
 	/** Marks the adapter as not resident, overriding the last report or record. */
 	noteRefusedAdapter(key: string): void {
 		this._refused.add(key);
--- a/packages/core/src/placement/server-suspensions-schedules.test.ts
+++ b/packages/core/src/placement/server-suspensions-schedules.test.ts
@@ -96,8 +96,6 @@
 			arrival =>
 				arrival.entry === entry &&
 				arrival.process.id === process.id &&
-				// Only a start that is known to be newer ends the rest.
-				(arrival.process.born ?? 0) <= (process.born ?? Infinity) &&
 				arrival.at >= answeredAt + graceMs &&
 				arrival.at < answeredAt + restMs,
 		);
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -185,7 +185,9 @@
 			graceMs: () => this._bounds.graceMs,
 			hasOthers: () => this._peers.hasServingPeer,
 		});
-		this._serverLog = ServerLog.create(log);
+		this._serverLog = ServerLog.create(log, server =>
+			this._fleet.suspendedForMs(server, clock()),
+		);
 		this._servers = this._createServersTable();
 		this._members = this._createMembersTable();
 		this._exchange = TableExchange.create({
@@ -347,7 +349,7 @@
 
 	/** Logs that a server says that it is leaving, and tells the linked entries, which may not get its responses. */
 	private _onServerLeaving(server: string): void {
-		this._serverLog.update(this._fleet.servers(), clock());
+		this._serverLog.update(this._fleet.servers());
 		const born = this._fleet.server(server)?.born ?? 0;
 		this._peers.sendToLinks({type: 'leaving', server, born});
 	}
@@ -801,7 +803,7 @@
 			this._fleet.listedRows().flatMap(({record}) => record ?? []),
 			clock(),
 		);
-		this._serverLog.update(this._fleet.servers(), clock());
+		this._serverLog.update(this._fleet.servers());
 		this._upstream.keepOnly(
 			new Set([...this._fleet.servers()].map(({record}) => record.id)),
 		);
--- a/packages/daemon/src/direct/server-log.test.ts
+++ b/packages/daemon/src/direct/server-log.test.ts
@@ -25,11 +25,14 @@
 				done();
 			},
 		});
-		const log = ServerLog.create(EventLog.create('h', () => 0, output));
-		const server = ServerState.create(record, 0);
-		log.update([server], 0);
-		server.suspend(3000, 0, 100);
-		log.update([], 1000);
+		let suspendedForMs = 0;
+		const log = ServerLog.create(
+			EventLog.create('h', () => 0, output),
+			() => suspendedForMs,
+		);
+		log.update([ServerState.create(record, 0)]);
+		suspendedForMs = 2100.4;
+		log.update([]);
 		const [ready = '', gone = ''] = lines.join('').split('\n');
 		assert.ok(ready.includes('"state":"ready"'));
 		assert.ok(!ready.includes('suspendedForMs'));
--- a/packages/daemon/src/direct/server-log.ts
+++ b/packages/daemon/src/direct/server-log.ts
@@ -4,26 +4,32 @@
 type ServerDescription = {
 	readonly state: string;
 	readonly softwareVersion: string | undefined;
-	readonly server: ServerState;
 };
 
 /** Logs each server that joins, changes state or leaves. */
 export class ServerLog {
-	static create(log: EventLog): ServerLog {
-		return new ServerLog(log);
+	/** @param suspendedForMs returns for how long a server wants no requests, listed or not */
+	static create(
+		log: EventLog,
+		suspendedForMs: (server: string) => number,
+	): ServerLog {
+		return new ServerLog(log, suspendedForMs);
 	}
 
 	private _states: ReadonlyMap<string, ServerDescription> = new Map();
 
-	private constructor(private readonly _log: EventLog) {}
+	private constructor(
+		private readonly _log: EventLog,
+		private readonly _suspendedForMs: (server: string) => number,
+	) {}
 
 	/** @param servers all known servers */
-	update(servers: Iterable<ServerState>, now: number): void {
+	update(servers: Iterable<ServerState>): void {
 		const previous = this._states;
 		this._states = new Map(
 			[...servers].map(server => [server.record.id, describeServer(server)]),
 		);
-		for (const [id, {state, softwareVersion, server}] of this._states) {
+		for (const [id, {state, softwareVersion}] of this._states) {
 			const before = previous.get(id);
 			if (
 				before?.state !== state ||
@@ -34,35 +40,32 @@
 					server: id,
 					state,
 					...(softwareVersion !== undefined && {softwareVersion}),
-					...suspensionOf(server, now),
+					...this._suspensionOf(id),
 				});
 			}
 		}
 
-		for (const [id, {server}] of previous) {
+		for (const id of previous.keys()) {
 			if (!this._states.has(id)) {
 				this._log.write({
 					event: 'serverChanged',
 					server: id,
 					state: 'gone',
-					...suspensionOf(server, now),
+					...this._suspensionOf(id),
 				});
 			}
 		}
 	}
+
+	private _suspensionOf(id: string): {readonly suspendedForMs?: number} {
+		const suspendedForMs = Math.round(this._suspendedForMs(id));
+		return suspendedForMs > 0 ? {suspendedForMs} : {};
+	}
 }
 
 function describeServer(server: ServerState): ServerDescription {
 	const {softwareVersion} = server.record;
-	return {state: stateOf(server), softwareVersion, server};
-}
-
-function suspensionOf(
-	server: ServerState,
-	now: number,
-): {readonly suspendedForMs?: number} {
-	const suspendedForMs = Math.round(server.suspendedForMs(now));
-	return suspendedForMs > 0 ? {suspendedForMs} : {};
+	return {state: stateOf(server), softwareVersion};
 }
 
 function stateOf({record, vanishedAt, isLeaving}: ServerState): string {
