--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -185,7 +185,9 @@
 			graceMs: () => this._bounds.graceMs,
 			hasOthers: () => this._peers.hasServingPeer,
 		});
-		this._serverLog = ServerLog.create(log);
+		this._serverLog = ServerLog.create(log, server =>
+			this._fleet.suspendedForMs(server, clock()),
+		);
 		this._servers = this._createServersTable();
 		this._members = this._createMembersTable();
 		this._exchange = TableExchange.create({
@@ -955,7 +957,7 @@
 		server,
 		born,
 	}: Extract<GossipMessage, {type: 'leaving'}>): void {
-		if (this._fleet.server(server)?.noteLeaving(clock(), born) === true) {
+		if (this._fleet.noteLeaving(server, clock(), born)) {
 			this._onServerLeaving(server);
 		}
 	}
--- a/packages/daemon/src/direct/server-log.ts
+++ b/packages/daemon/src/direct/server-log.ts
@@ -8,13 +8,20 @@
 
 /** Logs each server that joins, changes state or leaves. */
 export class ServerLog {
-	static create(log: EventLog): ServerLog {
-		return new ServerLog(log);
+	/** @param suspendedForMs returns for how long a server wants no requests, listed or not */
+	static create(
+		log: EventLog,
+		suspendedForMs: (server: string) => number,
+	): ServerLog {
+		return new ServerLog(log, suspendedForMs);
 	}
 
 	private _states: ReadonlyMap<string, ServerDescription> = new Map();
 
-	private constructor(private readonly _log: EventLog) {}
+	private constructor(
+		private readonly _log: EventLog,
+		private readonly _suspendedForMs: (server: string) => number,
+	) {}
 
 	/** @param servers all known servers */
 	update(servers: Iterable<ServerState>): void {
@@ -22,27 +29,38 @@
 		this._states = new Map(
 			[...servers].map(server => [server.record.id, describeServer(server)]),
 		);
-		for (const [server, {state, softwareVersion}] of this._states) {
-			const before = previous.get(server);
+		for (const [id, {state, softwareVersion}] of this._states) {
+			const before = previous.get(id);
 			if (
 				before?.state !== state ||
 				before.softwareVersion !== softwareVersion
 			) {
 				this._log.write({
 					event: 'serverChanged',
-					server,
+					server: id,
 					state,
 					...(softwareVersion !== undefined && {softwareVersion}),
+					...this._suspensionOf(id),
 				});
 			}
 		}
 
-		for (const server of previous.keys()) {
-			if (!this._states.has(server)) {
-				this._log.write({event: 'serverChanged', server, state: 'gone'});
+		for (const id of previous.keys()) {
+			if (!this._states.has(id)) {
+				this._log.write({
+					event: 'serverChanged',
+					server: id,
+					state: 'gone',
+					...this._suspensionOf(id),
+				});
 			}
 		}
 	}
+
+	private _suspensionOf(id: string): {readonly suspendedForMs?: number} {
+		const suspendedForMs = Math.round(this._suspendedForMs(id));
+		return suspendedForMs > 0 ? {suspendedForMs} : {};
+	}
 }
 
 function describeServer(server: ServerState): ServerDescription {
