Do not take a response that can't be used for a crash of its server

Callers saw: a request whose responses belonged to other requests at two servers, or held an event without end, was refused as 'quarantined' for ten minutes, also when it came again and sound servers were there (503, not run). After one such response it was not repeated if a part of its prompt was suspected (502). Cause: one method handled broken connections and unusable responses, and noted both as a possible crash: the request as a suspect, here and at all linked entries, and as interrupted itself. The parts of its prompt were spared already. Why it works: only a connection that breaks says that its server may have ended; a server that sends wrong bytes runs on, and avoiding it is enough. Ruled out: counting it against parts, as no server ends.

--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -812,9 +812,7 @@
 		response: ResponseMetadata,
 	): void {
 		if (!response.isGenuine) {
-			attempt.call?.abort();
-			attempt.exposure?.dispose();
-			this._onAttemptFailed(
+			this._onUnusableResponse(
 				attempt,
 				new Error('response does not belong to this request'),
 			);
@@ -960,10 +958,8 @@
 
 	private _onEndlessEvent(attempt: Attempt, bytes: number): void {
 		const err = EndlessResponseError.create('event', bytes);
-		attempt.call?.abort();
-		attempt.exposure?.dispose();
 		this._context.onEndlessResponse(attempt.server, err);
-		this._onAttemptFailed(attempt, err);
+		this._onUnusableResponse(attempt, err);
 	}
 
 	/** Reports the time to the first part of the response to the server's agent, once for each attempt. */
@@ -1038,10 +1034,26 @@
 			: `: delimited by its connection, ${bytes} bytes into an event`;
 	}
 
-	/** Handles a broken connection or an unusable response. */
+	/** Handles a response that can't be passed on. Its server runs on, so the request is not suspected of a crash. */
+	private _onUnusableResponse(attempt: Attempt, err: Error): void {
+		attempt.call?.abort();
+		attempt.exposure?.dispose();
+		this._leaveServer(attempt, err);
+	}
+
+	/** Handles a connection that broke before the end of its response. */
 	private _onAttemptFailed(attempt: Attempt, err: Error): void {
 		this._wasInterrupted ||= attempt.framing !== undefined;
 		attempt.exposure?.onBroke();
+		if (attempt.isSent) {
+			this._reportSuspect(attempt.server);
+		}
+
+		this._leaveServer(attempt, err);
+	}
+
+	/** Avoids the server for a while and retries on another one. */
+	private _leaveServer(attempt: Attempt, err: Error): void {
 		this._endAttempt(
 			attempt.isSent
 				? `broke: ${err.message}${this._describeEnd(attempt)}`
@@ -1052,10 +1064,6 @@
 			?.markSuspected(this._context.clock());
 		this._mayHaveRun ||= attempt.isSent;
 		this._eventSplitter?.takePartialEvent();
-		if (attempt.isSent) {
-			this._reportSuspect(attempt.server);
-		}
-
 		this._retry(
 			attempt.isSent
 				? badGateway('serverBroke')
