Tell callers when the load of an adapter is likely to be complete

Callers saw: when the last server that held an adapter left, a request that could not wait for the load elsewhere was refused with Retry-After 0.5 s, whatever loads take, and was refused again when it came back. Cause: one fixed time for each refusal that nothing else had a time for. Change: an entry takes the times of loads from the reports that it gets anyway; a request refused as awaitAdapter is told the median of the newest eight, less what has passed of a load under way. The median, not the longest: adapters differ in size, and a caller that is a little early waits for the rest. Before the first complete load nothing is known, and the time stays 0.5 s.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -56,6 +56,7 @@
 export * from './placement/prefill-rate.js';
 export {silenceTimeoutMs} from './placement/constants.js';
 export {ServerState} from './placement/server-state.js';
+export * from './placement/adapter-load-times.js';
 export * from './placement/fleet-view.js';
 export * from './orders/order-planner.js';
 export {shutdownLeaveMs} from './direct/constants.js';
--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -100,6 +100,9 @@
  */
 export const minOutageMs = 2000;
 
+/** Number of complete loads from which the time of the next one is estimated. */
+export const maxLoadSamples = 8;
+
 /** Time after a store outage within which servers that the store dropped are back, as the platform specifies, in milliseconds. */
 export const returnWindowMs = 2000;
 
--- a/packages/daemon/src/direct/agent-client.test.ts
+++ b/packages/daemon/src/direct/agent-client.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it, mock} from 'node:test';
-import {FleetView, type EngineReport, type ServiceSpec} from '@balsamtray/core';
+import {
+	AdapterLoadTimes,
+	FleetView,
+	type EngineReport,
+	type ServiceSpec,
+} from '@balsamtray/core';
 import type {DemandMessage} from '@balsamtray/protocol';
 import {AgentClient} from './agent-client.js';
 import {
@@ -81,6 +86,7 @@
 		);
 		client = AgentClient.create({
 			fleet,
+			loadTimes: AdapterLoadTimes.create(),
 			clock: () => now,
 			serviceOf: () => service,
 			agentPort: 1,
--- a/packages/daemon/src/direct/agent-client.ts
+++ b/packages/daemon/src/direct/agent-client.ts
@@ -1,5 +1,6 @@
 import {
 	adapterKey,
+	type AdapterLoadTimes,
 	type FleetView,
 	type EngineReport,
 	type PromptTurn,
@@ -18,6 +19,7 @@
 
 export type AgentClientOptions = {
 	readonly fleet: FleetView;
+	readonly loadTimes: AdapterLoadTimes;
 	readonly clock: () => number;
 	readonly serviceOf: (name: string) => ServiceSpec | undefined;
 	readonly agentPort: number;
@@ -111,7 +113,7 @@
 	}
 
 	onReport(id: string, report: EngineReport): void {
-		const {fleet, clock, onReport, onRegained} = this._options;
+		const {fleet, loadTimes, clock, onReport, onRegained} = this._options;
 		const now = clock();
 		const server = fleet.server(id);
 		if (server === undefined || fleet.isReplaced(server)) {
@@ -125,6 +127,7 @@
 		this._lastReportAt.set(id, now);
 		this._silentSince.set(id, now);
 		fleet.noteReport(id, report, now);
+		loadTimes.noteReport(id, report, now);
 		onReport();
 	}
 
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -1,4 +1,5 @@
 import type {
+	AdapterLoadTimes,
 	AuthorityView,
 	FleetView,
 	RetryAllowance,
@@ -23,6 +24,7 @@
 	readonly clock: () => number;
 	readonly authority: AuthorityView;
 	readonly fleet: FleetView;
+	readonly loadTimes: AdapterLoadTimes;
 	readonly peers: EntryPeers;
 	readonly streams: StreamDirectory;
 	readonly agentClient: AgentClient;
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
+	AdapterLoadTimes,
 	AuthorityView,
 	eraGraceMs,
 	FleetView,
@@ -127,6 +128,7 @@
 	private readonly _waitQueue = WaitQueue.create();
 	private readonly _prefillWaiting = KeyCounts.create();
 	private readonly _sentCalls = SentCalls.create();
+	private readonly _loadTimes = AdapterLoadTimes.create();
 	private readonly _suspects = SuspectRegistry.create();
 	private readonly _partQuarantine: PartQuarantine;
 	private readonly _exchange: TableExchange;
@@ -212,6 +214,7 @@
 		this._streams = this._createStreams();
 		this._agentClient = AgentClient.create({
 			fleet: this._fleet,
+			loadTimes: this._loadTimes,
 			clock,
 			serviceOf: name => this._serviceOf(name),
 			agentPort: settings.agentPort,
@@ -313,6 +316,7 @@
 			clock,
 			authority: this._authority,
 			fleet: this._fleet,
+			loadTimes: this._loadTimes,
 			peers: this._peers,
 			streams: this._streams,
 			agentClient: this._agentClient,
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -407,13 +407,26 @@
 			: refusal;
 	}
 
+	/** Refusal of a request that waited in vain. Without its adapter, the caller is to come back once that is loaded. */
+	private _refusalOfWait(cause: string): CallRefusal {
+		const refusal = unavailable(cause);
+		const {model, adapter} = this._metadata;
+		if (cause !== 'awaitAdapter' || !model || !adapter) {
+			return refusal;
+		}
+
+		const {loadTimes, clock} = this._context;
+		const remainingMs = loadTimes.remainingMs(model, adapter, clock()) ?? 0;
+		return remainingMs > 0 ? {...refusal, retryAfterMs: remainingMs} : refusal;
+	}
+
 	private _waitForServer(choice: ServerChoice, now: number): void {
 		this._record.noteWait(choice.kind);
 		const suspendedForMs =
 			choice.kind === 'serversSuspended' ? choice.delayMs : 0;
 		if (now + suspendedForMs >= this._waitDeadlineAt) {
 			this._fail({
-				...unavailable(choice.kind),
+				...this._refusalOfWait(choice.kind),
 				...('delayMs' in choice && {retryAfterMs: choice.delayMs}),
 			});
 			return;
@@ -1116,7 +1129,7 @@
 
 		const {_attempt: attempt} = this;
 		if (attempt === undefined) {
-			this._fail(unavailable(this._record.waitedFor ?? 'deadline'));
+			this._fail(this._refusalOfWait(this._record.waitedFor ?? 'deadline'));
 			return;
 		}
 
