Failing tests: the agent of an engine that says in a response that it is leaving

An entry that starts later still sends to it, as neither the agent nor other entries tell it; and the agent goes on ordering loads there.

--- a/packages/core/src/orders/order-planner.test.ts
+++ b/packages/core/src/orders/order-planner.test.ts
@@ -54,6 +54,16 @@
 		});
 	});
 
+	describe('when the engine says that it is leaving', () => {
+		// Guards against loads that take the weight store's time and are gone with the engine.
+		it('orders nothing', () => {
+			const planner = plannerWith([want('a')]);
+			const report = reportOf({}, {isLeaving: true});
+			assert.equal(planner.plan(report, 0), undefined);
+			assert.equal(planner.plan(reportOf({}), 0)?.adapter, 'a');
+		});
+	});
+
 	describe('the capacity check', () => {
 		it('counts pending loads', () => {
 			const pending = [{model: 'm', adapter: 'b', version: 1}];
