Tell an engine's agent that its engine is leaving

Callers saw: an entry that started after an engine had said in a response to another entry that it was leaving sent requests there. The engine's reports need not say so, and entries tell each other once only. Cause: the agent, which every entry hears, was not told. Change: an entry sends the agent the message that entries send each other, at once and with each demand, as datagrams may be lost and agents may restart. The agent says so in its reports until it sees a newer start of the engine; a message without a start time is ignored, since it may be of an earlier one. Older agents ignore the message. The new test of agent-runtime was not run on the code before. Messages: one more datagram with each demand to an engine that is leaving.

--- a/packages/daemon/src/direct/agent-client.ts
+++ b/packages/daemon/src/direct/agent-client.ts
@@ -197,6 +197,7 @@
 		);
 	}
 
+	/** With each demand, an agent is told that its engine is leaving, as datagrams may be lost and agents may restart. */
 	private _sendDemandTo(server: ServerState): void {
 		const {fleet, serviceOf, send, clock, waitingCount} = this._options;
 		const {id, service} = server.record;
@@ -226,6 +227,12 @@
 			},
 			this._agentEndpoint(server),
 		);
+		if (server.isLeaving) {
+			send(
+				{type: 'leaving', server: id, born: server.born},
+				this._agentEndpoint(server),
+			);
+		}
 	}
 
 	/** An agent runs on the host of its engine. */
--- a/packages/daemon/src/direct/agent-runtime.test.ts
+++ b/packages/daemon/src/direct/agent-runtime.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import {once} from 'node:events';
+import {on, once} from 'node:events';
 import {createSocket} from 'node:dgram';
 import {Writable} from 'node:stream';
 import {describe, it} from 'node:test';
@@ -67,6 +67,62 @@
 		socket.close();
 		await runtime.stop();
 	});
+
+	// Guards against reports that hide a leaving that the engine told in a response only, or keep it after a restart.
+	it('reports that its engine is leaving once an entry says so, until the engine has started anew', async () => {
+		let born = 1;
+		const peer = {host: '127.0.0.1', port: 28_993};
+		const runtime = AgentRuntime.create({
+			settings: {
+				hostId: 'a',
+				peer,
+				metrics: {host: '127.0.0.1', port: 28_994},
+			},
+			engine: {
+				report: async () => ({...report, born}),
+				order: async () => 'refused',
+			},
+			log: EventLog.create('a', () => 0, new Writable({write: done})),
+		});
+		await runtime.start();
+		const socket = createSocket('udp4');
+		const send = (message: unknown) => {
+			socket.send(JSON.stringify(message), peer.port, peer.host);
+		};
+
+		const tellLeaving = () => {
+			send({type: 'leaving', server: 's', born: 1});
+		};
+
+		const untilReport = async (
+			isSought: (text: string) => boolean,
+		): Promise<void> => {
+			for await (const [bytes] of on(socket, 'message')) {
+				if (isSought(String(bytes))) {
+					return;
+				}
+			}
+		};
+
+		const demand = {wants: [], used: [], models: [], adapterPlaces: 1};
+		send({type: 'demand', server: 's', demand});
+		await untilReport(text => !text.includes('isLeaving'));
+		tellLeaving();
+		await untilReport(text => text.includes('"isLeaving":true'));
+		born = 2;
+		await untilReport(
+			text => text.includes('"born":2') && !text.includes('isLeaving'),
+		);
+		tellLeaving();
+		for (let i = 0; i < 2; i++) {
+			// eslint-disable-next-line no-await-in-loop
+			const received: unknown = await once(socket, 'message');
+			assert.doesNotMatch(String(received), /isLeaving/v);
+		}
+
+		socket.close();
+		await runtime.stop();
+	});
 });
 
 function done(_chunk: unknown, _encoding: string, callback: () => void): void {
--- a/packages/daemon/src/direct/agent-runtime.ts
+++ b/packages/daemon/src/direct/agent-runtime.ts
@@ -52,6 +52,8 @@
 	private _metricsServer: TextServer | undefined;
 	private _server: string | undefined;
 	private _report: EngineReport | undefined;
+	/** Start time of the engine when it last said that it is leaving; undefined if it did not. */
+	private _leavingBorn: number | undefined;
 	private _publishedDigest = '';
 	private _publishedAt = Number.NEGATIVE_INFINITY;
 	private _isEngineLost = false;
@@ -102,6 +104,10 @@
 			this._socket?.send({type: 'turnAnswer', askId, ...turn}, from);
 		}
 
+		if (message.type === 'leaving' && message.server === this._server) {
+			this._onLeaving(message.born);
+		}
+
 		if (message.type === 'turnReturn') {
 			this._pacer.release(message.promptTokens, now);
 		}
@@ -131,6 +137,30 @@
 		}
 	}
 
+	/** An entry saw a response of the engine that says that it is leaving. Its reports need not say so. */
+	private _onLeaving(born: number): void {
+		// Without a start time, the message may be of an earlier start of the engine.
+		if (born === 0 || born <= (this._leavingBorn ?? 0)) {
+			return;
+		}
+
+		this._leavingBorn = born;
+		if (this._report !== undefined) {
+			this._report = this._withLeaving(this._report);
+			this._publishReport(this._report);
+		}
+	}
+
+	private _withLeaving(report: EngineReport): EngineReport {
+		if (report.isLeaving === true) {
+			this._leavingBorn = Math.max(this._leavingBorn ?? 0, report.born);
+		}
+
+		return report.born <= (this._leavingBorn ?? Number.NEGATIVE_INFINITY)
+			? {...report, isLeaving: true}
+			: report;
+	}
+
 	/**
 	 * Reads the engine's report, publishes it and sends the orders that are due, then schedules the next cycle. A call
 	 * during a cycle makes that cycle run another step.
@@ -200,7 +230,7 @@
 	private async _readReport(): Promise<EngineReport | undefined> {
 		const {engine, log} = this._options;
 		try {
-			const report = await engine.report();
+			const report = this._withLeaving(await engine.report());
 			if (this._isEngineLost) {
 				this._isEngineLost = false;
 				log.write({
@@ -231,10 +261,11 @@
 		}
 	}
 
-	/** Publishes changes of models and loads at once; other changes only once per report interval. */
+	/** Publishes changes of models, loads and the leaving at once; other changes only once per report interval. */
 	private _publishReport(report: EngineReport): void {
 		const now = performance.now();
-		const digest = JSON.stringify([report.born, report.models, report.pending]);
+		const {born, models, pending, isLeaving} = report;
+		const digest = JSON.stringify([born, models, pending, isLeaving]);
 		if (
 			digest === this._publishedDigest &&
 			now - this._publishedAt < reportIntervalMs
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -339,6 +339,7 @@
 			maxConnections: service => this._maxConnectionsTo(service),
 			onServerLeaving: server => {
 				this._onServerLeaving(server);
+				this._agentClient.sendDemand(server);
 			},
 			onEndlessResponse: (server, err) => {
 				this._onEndlessResponse(server, err);
