Order no loads at an engine that is leaving

Callers saw: nothing directly; a load that was wanted before the engine said that it leaves took the weight store's time from loads that last. Cause: the planner looked at wants only. Change: it orders nothing while the report says that the engine is leaving. Loads that the engine has accepted end in order. Measured: order-planner.test, red before, 22 of 22 pass in the folder.

--- a/packages/core/src/orders/order-planner.ts
+++ b/packages/core/src/orders/order-planner.ts
@@ -155,6 +155,10 @@
 	/** Returns the next order, or undefined if there is none. */
 	plan(report: EngineReport, now: number): EngineOrder | undefined {
 		this._prune(report, now);
+		if (report.isLeaving === true) {
+			return undefined;
+		}
+
 		const model = this._missingModel(report);
 		if (model !== undefined) {
 			return report.isBusy || report.models.length > 0
