--- a/packages/daemon/src/direct/agent-client.ts
+++ b/packages/daemon/src/direct/agent-client.ts
@@ -1,5 +1,6 @@
 import {
 	adapterKey,
+	type AdapterLoadTimes,
 	type FleetView,
 	type EngineReport,
 	type PromptTurn,
@@ -18,6 +19,7 @@
 
 export type AgentClientOptions = {
 	readonly fleet: FleetView;
+	readonly loadTimes: AdapterLoadTimes;
 	readonly clock: () => number;
 	readonly serviceOf: (name: string) => ServiceSpec | undefined;
 	readonly agentPort: number;
@@ -111,7 +113,7 @@
 	}
 
 	onReport(id: string, report: EngineReport): void {
-		const {fleet, clock, onReport, onRegained} = this._options;
+		const {fleet, loadTimes, clock, onReport, onRegained} = this._options;
 		const now = clock();
 		const server = fleet.server(id);
 		if (server === undefined || fleet.isReplaced(server)) {
@@ -125,6 +127,7 @@
 		this._lastReportAt.set(id, now);
 		this._silentSince.set(id, now);
 		fleet.noteReport(id, report, now);
+		loadTimes.noteReport(id, report, now);
 		onReport();
 	}
 
@@ -194,6 +197,7 @@
 		);
 	}
 
+	/** With each demand, an agent is told that its engine is leaving, as datagrams may be lost and agents may restart. */
 	private _sendDemandTo(server: ServerState): void {
 		const {fleet, serviceOf, send, clock, waitingCount} = this._options;
 		const {id, service} = server.record;
@@ -223,6 +227,12 @@
 			},
 			this._agentEndpoint(server),
 		);
+		if (server.isLeaving) {
+			send(
+				{type: 'leaving', server: id, born: server.born},
+				this._agentEndpoint(server),
+			);
+		}
 	}
 
 	/** An agent runs on the host of its engine. */
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -426,13 +426,26 @@
 			: refusal;
 	}
 
+	/** Refusal of a request that waited in vain. Without its adapter, the caller is to come back once that is loaded. */
+	private _refusalOfWait(cause: string): CallRefusal {
+		const refusal = unavailable(cause);
+		const {model, adapter} = this._metadata;
+		if (cause !== 'awaitAdapter' || !model || !adapter) {
+			return refusal;
+		}
+
+		const {loadTimes, clock} = this._context;
+		const remainingMs = loadTimes.remainingMs(model, adapter, clock()) ?? 0;
+		return remainingMs > 0 ? {...refusal, retryAfterMs: remainingMs} : refusal;
+	}
+
 	private _waitForServer(choice: ServerChoice, now: number): void {
 		this._record.noteWait(choice.kind);
 		const suspendedForMs =
 			choice.kind === 'serversSuspended' ? choice.delayMs : 0;
 		if (now + suspendedForMs >= this._waitDeadlineAt) {
 			this._fail({
-				...unavailable(choice.kind),
+				...this._refusalOfWait(choice.kind),
 				...('delayMs' in choice && {retryAfterMs: choice.delayMs}),
 			});
 			return;
@@ -835,9 +848,7 @@
 		response: ResponseMetadata,
 	): void {
 		if (!response.isGenuine) {
-			attempt.call?.abort();
-			attempt.exposure?.dispose();
-			this._onAttemptFailed(
+			this._onUnusableResponse(
 				attempt,
 				new Error('response does not belong to this request'),
 			);
@@ -981,10 +992,8 @@
 
 	private _onEndlessEvent(attempt: Attempt, bytes: number): void {
 		const err = EndlessResponseError.create('event', bytes);
-		attempt.call?.abort();
-		attempt.exposure?.dispose();
 		this._context.onEndlessResponse(attempt.server, err);
-		this._onAttemptFailed(attempt, err);
+		this._onUnusableResponse(attempt, err);
 	}
 
 	/** Reports the time to the first part of the response to the server's agent, once for each attempt. */
@@ -1059,10 +1068,26 @@
 			: `: delimited by its connection, ${bytes} bytes into an event`;
 	}
 
-	/** Handles a broken connection or an unusable response. */
+	/** Handles a response that can't be passed on. Its server runs on, so the request is not suspected of a crash. */
+	private _onUnusableResponse(attempt: Attempt, err: Error): void {
+		attempt.call?.abort();
+		attempt.exposure?.dispose();
+		this._leaveServer(attempt, err);
+	}
+
+	/** Handles a connection that broke before the end of its response. */
 	private _onAttemptFailed(attempt: Attempt, err: Error): void {
 		this._wasInterrupted ||= attempt.framing !== undefined;
 		attempt.exposure?.onBroke();
+		if (attempt.isSent) {
+			this._reportSuspect(attempt.server);
+		}
+
+		this._leaveServer(attempt, err);
+	}
+
+	/** Avoids the server for a while and retries on another one. */
+	private _leaveServer(attempt: Attempt, err: Error): void {
 		this._endAttempt(
 			attempt.isSent
 				? `broke: ${err.message}${this._describeEnd(attempt)}`
@@ -1073,10 +1098,6 @@
 			?.markSuspected(this._context.clock());
 		this._mayHaveRun ||= attempt.isSent;
 		this._eventSplitter?.takePartialEvent();
-		if (attempt.isSent) {
-			this._reportSuspect(attempt.server);
-		}
-
 		this._retry(
 			attempt.isSent
 				? badGateway('serverBroke')
@@ -1129,7 +1150,7 @@
 
 		const {_attempt: attempt} = this;
 		if (attempt === undefined) {
-			this._fail(unavailable(this._record.waitedFor ?? 'deadline'));
+			this._fail(this._refusalOfWait(this._record.waitedFor ?? 'deadline'));
 			return;
 		}
 
