Accept all waiting connections before a stopping entry looks at what is left

Callers saw: requests on fresh connections reset without an answer, after a suspension of an entry that drains. None had reached a server.

Cause: the two turns of the event loop of accept and read one connection only, as libuv 1.46 accepts one in a turn. The next one was accepted, but not read yet, and was closed as idle; all others were reset as the entry stopped listening.

Fix: turns go on until one accepts nothing, so that all which came before it are read as well; at most as many as the backlog holds.

Ruled out: a request of an accepted connection that arrives later than the look is another matter (a connection without a request yet).

--- a/packages/daemon/src/direct/entry-shutdown.ts
+++ b/packages/daemon/src/direct/entry-shutdown.ts
@@ -20,9 +20,12 @@
 /** Interval between looks at what is left, in milliseconds. */
 const pollIntervalMs = 50;
 
-/** Turns of the event loop in which a new connection is accepted and its first request is read. */
+/** Minimum turns of the event loop in which a new connection is accepted and its first request is read. */
 const turnsUntilRead = 2;
 
+/** Maximum turns in which connections are accepted: the number that the system lets wait. */
+const maxAcceptTurns = 1024;
+
 /** Maximum time until the last responses are written, in milliseconds. */
 const maxFlushMs = 100;
 
@@ -74,10 +77,8 @@
 			// eslint-disable-next-line no-await-in-loop
 			await delay(pollIntervalMs);
 			// Timers come first after a stall, before the requests that have arrived meanwhile.
-			for (let i = 0; i < turnsUntilRead; i++) {
-				// eslint-disable-next-line no-await-in-loop
-				await nextTurn();
-			}
+			// eslint-disable-next-line no-await-in-loop
+			await readArrived(ingress);
 		}
 	}
 
@@ -94,3 +95,18 @@
 		ingress.cutUnframed();
 	}
 }
+
+/** Accepts the connections that wait for it and reads what they sent. A turn of the event loop accepts one of them. */
+async function readArrived(ingress: Ingress): Promise<void> {
+	let hasAccepted = true;
+	for (
+		let i = 0;
+		i < turnsUntilRead || (hasAccepted && i < maxAcceptTurns);
+		i++
+	) {
+		const {accepted} = ingress;
+		// eslint-disable-next-line no-await-in-loop
+		await nextTurn();
+		hasAccepted = ingress.accepted > accepted;
+	}
+}
--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -46,6 +46,7 @@
 	private readonly _closing = new WeakSet<Socket>();
 	private readonly _running = new Map<ServerResponse, ProxiedCall>();
 	private _limits = initialLimits;
+	private _accepted = 0;
 
 	private constructor(private readonly _context: CallContext) {
 		this._server = createServer(
@@ -59,6 +60,7 @@
 			},
 		);
 		this._server.on('connection', socket => {
+			this._accepted++;
 			this._runningBySocket.set(socket, 0);
 			socket.once('close', () => {
 				this._runningBySocket.delete(socket);
@@ -67,6 +69,11 @@
 		this.setLimits(initialLimits);
 	}
 
+	/** Number of connections that were accepted since the start. */
+	get accepted(): number {
+		return this._accepted;
+	}
+
 	/** Number of requests that have not ended. */
 	get running(): number {
 		return this._running.size;
