--- a/packages/core/src/placement/server-schedule.testing.ts
+++ b/packages/core/src/placement/server-schedule.testing.ts
@@ -14,7 +14,10 @@
 	readonly softwareVersion: string;
 	/** `Retry-After` of its answers in milliseconds, and until when it turns requests away. */
 	rest: {readonly forMs: number; readonly until: number} | undefined;
+	/** Whether its responses say that it is leaving. */
 	isLeaving: boolean;
+	/** Whether its row says that it is leaving. */
+	isDraining: boolean;
 	isAlive: boolean;
 };
 
@@ -128,6 +131,7 @@
 			softwareVersion: 'v1',
 			rest: undefined,
 			isLeaving: false,
+			isDraining: false,
 			isAlive: true,
 			...process,
 		};
@@ -136,6 +140,11 @@
 		return started;
 	}
 
+	drain(process: ServerProcess, now: number): void {
+		process.isDraining = true;
+		this.list.put(recordOf(process), now);
+	}
+
 	end(process: ServerProcess, now: number): void {
 		process.isAlive = false;
 		this.list.remove(process.id, now);
@@ -266,10 +275,13 @@
 	tried: new Set(),
 };
 
-export function recordOf(
-	{id, address, born, softwareVersion}: ServerProcess,
-	changes: Partial<ServerRecord> = {},
-): ServerRecord {
+export function recordOf({
+	id,
+	address,
+	born,
+	softwareVersion,
+	isDraining,
+}: ServerProcess): ServerRecord {
 	return {
 		id,
 		service: 's',
@@ -277,10 +289,9 @@
 		zone: 'z',
 		slots: 8,
 		softwareVersion,
-		isDraining: false,
+		isDraining,
 		coldLeftMs: 0,
 		models: [],
 		...(born !== undefined && {born}),
-		...changes,
 	};
 }
