Keep that a server is leaving for as long as it holds, not as long as its row

What callers saw: requests sent to a server whose answers had told the entry more than 2 s before that it is leaving, once its row had vanished and returned (DRAIN). They cost a repeat, or were cut at the server's end.

Cause: as with the rests, the leaving was a field of ServerState, which is dropped with the row. Of a server that tells no start, a removal even counted as the list's word that it had left, so that any row after it ended the leaving, also without a drop.

ServerLeavings holds the leavings by identifier and start. A later start ends one, as before. Of a server that tells no start, a row ends it that shows another address or software version, or that it is cold 4 s after the last word, or that follows a draining one, as before; a removal counts only if the row was away for 4 s, the time within which rows may still be written late. So that such a server does not stay out of use for good whose draining row an entry did not read, a row that has gone and come back counts from 60 s after the last word on.

The bound on late requests is as it was.

Suspected only: no record shows a leaving server whose row flapped.

--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -138,3 +138,9 @@
  * milliseconds: it serves for 2 s more, and rows from before may be written late.
  */
 export const minReturnMs = 4000;
+
+/**
+ * Time from when a server without a known start last said that it is leaving until its row, which has vanished and returned
+ * since, counts as a new start, in milliseconds. No server takes that long to leave.
+ */
+export const maxLeavingMs = 60_000;
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -23,6 +23,7 @@
 	cachedPromptCreditMs,
 	maxSlotUtilization,
 } from './constants.js';
+import {ServerLeavings} from './server-leavings.js';
 import {ServerState} from './server-state.js';
 import {ServerSuspensions} from './server-suspensions.js';
 import type {
@@ -74,6 +75,7 @@
 	private readonly _lostByStore = new Set<string>();
 	private _outageEndedAt = Number.NEGATIVE_INFINITY;
 	private _eraSettledAt = Number.NEGATIVE_INFINITY;
+	private readonly _leavings = ServerLeavings.create();
 	private readonly _suspensions = ServerSuspensions.create();
 	private readonly _placement: AdapterPlacement;
 
@@ -140,6 +142,7 @@
 			this._lostByStore.delete(id);
 			const server = this._servers.get(id);
 			if (record === undefined) {
+				this._leavings.noteUnlisted(id, now);
 				this._markVanished(server, now);
 				continue;
 			}
@@ -148,6 +151,7 @@
 				continue;
 			}
 
+			this._leavings.noteListed(record, now);
 			this._noteCurrentServer(record, version);
 			if (server === undefined) {
 				this._servers.set(id, ServerState.create(record, now));
@@ -208,7 +212,11 @@
 		const server = this._servers.get(id);
 		if (server !== undefined) {
 			const spec = this._options.serviceOf(server.record.service);
+			this._leavings.noteBorn(id, report.born);
 			server.setReport(report, spec?.coldMs ?? 0, now);
+			if (report.isLeaving === true) {
+				this.noteLeaving(id, now);
+			}
 		}
 	}
 
@@ -228,13 +236,27 @@
 	}
 
 	/**
-	 * Notes that a server says in a response that it is leaving.
+	 * Notes that a server says in a response that it is leaving. Rows that are older than that may still arrive.
 	 *
-	 * @param born start time of the server that said so, 0 if unknown; absent if it is the known one
+	 * @param born start time of the server that said so, 0 if unknown; an earlier start than the known one is ignored
 	 * @returns whether this is news
 	 */
-	noteLeaving(id: string, now: number, born?: number): boolean {
-		return this._servers.get(id)?.noteLeaving(now, born) ?? false;
+	noteLeaving(id: string, now: number, born = this._bornOf(id)): boolean {
+		if (born < this._bornOf(id)) {
+			return false;
+		}
+
+		const server = this._servers.get(id);
+		return this._leavings.note(
+			id,
+			{born, record: server?.record, isListed: !this._isUnlisted(id)},
+			now,
+		);
+	}
+
+	/** Whether the server said that it is leaving, and nothing newer says that it is back. */
+	isLeaving(id: string): boolean {
+		return this._leavings.has(id);
 	}
 
 	/** Number of pending loads over all servers with a fresh report. */
@@ -414,7 +436,7 @@
 			server === undefined ||
 			server.vanishedAt !== undefined ||
 			server.record.isDraining ||
-			server.isLeaving ||
+			this.isLeaving(server.record.id) ||
 			this.isReplaced(server)
 		);
 	}
@@ -475,10 +497,10 @@
 	}
 
 	private _isOpen(server: ServerState, now: number): boolean {
-		const {isDraining, zone} = server.record;
+		const {id, isDraining, zone} = server.record;
 		return (
 			!isDraining &&
-			!server.isLeaving &&
+			!this.isLeaving(id) &&
 			!this.isReplaced(server) &&
 			!this._options.isZoneOut(zone) &&
 			this._isListedOrInGrace(server, now)
@@ -519,6 +541,11 @@
 			: Math.min(...ids.map(id => this.suspendedForMs(id, now)));
 	}
 
+	/** Time of the server's last known start; 0 if unknown. */
+	private _bornOf(id: string): number {
+		return this._servers.get(id)?.born ?? 0;
+	}
+
 	private _isUnlisted(id: string): boolean {
 		const server = this._servers.get(id);
 		return server === undefined || server.vanishedAt !== undefined;
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -2,7 +2,6 @@
 import {
 	initialPrefillTokensPerMs,
 	maxReportedPrefills,
-	minReturnMs,
 	reportLifetimeMs,
 	silenceTimeoutMs,
 	suspicionMs,
@@ -40,12 +39,6 @@
 	/** Time at which bytes last arrived from the server. */
 	private _lastActivityAt = Number.NEGATIVE_INFINITY;
 	private _suspectedAt = Number.NEGATIVE_INFINITY;
-	/** Start time of the server when it said that it is leaving; 0 if unknown, undefined if it did not say so. */
-	private _leavingBorn: number | undefined;
-	/** Time at which it last said so. */
-	private _leavingSaidAt = Number.NEGATIVE_INFINITY;
-	/** Whether the list has confirmed the leaving: the server was listed as draining, or removed. */
-	private _hasListedLeaving = false;
 	private readonly _wants = new Map<string, {want: AdapterWant; at: number}>();
 	/** Number of this entry's requests on each adapter, by adapter key. */
 	private readonly _inUse = new Map<string, number>();
@@ -87,7 +80,6 @@
 			this._coldStarts++;
 		}
 
-		this._noteListed(record, now);
 		this._record = record;
 		this._refused.clear();
 		this.vanishedAt = undefined;
@@ -106,13 +98,8 @@
 			this._coldUntil = Math.max(this._coldUntil, now + coldMs);
 		}
 
-		this._noteBorn(report.born);
 		this._report = report;
 		this._reportedAt = now;
-		if (report.isLeaving === true) {
-			this.noteLeaving(now);
-		}
-
 		this._unreportedDebt = 0;
 		this._refused.clear();
 	}
@@ -266,31 +253,6 @@
 		return Math.max(this._report?.born ?? 0, this._record.born ?? 0);
 	}
 
-	/** Whether the server said that it is leaving, and nothing newer says that it is back. */
-	get isLeaving(): boolean {
-		return this._leavingBorn !== undefined;
-	}
-
-	/**
-	 * Notes that the server says in a response that it is leaving. Rows that are older than that may still arrive.
-	 *
-	 * @param born start time of the server that said so, 0 if unknown; an earlier start than the known one is ignored
-	 * @returns whether this is news
-	 */
-	noteLeaving(now: number, born: number = this.born): boolean {
-		if (born < this.born) {
-			return false;
-		}
-
-		this._leavingSaidAt = now;
-		const isNews = this._leavingBorn === undefined || this._leavingBorn < born;
-		if (isNews) {
-			this._leavingBorn = born;
-		}
-
-		return isNews;
-	}
-
 	/** Marks the adapter as not resident, overriding the last report or record. */
 	noteRefusedAdapter(key: string): void {
 		this._refused.add(key);
@@ -366,47 +328,6 @@
 		return [...used];
 	}
 
-	/**
-	 * Ends the leaving if the record is of a newer start. Of a server that does not tell its start, the list must have
-	 * said that it leaves, or the record must show another start: the server may have left and returned between two reads.
-	 */
-	private _noteListed(record: ServerRecord, now: number): void {
-		this._noteBorn(record.born ?? 0);
-		this._hasListedLeaving =
-			this.isLeaving &&
-			(this._hasListedLeaving ||
-				record.isDraining ||
-				this.vanishedAt !== undefined);
-		if (
-			this._leavingBorn === 0 &&
-			!record.isDraining &&
-			(this._hasListedLeaving || this._isOfOtherStart(record, now))
-		) {
-			this._hasListedLeaving = false;
-			this._leavingBorn = undefined;
-		}
-	}
-
-	/**
-	 * Whether the record differs from the known one in something that changes only at a start of the server. It is cold after
-	 * a start, but rows from before its leaving may say so too while they can still arrive.
-	 */
-	private _isOfOtherStart(record: ServerRecord, now: number): boolean {
-		const {address, softwareVersion, coldLeftMs} = this._record;
-		return (
-			record.address !== address ||
-			record.softwareVersion !== softwareVersion ||
-			(record.coldLeftMs > coldLeftMs &&
-				now - this._leavingSaidAt >= minReturnMs)
-		);
-	}
-
-	private _noteBorn(born: number): void {
-		if (this._leavingBorn !== undefined && born > this._leavingBorn) {
-			this._leavingBorn = this._leavingBorn === 0 ? born : undefined;
-		}
-	}
-
 	/** The engine's prefill rate by its agent's last estimate, in tokens per millisecond. */
 	private get _tokensPerMs(): number {
 		return this._report?.prefillTokensPerMs ?? initialPrefillTokensPerMs;
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -185,9 +185,10 @@
 			graceMs: () => this._bounds.graceMs,
 			hasOthers: () => this._peers.hasServingPeer,
 		});
-		this._serverLog = ServerLog.create(log, server =>
-			this._fleet.suspendedForMs(server, clock()),
-		);
+		this._serverLog = ServerLog.create(log, {
+			isLeaving: server => this._fleet.isLeaving(server),
+			suspendedForMs: server => this._fleet.suspendedForMs(server, clock()),
+		});
 		this._servers = this._createServersTable();
 		this._members = this._createMembersTable();
 		this._exchange = TableExchange.create({
--- a/packages/daemon/src/direct/server-log.ts
+++ b/packages/daemon/src/direct/server-log.ts
@@ -6,28 +6,30 @@
 	readonly softwareVersion: string | undefined;
 };
 
+export type ServerLogOptions = {
+	readonly isLeaving: (server: string) => boolean;
+	/** Returns for how long a server wants no requests, listed or not. */
+	readonly suspendedForMs: (server: string) => number;
+};
+
 /** Logs each server that joins, changes state or leaves. */
 export class ServerLog {
-	/** @param suspendedForMs returns for how long a server wants no requests, listed or not */
-	static create(
-		log: EventLog,
-		suspendedForMs: (server: string) => number,
-	): ServerLog {
-		return new ServerLog(log, suspendedForMs);
+	static create(log: EventLog, options: ServerLogOptions): ServerLog {
+		return new ServerLog(log, options);
 	}
 
 	private _states: ReadonlyMap<string, ServerDescription> = new Map();
 
 	private constructor(
 		private readonly _log: EventLog,
-		private readonly _suspendedForMs: (server: string) => number,
+		private readonly _options: ServerLogOptions,
 	) {}
 
 	/** @param servers all known servers */
 	update(servers: Iterable<ServerState>): void {
 		const previous = this._states;
 		this._states = new Map(
-			[...servers].map(server => [server.record.id, describeServer(server)]),
+			[...servers].map(server => [server.record.id, this._describe(server)]),
 		);
 		for (const [id, {state, softwareVersion}] of this._states) {
 			const before = previous.get(id);
@@ -58,24 +60,24 @@
 	}
 
 	private _suspensionOf(id: string): {readonly suspendedForMs?: number} {
-		const suspendedForMs = Math.round(this._suspendedForMs(id));
+		const suspendedForMs = Math.round(this._options.suspendedForMs(id));
 		return suspendedForMs > 0 ? {suspendedForMs} : {};
 	}
-}
-
-function describeServer(server: ServerState): ServerDescription {
-	const {softwareVersion} = server.record;
-	return {state: stateOf(server), softwareVersion};
-}
 
-function stateOf({record, vanishedAt, isLeaving}: ServerState): string {
-	if (vanishedAt !== undefined) {
-		return 'vanished';
+	private _describe(server: ServerState): ServerDescription {
+		const {softwareVersion} = server.record;
+		return {state: this._stateOf(server), softwareVersion};
 	}
 
-	if (record.isDraining) {
-		return 'draining';
-	}
+	private _stateOf({record, vanishedAt}: ServerState): string {
+		if (vanishedAt !== undefined) {
+			return 'vanished';
+		}
 
-	return isLeaving ? 'leaving' : 'ready';
+		if (record.isDraining) {
+			return 'draining';
+		}
+
+		return this._options.isLeaving(record.id) ? 'leaving' : 'ready';
+	}
 }
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -171,6 +171,14 @@
 		to: "server => this._admission(server, now) !== 'closed',",
 		test: fleetView,
 	},
+	{
+		rule: 'DRAIN',
+		what: 'that a server is leaving is forgotten with its row',
+		file: `${core}/placement/fleet-view.ts`,
+		from: 'this._leavings.noteUnlisted(id, now);',
+		to: "this._leavings['_leavings'].delete(id);",
+		test: 'packages/core/dist/placement/server-leavings-schedules.test.js',
+	},
 	{
 		rule: 'BUDGET',
 		what: 'the time for which a server wants no requests is forgotten with its row',
