Keep a draining server out of use when an older row follows its removal

What callers would see: requests to a server that has drained (DRAIN), once its row was removed and a check-in from before its draining is carried out late. While the row was known, isSuperseded ignored such a check-in by its start; with the row, the start was forgotten.

A draining row that goes is now noted with its start in ServerLeavings, and only a later start ends it. Servers that tell no start are used again as before.

The new test failed before the change.

--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -501,6 +501,16 @@
 				assert.equal(chosen(plain, 3), 'x');
 			});
 
+			// Guards against a late check-in that restores a draining server whose row was removed meanwhile (DRAIN).
+			it('are not restored by it after their row was removed, but by their next start', () => {
+				fleet.apply(row(1, {born: 5, isDraining: true}), 0);
+				fleet.apply([{id: 'x', rowVersion: 2, record: undefined}], 1);
+				fleet.apply(row(3, {born: 5}), 2);
+				assert.equal(chosen(plain, 2), 'noServer');
+				fleet.apply(row(4, {born: 6}), 3);
+				assert.equal(chosen(plain, 3), 'x');
+			});
+
 			it('stay in the state of their newest start', () => {
 				fleet.apply(row(1, {born: 6, isDraining: true}), 0);
 				fleet.apply(row(2, {born: 5}), 1);
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -143,6 +143,7 @@
 			const server = this._servers.get(id);
 			if (record === undefined) {
 				this._leavings.noteUnlisted(id, now);
+				this._noteDrained(server, now);
 				this._markVanished(server, now);
 				continue;
 			}
@@ -454,6 +455,14 @@
 		}
 	}
 
+	/** Notes that a draining server is leaving whose row goes, so that no older row of this start brings it back. */
+	private _noteDrained(server: ServerState | undefined, now: number): void {
+		if (server?.record.isDraining === true && server.born > 0) {
+			const {record, born} = server;
+			this._leavings.note(record.id, {born, record, isListed: false}, now);
+		}
+	}
+
 	private _markVanished(server: ServerState | undefined, now: number): void {
 		if (server === undefined) {
 			return;
