--- a/packages/daemon/src/direct/agent-client.ts
+++ b/packages/daemon/src/direct/agent-client.ts
@@ -227,7 +227,7 @@
 			},
 			this._agentEndpoint(server),
 		);
-		if (server.isLeaving) {
+		if (fleet.isLeaving(id)) {
 			send(
 				{type: 'leaving', server: id, born: server.born},
 				this._agentEndpoint(server),
