Show a response that the end of listening cuts (red)

What a caller sees: an entry that stops listening closes its connection while it still reads its response.

--- a/packages/daemon/src/direct/ingress.test.ts
+++ b/packages/daemon/src/direct/ingress.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
+import {subscribe, unsubscribe} from 'node:diagnostics_channel';
 import {once} from 'node:events';
-import {connect} from 'node:net';
-import {describe, it} from 'node:test';
+import {connect, type Socket} from 'node:net';
+import {afterEach, beforeEach, describe, it} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {CallContext} from './call-context.js';
 import {Ingress} from './ingress.js';
@@ -39,4 +40,78 @@
 		socket.destroy();
 		ingress.dispose();
 	});
+
+	describe('that stops listening', () => {
+		let continueWriting: () => void;
+		/** Holds what is written to a socket, as if its caller did not read. */
+		const hold = (message: unknown) => {
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+			const {socket} = message as {readonly socket: Socket};
+			const writeAll = socket._writev!.bind(socket);
+			const held: Array<() => void> = [];
+			socket._write = (chunk, encoding, done) => {
+				held.push(() => {
+					writeAll([{chunk: chunk as unknown, encoding}], done);
+				});
+			};
+
+			socket._writev = (chunks, done) => {
+				held.push(() => {
+					writeAll(chunks, done);
+				});
+			};
+
+			continueWriting = () => {
+				for (const write of held) {
+					write();
+				}
+			};
+		};
+
+		let ingress: Ingress;
+
+		beforeEach(() => {
+			// Only the members that a malformed request needs.
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+			const context = {
+				clock: () => 0,
+				epoch: () => 0,
+				random: () => 0,
+				proofAgeMs: () => undefined,
+				authority: {inForce: undefined},
+				codec: {decodeCall: () => undefined},
+				log: {write: () => undefined},
+				metrics: {noteRequest: () => undefined},
+				shutdown: {isStopping: true},
+			} as unknown as CallContext;
+			ingress = Ingress.create(context);
+			subscribe('net.server.socket', hold);
+		});
+
+		afterEach(() => {
+			unsubscribe('net.server.socket', hold);
+			ingress.dispose();
+		});
+
+		// Guards against responses that are cut by the end of listening while their callers still read them.
+		it('writes the rest of a response that a slow caller reads', async () => {
+			const port = await freePort();
+			await ingress.listen({host: '127.0.0.1', port});
+			const socket = connect({port, host: '127.0.0.1'});
+			socket.on('error', () => undefined);
+			let received = '';
+			socket.setEncoding('utf8');
+			socket.on('data', (chunk: string) => {
+				received += chunk;
+			});
+			socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+			await delay(100);
+			assert.equal(ingress.running, 1);
+
+			ingress.stopListening();
+			continueWriting();
+			await delay(100);
+			assert.match(received, /^HTTP\/1\.1 400.*"malformed"/sv);
+		});
+	});
 });
