Keep responses that slow callers still read when an entry stops listening

Callers saw: nothing yet; found by review. A caller that read its response more slowly than it was sent, got only a part of it when the entry stopped listening, although its request had run.

Cause: since Node.js 19, close() of the HTTP server destroys all connections that it takes for idle, and takes a response for ended before it is written.

Fix: only the listener is closed. It also leaves the checks of the receive timeouts running, which close() ended.

--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -5,7 +5,7 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import type {Socket} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import type {CallerLimits} from '@balsamtray/core';
 import type {CallContext} from './call-context.js';
@@ -107,7 +107,8 @@
 	/** Stops accepting connections. Existing connections continue. */
 	stopListening(): void {
 		if (this._server.listening) {
-			this._server.close();
+			// The HTTP server's own method also closes connections on which a response is ended but not written yet.
+			NetServer.prototype.close.call(this._server);
 		}
 	}
 
