--- a/packages/daemon/src/direct/event-log.test.ts
+++ b/packages/daemon/src/direct/event-log.test.ts
@@ -1,6 +1,12 @@
 import assert from 'node:assert/strict';
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {closeSync, mkdtempSync, openSync, readFileSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
 import {Writable} from 'node:stream';
-import {describe, it} from 'node:test';
+import {after, describe, it} from 'node:test';
 import {EventLog} from './event-log.js';
 import type {LogEvent} from './log-events.js';
 
@@ -99,4 +105,44 @@
 		log.write(answered);
 		assert.equal(output.writableLength, bufferedBytes);
 	});
+
+	describe('of a process that exits after a stop signal', () => {
+		const directory = mkdtempSync(path.join(tmpdir(), 'balsamtray-log-'));
+
+		after(() => {
+			rmSync(directory, {recursive: true});
+		});
+
+		// Guards against lines on the last requests that the exit loses if standard output is a file.
+		it('writes all lines to a file', async () => {
+			const file = path.join(directory, 'log');
+			const output = openSync(file, 'w');
+			const script = `
+				import {EventLog} from ${JSON.stringify(import.meta.resolve('./event-log.js'))};
+				import {stopOnSignal} from ${JSON.stringify(import.meta.resolve('./entry-runtime.js'))};
+				const log = EventLog.create('h', () => performance.now());
+				stopOnSignal({
+					async stop() {
+						for (let i = 0; i < 20; i++) {
+							log.write({event: 'error', step: 'test', error: 'x'});
+						}
+
+						log.write({event: 'stopped', cut: 0, afterMs: 0});
+					},
+				}, log);
+				setInterval(() => undefined, 1000);
+				process.kill(process.pid, 'SIGTERM');
+			`;
+			const child = spawn(
+				process.execPath,
+				['--input-type=module', '--eval', script],
+				{stdio: ['ignore', output, 'inherit']},
+			);
+			closeSync(output);
+			assert.deepEqual(await once(child, 'exit'), [0, null]);
+			const lines = readFileSync(file, 'utf8').trim().split('\n');
+			assert.equal(lines.length, 21);
+			assert.match(lines.at(-1)!, /"event":"stopped"/v);
+		});
+	});
 });
