Write the last log lines before a stopped process exits

Operators saw: nothing yet; found by review. With standard output to a file, the log ended without the line 'stopped' and the lines on the requests that the exit ends, which are the ones that the LOST report lacks.

Fix: the log is flushed before the exit, for at most 50 ms, so a process that needs all of its time still exits 90 ms before the kill.

--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -99,6 +99,9 @@
 /** Path on the address of the metrics where operators list and lift quarantines of parts of prompts. */
 const quarantinePath = '/quarantine';
 
+/** Maximum time until the last log lines are written, in milliseconds. */
+const maxLogFlushMs = 50;
+
 /** Maximum connections to a server whose service is not known yet. */
 const initialConnections = 8;
 
@@ -1060,12 +1063,13 @@
 }
 
 /**
- * Stops the runtime on SIGTERM and then exits the process. Further signals change nothing: the platform ends a process that
+ * Stops the runtime on SIGTERM, then writes what is left of its log and exits the process. Further signals change nothing: the platform ends a process that
  * takes too long by SIGKILL.
  */
-export function stopOnSignal(runtime: {
-	readonly stop: () => Promise<void>;
-}): void {
+export function stopOnSignal(
+	runtime: {readonly stop: () => Promise<void>},
+	log: EventLog,
+): void {
 	let isStopping = false;
 	process.on('SIGTERM', () => {
 		if (isStopping) {
@@ -1073,9 +1077,12 @@
 		}
 
 		isStopping = true;
-		void runtime.stop().then(() => {
-			process.exit(0);
-		});
+		void runtime
+			.stop()
+			.then(async () => log.flush(maxLogFlushMs))
+			.then(() => {
+				process.exit(0);
+			});
 	});
 }
 
--- a/packages/daemon/src/direct/event-log.ts
+++ b/packages/daemon/src/direct/event-log.ts
@@ -1,6 +1,7 @@
 import {createWriteStream, fstatSync} from 'node:fs';
 import {Socket} from 'node:net';
 import type {Writable} from 'node:stream';
+import {setTimeout as delay} from 'node:timers/promises';
 import type {LogEvent} from './log-events.js';
 
 /** Maximum lines per second of one event kind, doubled for failed requests. Further lines are dropped and counted. */
@@ -50,6 +51,18 @@
 		this._writeLine(event, now);
 	}
 
+	/** Resolves when all lines are written, or after a time in milliseconds, as their reader may be slow or gone. */
+	async flush(maxMs: number): Promise<void> {
+		await Promise.race([
+			new Promise<void>(resolve => {
+				this._output.write('', () => {
+					resolve();
+				});
+			}),
+			delay(maxMs),
+		]);
+	}
+
 	private _canWrite(event: LogEvent, budget: Budget): boolean {
 		const isFailure = event.event === 'request' && event.reason !== undefined;
 		const limit = isFailure ? maxBufferedBytes : maxBufferedOrdinaryBytes;
