Leave a stopping entry's fresh connections open until their request can come

Callers saw: ECONNRESET on fresh connections to an entry that is alone and drains, some long before its exit. No such request had reached a server.

Cause: a connection without a running request was closed as idle, also one whose first request was still on its way.

Fix: a connection is idle only once it is as old as the pause between two looks.

--- a/packages/daemon/src/direct/entry-shutdown.ts
+++ b/packages/daemon/src/direct/entry-shutdown.ts
@@ -71,7 +71,7 @@
 			}
 
 			if (step !== 'wait') {
-				ingress.closeIdle();
+				ingress.closeIdle(pollIntervalMs);
 			}
 
 			// eslint-disable-next-line no-await-in-loop
--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -39,6 +39,7 @@
 	private readonly _server: Server;
 	/** Open connections, each with its number of running requests. */
 	private readonly _runningBySocket = new Map<Socket, number>();
+	private readonly _openedAt = new WeakMap<Socket, number>();
 	/**
 	 * Connections that this side has closed. A request that the caller sent before it noticed the close can't get a
 	 * response, so it must not run.
@@ -61,6 +62,7 @@
 		);
 		this._server.on('connection', socket => {
 			this._accepted++;
+			this._openedAt.set(socket, this._context.clock());
 			this._runningBySocket.set(socket, 0);
 			socket.once('close', () => {
 				this._runningBySocket.delete(socket);
@@ -112,10 +114,16 @@
 		}
 	}
 
-	/** Closes the connections without a running request. */
-	closeIdle(): void {
+	/**
+	 * Closes the connections without a running request.
+	 *
+	 * @param minAgeMs time since its start in which a connection is not idle, since its first request may be under way
+	 */
+	closeIdle(minAgeMs = 0): void {
+		const now = this._context.clock();
 		for (const [socket, running] of this._runningBySocket) {
-			if (running === 0 && !this._closing.has(socket)) {
+			const openMs = now - (this._openedAt.get(socket) ?? 0);
+			if (running === 0 && openMs >= minAgeMs && !this._closing.has(socket)) {
 				this._closing.add(socket);
 				socket.end();
 			}
