Stop listening before a stopping entry exits at the end of its grace time

Callers saw: ECONNRESET on fresh connections that came in the last ms before the exit, since the entry listened until then.

Fix: it accepts what waits, stops listening and ends what runs; new callers are refused by the system and know that nothing ran.

--- a/packages/daemon/src/direct/entry-shutdown.ts
+++ b/packages/daemon/src/direct/entry-shutdown.ts
@@ -86,6 +86,9 @@
 	async end(ingress: Ingress): Promise<void> {
 		const {clock} = this._options;
 		const endAt = clock() + maxFlushMs;
+		await readArrived(ingress);
+		// The exit would reset connections that come later.
+		ingress.stopListening();
 		ingress.endRunning();
 		while (ingress.running > 0 && clock() < endAt) {
 			// eslint-disable-next-line no-await-in-loop
