Keep the state of a server for 10 s after its row is gone

What callers would see: a server whose row goes and comes back gets twice its limit of requests while it is cold, one that has restarted counts as warm as its row was written before, and one that broke connections is preferred again at once.

The counts of running requests were not concerned: a state with such requests was never dropped.

The mutation of the rests follows the changed source.

--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -144,3 +144,6 @@
  * since, counts as a new start, in milliseconds. No server takes that long to leave.
  */
 export const maxLeavingMs = 60_000;
+
+/** Time for which the state of a server is kept after its row is gone, in milliseconds, as the row may come back. */
+export const stateRetentionMs = 10_000;
--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -9,6 +9,7 @@
 	maxLoadTargetDelayMs,
 	initialPrefillTokensPerMs,
 	silenceTimeoutMs,
+	stateRetentionMs,
 	returnWindowMs,
 } from './constants.js';
 import {FleetView} from './fleet-view.js';
@@ -619,6 +620,57 @@
 		});
 	});
 
+	describe('a server whose row goes and comes back soon', () => {
+		const flap = (changes: Partial<ServerRecord> = {}) => {
+			fleet.apply([{id: 'x', rowVersion: 2, record: undefined}], 100);
+			fleet.apply(
+				[{id: 'x', rowVersion: 3, record: record('x', changes)}],
+				400,
+			);
+		};
+
+		// Guards against a limit on a cold server that begins anew with each of its rows.
+		it('gets no more requests per second while it is cold', () => {
+			list(record('x', {coldLeftMs: 10_000}));
+			const limit = Math.floor((12 * 1.5 + 5) / 5);
+			for (let i = 0; i < limit; i++) {
+				fleet.server('x')!.noteDispatched(0);
+			}
+
+			flap({coldLeftMs: 10_000});
+			assert.equal(fleet.mayDispatch('x', 400), false);
+			assert.equal(fleet.mayDispatch('x', 1001), true);
+		});
+
+		// Guards against an engine that restarted and is taken for warm, as its row was written before.
+		it('stays cold if only its report told that it has restarted', () => {
+			list(record('x'));
+			fleet.noteReport('x', report({a: 1}), 0);
+			fleet.noteReport('x', report({a: 1}, {born: 2}), 10);
+			flap();
+			assert.equal(fleet.server('x')!.isCold(400), true);
+		});
+
+		it('is avoided after a broken connection as long as any other', () => {
+			list(record('x'), record('y', {zone: 'z2'}));
+			const plain = {model: undefined, adapter: undefined};
+			fleet.server('x')!.markSuspected(0);
+			flap();
+			assert.equal(chosen(plain, 400), 'y');
+			assert.equal(chosen(plain, 1000), 'x');
+		});
+
+		it('is forgotten after a while', () => {
+			list(record('x'));
+			fleet.server('x')!.markSuspected(0);
+			fleet.apply([{id: 'x', rowVersion: 2, record: undefined}], 100);
+			const backAt = 100 + stateRetentionMs;
+			fleet.server('x')?.markSuspected(backAt);
+			fleet.apply([{id: 'x', rowVersion: 3, record: record('x')}], backAt);
+			assert.equal(fleet.server('x')!.isSuspected(backAt), false);
+		});
+	});
+
 	describe('silent engines', () => {
 		it('are avoided while other servers can run the request', () => {
 			list(record('x'), record('y'));
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -23,6 +23,7 @@
 	cachedPromptCreditMs,
 	maxSlotUtilization,
 } from './constants.js';
+import {RetiredServers} from './retired-servers.js';
 import {ServerLeavings} from './server-leavings.js';
 import {ServerState} from './server-state.js';
 import {ServerSuspensions} from './server-suspensions.js';
@@ -75,6 +76,7 @@
 	private readonly _lostByStore = new Set<string>();
 	private _outageEndedAt = Number.NEGATIVE_INFINITY;
 	private _eraSettledAt = Number.NEGATIVE_INFINITY;
+	private readonly _retired = RetiredServers.create();
 	private readonly _leavings = ServerLeavings.create();
 	private readonly _suspensions = ServerSuspensions.create();
 	private readonly _placement: AdapterPlacement;
@@ -154,11 +156,9 @@
 
 			this._leavings.noteListed(record, now);
 			this._noteCurrentServer(record, version);
-			if (server === undefined) {
-				this._servers.set(id, ServerState.create(record, now));
-			} else {
-				server.setRecord(record, now);
-			}
+			const kept = server ?? this._retired.take(id, now);
+			kept?.setRecord(record, now);
+			this._servers.set(id, kept ?? ServerState.create(record, now));
 		}
 	}
 
@@ -476,7 +476,8 @@
 
 		server.vanishedAt ??= now;
 		if (!this._isListedOrInGrace(server, now) && server.outstanding === 0) {
-			this._servers.delete(server.record.id);
+			this._servers.delete(id);
+			this._retired.add(server, now);
 		}
 	}
 
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -183,8 +183,8 @@
 		rule: 'BUDGET',
 		what: 'the time for which a server wants no requests is forgotten with its row',
 		file: `${core}/placement/fleet-view.ts`,
-		from: 'this._servers.delete(server.record.id);',
-		to: "this._servers.delete(server.record.id);\n\t\t\tthis._suspensions['_suspensions'].delete(id);",
+		from: 'this._servers.delete(id);',
+		to: "this._servers.delete(id);\n\t\t\tthis._suspensions['_suspensions'].delete(id);",
 		test: 'packages/core/dist/placement/server-suspensions-schedules.test.js',
 	},
 	{
