Refuse no request for its rate while nobody knows whether its tokens are there

What callers saw: an entry that had just started refused calls far inside the rate with 429, in its first milliseconds and whenever the holder of the tokens took more than 200 ms to answer.

Cause: a request that missed tokens failed in the same way whether the holders had answered that they had too few, had not answered in time, or were not known yet. One request of a customer then waited for 100 ms, and was refused at the next silence; all others were refused at once. A fresh entry holds no shard, so each of its requests depends on another entry's answer.

At most 64 of a customer wait on an entry. What holders answered still counts at once, and transfers, leases and buckets are untouched, so the limit over all entries holds.

Not covered: a shard that moves and whose holder was known before. Requests of more than the other shards have are refused meanwhile, as before.

--- a/packages/core/src/rate/constants.ts
+++ b/packages/core/src/rate/constants.ts
@@ -89,6 +89,9 @@
 /** Maximum time until its missing tokens accrue for which a request waits instead of being refused. */
 export const maxAccrualWaitMs = 700;
 
+/** Maximum requests of one customer that wait on an entry until holders answer or are known. */
+export const maxWaitingForHolders = 64;
+
 /** Interval at which an entry reviews all shards: claims vacant ones, checks holders and rebalances. */
 export const shardReviewIntervalMs = 250;
 
--- a/packages/core/src/rate/holder-directory.ts
+++ b/packages/core/src/rate/holder-directory.ts
@@ -16,6 +16,8 @@
 	}
 
 	private _holders: ReadonlyMap<string, RateHolder> = new Map();
+	/** Shards whose holder was known at some time. */
+	private readonly _everHeld = new Set<string>();
 	private readonly _self: RateHolder;
 	private readonly _selfHash: number;
 	private readonly _unresponsiveUntil = new Map<string, number>();
@@ -29,6 +31,9 @@
 
 	setHolders(holders: ReadonlyMap<string, RateHolder>): void {
 		this._holders = holders;
+		for (const shard of holders.keys()) {
+			this._everHeld.add(shard);
+		}
 	}
 
 	/** Whether the holders of all these shards are known. */
@@ -36,6 +41,11 @@
 		return shards.every(shard => this._holders.has(shard));
 	}
 
+	/** Whether the holder of each of these shards has been known since the start. */
+	hasKnownAll(shards: readonly string[]): boolean {
+		return shards.every(shard => this._everHeld.has(shard));
+	}
+
 	/** Records that a transfer from the holder timed out or failed, so it is asked last for a while. */
 	markUnresponsive(peer: string, now: number): void {
 		this._unresponsiveUntil.set(peer, now + unresponsivePeerMs);
--- a/packages/core/src/rate/pending-reservation.ts
+++ b/packages/core/src/rate/pending-reservation.ts
@@ -32,8 +32,12 @@
 	/** Holders that have not been asked yet, nearest first. */
 	readonly untriedPeers: string[];
 	readonly deadline: number;
+	/** Time until which the request may wait for tokens. The reservation itself may end before. */
+	readonly requestDeadline: number;
 	/** Whether the request has waited for tokens to accrue. It does so at most once. */
 	readonly hasWaited: boolean;
+	/** Whether a holder did not answer, so that the missing tokens may be there. */
+	hasUnanswered: boolean;
 	readonly tokens: number;
 	/** Tokens that are still missing. */
 	missing: number;
--- a/packages/core/src/rate/rate-core.test.ts
+++ b/packages/core/src/rate/rate-core.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {maxWaitingForHolders} from './constants.js';
 import {RateCore} from './rate-core.js';
 import type {RateCommand, RateEvent, RateHolder} from './types.js';
 
@@ -84,6 +85,23 @@
 	return outcomes;
 }
 
+/** Lets each transfer that is asked for fail. Returns all other commands. */
+function failTransfers(
+	core: RateCore,
+	commands: readonly RateCommand[],
+	now: number,
+): readonly RateCommand[] {
+	return commands.flatMap(command => {
+		if (command.type !== 'requestTransfer') {
+			return [command];
+		}
+
+		const {peer, transferId} = command;
+		const next = core.handle({type: 'transferFailed', peer, transferId}, now);
+		return failTransfers(core, next, now);
+	});
+}
+
 function createFleet(): ReadonlyMap<string, RateCore> {
 	return new Map(shards.map(({id}) => [`entry-${id}`, createEntry(id)]));
 }
@@ -135,6 +153,43 @@
 		});
 	});
 
+	describe('when no other holder answers', () => {
+		/** Reserves tokens that this entry does not have. */
+		const reserveInVain = (core: RateCore, requestId: string, now: number) =>
+			failTransfers(core, reserve(core, requestId, 100, now), now);
+
+		// Guards against a 429 for each request but one while the holder of its tokens took long to answer.
+		it('asks again for all requests, and refuses them at their deadline', () => {
+			const core = createEntry('a');
+			reserve(core, 'all', 1000, 0);
+			assert.deepEqual(reserveInVain(core, 'r1', 1), []);
+			assert.deepEqual(reserveInVain(core, 'r2', 1), []);
+			const outcomes = [];
+			for (let now = 2; now <= 401; now++) {
+				const commands = core.handle({type: 'tick'}, now);
+				for (const command of failTransfers(core, commands, now)) {
+					assert.equal(command.type, 'reserveRefused');
+					outcomes.push({requestId: command.requestId, now});
+				}
+			}
+
+			assert.deepEqual(outcomes, [
+				{requestId: 'r1', now: 301},
+				{requestId: 'r2', now: 301},
+			]);
+		});
+
+		it('lets only so many requests of a customer wait', () => {
+			const core = createEntry('a');
+			reserve(core, 'all', 1000, 0);
+			const refused = Array.from({length: 2 * maxWaitingForHolders}, (_, i) =>
+				reserveInVain(core, `r${i}`, 1),
+			).filter(commands => commands.length > 0);
+			// One more request waits for tokens to accrue.
+			assert.equal(refused.length, maxWaitingForHolders - 1);
+		});
+	});
+
 	describe('with a request larger than the burst', () => {
 		it('refuses it without a retry delay', () => {
 			assert.deepEqual(reserve(createEntry('a'), 'r1', 3001, 0), [
--- a/packages/core/src/rate/rate-core.ts
+++ b/packages/core/src/rate/rate-core.ts
@@ -1,5 +1,6 @@
 import {
 	maxAccrualWaitMs,
+	maxWaitingForHolders,
 	minRetryAfterMs,
 	openReservationMs,
 	shortageTtlMs,
@@ -73,6 +74,12 @@
 		{readonly request: TokenRequest; readonly at: number}
 	>();
 
+	/** Requests that wait until holders answer or are known, by customer. */
+	private readonly _waitingForHolders = new Map<
+		string,
+		ReadonlyArray<{readonly request: TokenRequest; readonly at: number}>
+	>();
+
 	private readonly _openReservations = OpenReservations.create();
 	private readonly _rebalancer: TokenRebalancer;
 	private readonly _transferSender: TransferSender;
@@ -242,7 +249,9 @@
 			transferParts: [],
 			untriedPeers: [],
 			deadline: Math.min(deadline, now + transferValidityMs),
+			requestDeadline: deadline,
 			hasWaited: request.hasWaited ?? false,
+			hasUnanswered: false,
 			missing: tokens - sumOf(localParts),
 			pendingTransfer: undefined,
 		};
@@ -365,7 +374,9 @@
 		}
 
 		const retryAfterMs = this._retryAfterMs(reservation);
-		const isWaiting = this._waitForAccrual(reservation, now);
+		const isWaiting =
+			this._waitForHolders(reservation, now) ||
+			this._waitForAccrual(reservation, now);
 		return [
 			...(isWaiting
 				? []
@@ -375,6 +386,31 @@
 		];
 	}
 
+	/**
+	 * Queues a request instead of refusing it while it is not known whether its tokens are there: a holder did not answer,
+	 * or this entry has just started and has not learned yet who holds a shard.
+	 */
+	private _waitForHolders(
+		reservation: PendingReservation,
+		now: number,
+	): boolean {
+		const {requestId, customer, tokens, hasWaited} = reservation;
+		const isKnown =
+			!reservation.hasUnanswered &&
+			this._directory.hasKnownAll(this._shards.shardsOf(customer));
+		const waiting = this._waitingForHolders.get(customer) ?? [];
+		const deadline = reservation.requestDeadline;
+		// Retrying before the shortages expire would skip the holders that had too few tokens.
+		const at = now + shortageTtlMs;
+		if (isKnown || at >= deadline || waiting.length >= maxWaitingForHolders) {
+			return false;
+		}
+
+		const request = {requestId, customer, tokens, deadline, hasWaited};
+		this._waitingForHolders.set(customer, [...waiting, {request, at}]);
+		return true;
+	}
+
 	/**
 	 * Queues a request whose tokens accrue soon instead of refusing it. At most one request of a customer waits at a
 	 * time, and each waits at most once.
@@ -410,6 +446,20 @@
 			}
 		}
 
+		for (const [customer, waiting] of this._waitingForHolders) {
+			const due = waiting.filter(({at}) => now >= at);
+			if (due.length === waiting.length) {
+				this._waitingForHolders.delete(customer);
+			} else {
+				const left = waiting.filter(({at}) => now < at);
+				this._waitingForHolders.set(customer, left);
+			}
+
+			for (const {request} of due) {
+				commands.push(...this._startReservation(request, now));
+			}
+		}
+
 		return commands;
 	}
 
@@ -537,6 +587,7 @@
 		now: number,
 	): readonly RateCommand[] {
 		const {pendingTransfer, customer} = reservation;
+		reservation.hasUnanswered = true;
 		if (pendingTransfer !== undefined) {
 			this._pendingTransfers.delete(pendingTransfer.transferId);
 			this._abandonedTransfers.set(pendingTransfer.transferId, {
