Leave no entry out of its own copy of the members

Seen in schedules only: an entry whose write of its own row had reached the store, but whose answer was lost, passed on copies of the members without itself. Those who took such a copy dropped it, and took it back only at the next change of the table, up to seconds later; they still heard its heartbeats meanwhile, if it sent them some. Cause: a copy names its own entry only once the answer to its write has come, though the table that it read lists it. Change: what a read of the table says of the entry's own row counts too, for copies only; the quota of customers still waits for the answer. Not shown with real processes.

--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -139,6 +139,8 @@
 	private _tickCount = 0;
 	private _isFetching = false;
 	private _isListed = false;
+	/** Whether the table lists this entry, known from a read: the answer to its write may be lost. */
+	private _isInTable = false;
 	private _parent: string | undefined;
 	private _wasRoot: boolean | undefined;
 	private _timer: NodeJS.Timeout | undefined;
@@ -199,7 +201,7 @@
 		const others = [...this._peers]
 			.filter(([, {isListed}]) => isListed)
 			.map(([id, {endpoint, zone}]) => ({id, endpoint, zone}));
-		return this._isListed ? [own, ...others] : others;
+		return this._isListed || this._isInTable ? [own, ...others] : others;
 	}
 
 	/**
@@ -209,6 +211,11 @@
 	 */
 	setMembers(rows: readonly MemberRow[], isSnapshot: boolean): boolean {
 		let hasChanged = false;
+		const own = rows.find(({id}) => id === this._options.hostId);
+		if (own !== undefined || isSnapshot) {
+			this._isInTable = own?.endpoint !== undefined;
+		}
+
 		if (isSnapshot) {
 			const listed = new Set(rows.map(({id}) => id));
 			for (const [id, peer] of this._peers) {
