--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -1071,8 +1071,8 @@
 }
 
 /**
- * Stops the runtime on SIGTERM, then writes what is left of its log and exits the process. Further signals change nothing: the platform ends a process that
- * takes too long by SIGKILL.
+ * Stops the runtime on SIGTERM, then writes what is left of its log and exits the process. Further signals change nothing:
+ * the platform ends a process that takes too long by SIGKILL.
  */
 export function stopOnSignal(
 	runtime: {readonly stop: () => Promise<void>},
