--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -5,6 +5,7 @@
 	RetryAllowance,
 	SuspectRegistry,
 } from '@balsamtray/core';
+import type {AbortiveClose} from '../common/abortive-close.js';
 import type {DepartingCalls} from './departing-calls.js';
 import type {DirectMetrics} from './direct-metrics.js';
 import type {AgentClient} from './agent-client.js';
@@ -45,9 +46,11 @@
 	readonly codec: CallCodec;
 	readonly log: EventLog;
 	readonly metrics: DirectMetrics;
-	/** Whether the authority statements are proven recent enough to act on. */
+	/** Makes the system reset a connection if the process ends. */
+	readonly abortiveClose: Pick<AbortiveClose, 'set'>;
 	/** Whether all changes that must be in force are known, so that an unknown route or key does not exist. */
 	readonly isCurrent: () => boolean;
+	/** Whether the authority statements are proven recent enough to act on. */
 	readonly isFresh: () => boolean;
 	/** Clock epoch. It increases when the host may have been suspended, see `SuspensionDetector`. */
 	readonly epoch: () => number;
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -25,6 +25,7 @@
 } from '@balsamtray/core';
 import type {GossipMessage} from '@balsamtray/protocol';
 import type {Disposable} from '../common/types.js';
+import {AbortiveClose} from '../common/abortive-close.js';
 import type {CallContext} from './call-context.js';
 import {
 	authorityWaitMs,
@@ -163,6 +164,8 @@
 	private _stalledMsAtList = 0;
 	private _hasServerList = false;
 	private _wasReady: boolean | undefined;
+	/** Undefined until it is loaded, before the entry listens. */
+	private _abortiveClose: AbortiveClose | undefined;
 
 	private constructor(private readonly _options: EntryRuntimeOptions) {
 		const {settings, log} = _options;
@@ -284,6 +287,9 @@
 		await TextServer.listen(settings.metrics, async (path, method) =>
 			this._operatorsResponse(path, method),
 		);
+		this._abortiveClose = await AbortiveClose.load(err => {
+			log.write({event: 'error', step: 'abortiveClose', error: err.message});
+		});
 		await this._ingress.listen(settings.front);
 		this._watchTables();
 		setInterval(() => {
@@ -360,6 +366,9 @@
 			codec: this._options.codec,
 			log: this._options.log,
 			metrics: this._metrics,
+			abortiveClose: {
+				set: (socket, isOn) => this._abortiveClose?.set(socket, isOn) ?? false,
+			},
 			isFresh: () => this._freshness.isFresh(),
 			isCurrent: () =>
 				this._freshness.isProvenWithin(this._bounds.configApplyMs),
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -1025,6 +1025,7 @@
 		if (attempt.framing === 'connection') {
 			// Chunks would mark an end that the entry can't be sure of.
 			this._res.useChunkedEncodingByDefault = false;
+			this._resetIfProcessEnds();
 		}
 
 		if (attempt.framing === 'connection' || this._isLastOnConnection) {
@@ -1036,6 +1037,20 @@
 		this._res.flushHeaders();
 	}
 
+	/**
+	 * Lets the system reset the caller's connection if the process ends before the whole response is written. A close in
+	 * order would look like the end of the response.
+	 */
+	private _resetIfProcessEnds(): void {
+		const {socket} = this._req;
+		const {abortiveClose} = this._context;
+		abortiveClose.set(socket, true);
+		// Before the listener by which Node.js closes the connection.
+		this._res.prependOnceListener('finish', () => {
+			abortiveClose.set(socket, false);
+		});
+	}
+
 	/** Records what a response says of its server, whichever request it is for. */
 	private _noteServerState(
 		server: string,
--- a/scripts/build-bundles.js
+++ b/scripts/build-bundles.js
@@ -20,5 +20,7 @@
 		'@balsamtray/protocol': './packages/protocol/src/index.ts',
 		'@balsamtray/daemon/direct': './packages/daemon/src/direct/index.ts',
 	},
+	// Loads a binary of its own for each kind of processor.
+	external: ['koffi'],
 	logLevel: 'warning',
 });
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -91,6 +91,14 @@
 		to: '',
 		test: path,
 	},
+	{
+		rule: 'MIXED',
+		what: 'a response without a length is closed in order when its entry is killed',
+		file: `${direct}/proxied-call.ts`,
+		from: 'abortiveClose.set(socket, true);',
+		to: '',
+		test: 'platform/dist/killed-entries.test.js',
+	},
 	{
 		rule: 'MIXED',
 		what: 'a stream without a length ends in order when its entry exits',
