--- a/packages/daemon/src/direct/datagram-socket.ts
+++ b/packages/daemon/src/direct/datagram-socket.ts
@@ -9,7 +9,7 @@
 	/**
 	 * Binds a socket. Rejects if the endpoint can't be bound. Malformed datagrams are ignored.
 	 *
-	 * @param onError called for errors of the socket and of single sends
+	 * @param onError called for errors of the socket, of single sends and of the listener: one message ends no process
 	 */
 	static async open(
 		endpoint: Endpoint,
@@ -19,8 +19,18 @@
 		const socket = createSocket('udp4');
 		socket.on('message', (bytes, {address, port}) => {
 			const message = parseGossipMessage(bytes);
-			if (message !== undefined) {
+			if (message === undefined) {
+				return;
+			}
+
+			try {
 				onMessage(message, {host: address, port});
+			} catch (error) {
+				onError(
+					new Error(
+						`${message.type} from ${address}:${port}: ${String(error)}`,
+					),
+				);
 			}
 		});
 		await new Promise<void>((resolve, reject) => {
@@ -41,11 +51,18 @@
 	}
 
 	send(message: GossipMessage, {host, port}: Endpoint): void {
-		this._socket.send(JSON.stringify(message), port, host, err => {
-			if (err !== null) {
-				this._onError(err);
-			}
-		});
+		try {
+			this._socket.send(JSON.stringify(message), port, host, err => {
+				if (err !== null) {
+					this._onError(err);
+				}
+			});
+		} catch (error) {
+			// A port that does not exist, for example.
+			this._onError(
+				new Error(`${message.type} to ${host}:${port}: ${String(error)}`),
+			);
+		}
 	}
 
 	dispose(): void {
--- a/packages/protocol/src/gossip/messages.ts
+++ b/packages/protocol/src/gossip/messages.ts
@@ -12,6 +12,7 @@
 	StreamOriginEntry,
 	UsageCounts,
 } from '@balsamtray/core';
+import {hasRequiredFields} from './message-fields.js';
 
 /** An entry's copy of a table: its revision, and the time since it was known to be the newest, in milliseconds. */
 export type GossipTable = {
@@ -284,47 +285,14 @@
 	| UsageAckMessage
 	| UsageDecisionMessage;
 
-const messageTypes: ReadonlySet<string> = new Set([
-	'entry',
-	'quotaAsk',
-	'quotaAnswer',
-	'quotaReturn',
-	'suspect',
-	'partNote',
-	'leaving',
-	'demand',
-	'turnAsk',
-	'turnAnswer',
-	'turnReturn',
-	'turnTaken',
-	'pace',
-	'report',
-	'streamNote',
-	'streamAsk',
-	'streamAnswer',
-	'usageCounts',
-	'usageAck',
-	'usageDecision',
-] satisfies ReadonlyArray<GossipMessage['type']>);
-
-/** Parses a datagram. Returns undefined if it is not JSON with a known `type`. Other fields are not checked. */
+/** Parses a datagram. Returns undefined if it is not JSON with a known `type` and its required fields. */
 export function parseGossipMessage(
 	bytes: Uint8Array,
 ): GossipMessage | undefined {
 	try {
 		const message = JSON.parse(Buffer.from(bytes).toString()) as unknown;
-		return isGossipMessage(message) ? message : undefined;
+		return hasRequiredFields(message) ? message : undefined;
 	} catch {
 		return undefined;
 	}
 }
-
-function isGossipMessage(message: unknown): message is GossipMessage {
-	return (
-		typeof message === 'object' &&
-		message !== null &&
-		'type' in message &&
-		typeof message.type === 'string' &&
-		messageTypes.has(message.type)
-	);
-}
