--- a/packages/daemon/src/direct/ingress.test.ts
+++ b/packages/daemon/src/direct/ingress.test.ts
@@ -41,6 +41,33 @@
 		ingress.dispose();
 	});
 
+	// Guards against an error in the handling of one request that ends the process, and so all other requests (FAULT, LOST).
+	it('ends only the request whose handling fails', async () => {
+		// Only the members that reading the request headers needs.
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+		const context = {
+			clock: () => 0,
+			codec: {
+				decodeCall() {
+					throw new Error('a value that no code expects');
+				},
+			},
+		} as unknown as CallContext;
+		const ingress = Ingress.create(context);
+		const port = await freePort();
+		await ingress.listen({host: '127.0.0.1', port});
+		for (let i = 0; i < 2; i++) {
+			const socket = connect({port, host: '127.0.0.1'});
+			socket.on('error', () => undefined);
+			socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+			// eslint-disable-next-line no-await-in-loop
+			await once(socket, 'close');
+		}
+
+		assert.ok(ingress.isListening);
+		ingress.dispose();
+	});
+
 	describe('that stops listening', () => {
 		let continueWriting: () => void;
 		/** Holds what is written to a socket, as if its caller did not read. */
--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -62,7 +62,9 @@
 				noDelay: true,
 			},
 			(req, res) => {
-				void this._onRequest(req, res);
+				void this._onRequest(req, res).catch((error: unknown) => {
+					this._onInternalError(req, res, error);
+				});
 			},
 		);
 		this._server.on('connection', socket => {
@@ -191,6 +193,20 @@
 		this._server.closeAllConnections();
 	}
 
+	/** Ends one request whose handling failed. Without this, the error would end the process, and all others with it. */
+	private _onInternalError(
+		req: IncomingMessage,
+		res: ServerResponse,
+		error: unknown,
+	): void {
+		const call = this._running.get(res);
+		if (call === undefined) {
+			req.socket.destroy();
+		} else {
+			call.onInternalError(error);
+		}
+	}
+
 	/** Ends the requests behind one whose response announces the close, since theirs can't be delivered. */
 	private _onCloseAnnounced(socket: Socket, announcing: ProxiedCall): void {
 		this._announced.add(socket);
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -302,6 +302,21 @@
 		this._fail(stoppingRefusal);
 	}
 
+	/** Ends the request, since handling it failed in a way that no code expects. Other requests go on. */
+	onInternalError(error: unknown): void {
+		const {log} = this._context;
+		log.write({event: 'error', step: 'request', error: String(error)});
+		if (this._isEnded) {
+			return;
+		}
+
+		const {_attempt: attempt} = this;
+		attempt?.call?.abort();
+		this._mayHaveRun ||= attempt?.isSent ?? false;
+		this._endAttempt('internal error');
+		this._fail(unavailable('internal'));
+	}
+
 	/** Ends the request, since its caller's connection has closed, or will before its response. */
 	onCallerClosed(): void {
 		if (this._isEnded) {
@@ -581,7 +596,7 @@
 			this._onDeadline();
 		}, this._deadlineAt - now);
 		if (this._metadata.model === undefined) {
-			void this._sendIfPresent(attempt);
+			this._send(attempt);
 		} else {
 			this._awaitTurn(attempt);
 		}
@@ -624,7 +639,7 @@
 			onDue: tokensAhead => {
 				attempt.tokensAhead = tokensAhead;
 				this._turnSince = undefined;
-				void this._sendIfPresent(attempt);
+				this._send(attempt);
 			},
 			onTooLate: delayMs => {
 				fleet.server(server)?.notePromptDelay(delayMs, clock());
@@ -646,6 +661,12 @@
 		return Math.max(0, latestAt - now);
 	}
 
+	private _send(attempt: Attempt): void {
+		void this._sendIfPresent(attempt).catch((error: unknown) => {
+			this.onInternalError(error);
+		});
+	}
+
 	/**
 	 * Reads first whether the caller has left: after a stall of the event loop, timers end waits before the closes of
 	 * connections are read. Checks the authorization and the server again, since they may have changed meanwhile, then
--- a/packages/daemon/src/direct/upstream.test.ts
+++ b/packages/daemon/src/direct/upstream.test.ts
@@ -95,6 +95,42 @@
 
 const head = 'HTTP/1.1 200 OK\r\n';
 
+describe('a request that can not be sent', () => {
+	// Guards against an address that no URL can hold ending the process (FAULT).
+	it('fails without an exception', () => {
+		const errors: Error[] = [];
+		const call = Upstream.create().send(
+			{
+				server: 's',
+				address: '127.0.0.1:70000',
+				maxConnections: 1,
+				method: 'GET',
+				path: '/',
+				headers: [],
+				body: new Uint8Array(0),
+			},
+			{
+				onSending: () => true,
+				onHeaders() {
+					assert.fail('headers');
+				},
+				onData: () => true,
+				onEnd() {
+					assert.fail('end');
+				},
+				onError(err) {
+					errors.push(err);
+				},
+			},
+		);
+		call.abort();
+		assert.deepEqual(
+			errors.map(({message}) => message),
+			['Invalid URL'],
+		);
+	});
+});
+
 describe('Upstream', () => {
 	afterEach(() => {
 		server?.close();
--- a/packages/daemon/src/direct/upstream.ts
+++ b/packages/daemon/src/direct/upstream.ts
@@ -103,64 +103,73 @@
 			}
 		};
 
-		this._poolOf(req).dispatch(
-			{
-				method: req.method,
-				path: req.path,
-				headers: req.headers,
-				body: req.body.length === 0 ? null : req.body,
-				headersTimeout: 0,
-				bodyTimeout: 0,
-			},
-			this._guard.wrap({
-				onRequestStart(started) {
-					controller = started;
-					if (isAborted || !sink.onSending()) {
-						isAborted = true;
-						started.abort(new Error('aborted'));
-					}
-				},
-				onResponseStart(_controller, status, headers) {
-					if (!isAborted && status >= 200) {
-						sink.onHeaders(
-							status,
-							headers,
-							framingOf(req.method, status, headers),
-						);
-					}
+		const start = () =>
+			this._poolOf(req).dispatch(
+				{
+					method: req.method,
+					path: req.path,
+					headers: req.headers,
+					body: req.body.length === 0 ? null : req.body,
+					headersTimeout: 0,
+					bodyTimeout: 0,
 				},
-				onResponseData: (responding, chunk) => {
-					if (isAborted) {
-						return;
-					}
-
-					if (discardedBytes !== undefined) {
-						discardedBytes += chunk.length;
-						if (discardedBytes > maxDiscardedBytes) {
-							abort();
-							this._onEndless(
-								req.server,
-								EndlessResponseError.create('refusal', discardedBytes),
+				this._guard.wrap({
+					onRequestStart(started) {
+						controller = started;
+						if (isAborted || !sink.onSending()) {
+							isAborted = true;
+							started.abort(new Error('aborted'));
+						}
+					},
+					onResponseStart(_controller, status, headers) {
+						if (!isAborted && status >= 200) {
+							sink.onHeaders(
+								status,
+								headers,
+								framingOf(req.method, status, headers),
 							);
 						}
-					} else if (!sink.onData(chunk)) {
-						responding.pause();
-					}
-				},
-				onResponseEnd() {
-					clearTimeout(discardTimer);
-					if (!isAborted) {
-						sink.onEnd();
-					}
-				},
-				onResponseError(_controller, err) {
-					clearTimeout(discardTimer);
-					if (!isAborted) {
-						sink.onError(err);
-					}
-				},
-			}),
-		);
+					},
+					onResponseData: (responding, chunk) => {
+						if (isAborted) {
+							return;
+						}
+
+						if (discardedBytes !== undefined) {
+							discardedBytes += chunk.length;
+							if (discardedBytes > maxDiscardedBytes) {
+								abort();
+								this._onEndless(
+									req.server,
+									EndlessResponseError.create('refusal', discardedBytes),
+								);
+							}
+						} else if (!sink.onData(chunk)) {
+							responding.pause();
+						}
+					},
+					onResponseEnd() {
+						clearTimeout(discardTimer);
+						if (!isAborted) {
+							sink.onEnd();
+						}
+					},
+					onResponseError(_controller, err) {
+						clearTimeout(discardTimer);
+						if (!isAborted) {
+							sink.onError(err);
+						}
+					},
+				}),
+			);
+		try {
+			start();
+		} catch (error) {
+			// An address, for example, that no URL can hold.
+			isAborted = true;
+			sink.onError(error instanceof Error ? error : new Error(String(error)));
+		}
+
 		return {
 			abort,
 			resume() {
