--- a/packages/core/src/contention/waiting-request.ts
+++ b/packages/core/src/contention/waiting-request.ts
@@ -8,6 +8,8 @@
 	| 'promptQueue'
 	/** All servers turned requests away for a time. */
 	| 'serversSuspended'
+	/** All servers have used up the limits that they name. */
+	| 'serversLimited'
 	| 'noServer';
 
 /** A request that waits for a server. Times are of one monotonic clock, in milliseconds. */
--- a/packages/core/src/placement/constants.ts
+++ b/packages/core/src/placement/constants.ts
@@ -214,3 +214,9 @@
  * loop of a small host, and the way to the server.
  */
 export const moveMarginMs = 250;
+
+/** Share of a second's requests to a server with a limit that may ask for a permission at once. */
+export const maxLimitAskShare = 0.25;
+
+/** Time after which a request looks again whether it may ask for a permission, while others ask, in milliseconds. */
+export const limitAskDelayMs = 20;
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -23,6 +23,7 @@
 } from './constants.js';
 import {RetiredServers} from './retired-servers.js';
 import {ServerDepartures} from './server-departures.js';
+import {ServerLimits} from './server-limits.js';
 import {ServerLeavings} from './server-leavings.js';
 import {ServerState} from './server-state.js';
 import {ServerSuspensions} from './server-suspensions.js';
@@ -38,8 +39,11 @@
 
 const noServers: ReadonlySet<string> = new Set();
 
-/** Whether a request may go to a server: `resuming` servers get requests at a limited rate after a suspension. */
-type ServerAdmission = 'open' | 'resuming' | 'suspended' | 'closed';
+/**
+ * Whether a request may go to a server: `resuming` servers get requests at a limited rate after a suspension, `limited` ones
+ * have used up the limit that they name.
+ */
+type ServerAdmission = 'open' | 'limited' | 'resuming' | 'suspended' | 'closed';
 
 /** Dependencies and settings of a `FleetView`. */
 export type FleetViewOptions = Omit<
@@ -55,6 +59,8 @@
 		return new FleetView(options);
 	}
 
+	/** Limits that servers name. */
+	readonly limits = ServerLimits.create();
 	private readonly _servers = new Map<string, ServerState>();
 	private readonly _rowVersions = new Map<string, StoreVersion>();
 	/** Most recently listed server of each address, with the version of its row. An address has one server at a time. */
@@ -385,6 +391,18 @@
 			server => this._admission(server, now) === 'open',
 		);
 		if (usable.length === 0) {
+			const limited = candidates.filter(
+				server => this._admission(server, now) === 'limited',
+			);
+			if (limited.length > 0) {
+				return {
+					kind: 'serversLimited',
+					delayMs: Math.min(
+						...limited.map(({record}) => this.limits.delayMs(record.id, now)),
+					),
+				};
+			}
+
 			const suspensionMs = this._leastSuspensionMs(need, candidates, now);
 			return candidates.length === 0 &&
 				(suspensionMs === 0 || need.tried.size > 0)
@@ -424,7 +442,7 @@
 		const server = this._servers.get(id);
 		const admission =
 			server === undefined ? 'closed' : this._admission(server, now);
-		return admission === 'open' || admission === 'resuming';
+		return admission !== 'closed' && admission !== 'suspended';
 	}
 
 	/** Returns the version that a request sent to the server now has to expect. */
@@ -563,9 +581,11 @@
 		}
 
 		const sentSince = (at: number) => server.sentSince(at);
-		return this._suspensions.isTakingRequests(id, sentSince, now)
-			? 'open'
-			: 'resuming';
+		if (!this._suspensions.isTakingRequests(id, sentSince, now)) {
+			return 'resuming';
+		}
+
+		return this.limits.isOpen(id, now) ? 'open' : 'limited';
 	}
 
 	/** Takes the servers of a service as ones that say how long work takes on their hosts, once the first one does. */
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -138,6 +138,8 @@
 	| {readonly kind: 'promptQueue'; readonly delayMs: number}
 	/** Every usable server turned requests away for a time. The first one takes them again in `delayMs` milliseconds. */
 	| {readonly kind: 'serversSuspended'; readonly delayMs: number}
+	/** Every usable server has used up the limit that it names. It is worth asking again in `delayMs` milliseconds. */
+	| {readonly kind: 'serversLimited'; readonly delayMs: number}
 	/**
 	 * All places of a plain service are taken, and no server is expected to answer before the deadline. It is worth coming
 	 * back in `delayMs` milliseconds.
--- a/packages/core/src/quota/constants.ts
+++ b/packages/core/src/quota/constants.ts
@@ -18,3 +18,18 @@
  * caller that waits half a minute at most comes back later than a third of that.
  */
 export const maxReturnMs = 10_000;
+
+/**
+ * Time for which a limit that a server named counts beside a later one, in milliseconds: until each entry has had a response
+ * with the later one.
+ */
+export const limitStatementLifetimeMs = 1500;
+
+/**
+ * Least rate at which all entries together send to a server, in requests a second, whatever limit it names: without a
+ * request, none would learn that the limit has ended.
+ */
+export const minLimitPerSecond = 0.25;
+
+/** Time for which a reported level of a server's limit is kept, in milliseconds. A level that is too old starts empty. */
+export const limitLevelLifetimeMs = 60_000;
--- a/packages/core/src/quota/quota-ledger.ts
+++ b/packages/core/src/quota/quota-ledger.ts
@@ -1,11 +1,13 @@
 import type {CustomerRule} from '../authority/types.js';
 import {TokenBucket, type BucketLimit} from '../rate/token-bucket.js';
 import {
+	limitLevelLifetimeMs,
 	peerLevelLifetimeMs,
 	maxUnreportedAccrualMs,
 	unownedRateShare,
 	unownedSlackShare,
 } from './constants.js';
+import {isServerLimit} from './server-limit-rules.js';
 import {ReturnTimes} from './return-times.js';
 
 /** Answer to a request to spend units of a customer's rate. */
@@ -125,6 +127,7 @@
 
 	/** Levels of the customers that this process owns. */
 	levels(now: number): readonly QuotaLevel[] {
+		this._forgetUnusedLimits(now);
 		return [...this._owned].map(([customer, bucket]) => {
 			bucket.advanceTo(now);
 			return {customer, level: bucket.available};
@@ -153,6 +156,23 @@
 		}
 	}
 
+	/** Forgets the limits of servers that are not in use: servers come and go. */
+	private _forgetUnusedLimits(now: number): void {
+		for (const [name, bucket] of this._owned) {
+			bucket.advanceTo(now);
+			if (isServerLimit(name) && bucket.isFull) {
+				this._owned.delete(name);
+				this._returnTimes.delete(name);
+			}
+		}
+
+		for (const [name, {at}] of this._peerLevels) {
+			if (isServerLimit(name) && now - at > limitLevelLifetimeMs) {
+				this._peerLevels.delete(name);
+			}
+		}
+	}
+
 	private _returnTimesOf(customer: string): ReturnTimes {
 		let times = this._returnTimes.get(customer);
 		if (times === undefined) {
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -16,6 +16,7 @@
 import type {PartQuarantine} from './part-quarantine.js';
 import type {StreamDirectory} from './stream-directory.js';
 import type {CallCodec} from './types.js';
+import type {ServerLimitTask} from './server-limit-task.js';
 import type {SentCalls} from './sent-calls.js';
 import type {Upstream} from './upstream.js';
 import type {UsageTask} from './usage-task.js';
@@ -36,6 +37,8 @@
 	/** Parts of prompts under which servers ended. */
 	readonly partQuarantine: PartQuarantine;
 	readonly upstream: Upstream;
+	/** Limits that servers name. */
+	readonly serverLimits: Pick<ServerLimitTask, 'take' | 'note'>;
 	readonly waitQueue: WaitQueue;
 	/** Requests that are assigned to a server and wait for prefill there, counted by adapter. */
 	readonly prefillWaiting: KeyCounts;
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -213,3 +213,6 @@
  * the second of an earlier one.
  */
 export const dutyCallShare = 0.5;
+
+/** Time until an entry asks again for a server's limit whose owner did not reply, in milliseconds: half a lost owner's silence. */
+export const unansweredLimitMs = 250;
--- a/packages/daemon/src/direct/direct-metrics.ts
+++ b/packages/daemon/src/direct/direct-metrics.ts
@@ -57,6 +57,7 @@
 	private readonly _peerCall = this._histogram(metricDefinitions.peerCall);
 	private readonly _dutyChanges = this._counter(metricDefinitions.dutyChanges);
 	private readonly _dutyGap = this._histogram(metricDefinitions.dutyGap);
+	private readonly _limitAsks = this._counter(metricDefinitions.limitAsks);
 	private readonly _dutyCalls = this._counter(metricDefinitions.dutyCalls);
 	private readonly _proofAge = this._histogram(metricDefinitions.proofAge);
 
@@ -138,6 +139,11 @@
 		this._suspensions.inc({kind});
 	}
 
+	/** @param outcome what became of a request that asked for its share of a server's limit */
+	noteLimitAsk(outcome: 'granted' | 'refused' | 'unanswered' | 'closed'): void {
+		this._limitAsks.inc({outcome});
+	}
+
 	noteEndlessResponse(): void {
 		this._endlessResponses.inc();
 	}
--- a/packages/daemon/src/direct/entry-fleet.testing.ts
+++ b/packages/daemon/src/direct/entry-fleet.testing.ts
@@ -1,5 +1,6 @@
 import {
 	QuotaLedger,
+	ServerLimitRules,
 	createRandom,
 	type CustomerRule,
 	type QuotaGrant,
@@ -239,6 +240,8 @@
 				clock,
 				peers,
 				ledger,
+				limitRuleOf: (name, perSecond) =>
+					ServerLimitRules.create().ruleFor(name, perSecond, clock()),
 				ruleOf: customer => customers.find(({name}) => name === customer),
 				send,
 			}),
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -281,6 +281,17 @@
 		return {grant, owner: undefined};
 	}
 
+	/**
+	 * Takes a request from the limit that a server names, of the entry that owns the limit. Resolves with the time until the
+	 * next one may be granted, in milliseconds; 0 if this one is. Undefined if no owner replies: the limit has no share for that
+	 * case, as another entry may grant all of it.
+	 */
+	async reserveLimited(rule: CustomerRule): Promise<number | undefined> {
+		const owner = this._entryToAsk(rule.name);
+		const grant = await this._grantLimited(owner, rule);
+		return grant?.kind === 'refused' ? grant.retryAfterMs : grant && 0;
+	}
+
 	/** Returns the units of a request that did not run. */
 	returnUnits(customer: string, units: number): void {
 		const {ledger, clock, hostId, send} = this._options;
@@ -752,10 +763,29 @@
 	 * Sends a query to one candidate after the other until one replies. The earlier ones may still reply, as the query keeps
 	 * its identifier.
 	 */
+	private async _grantLimited(
+		owner: string | undefined,
+		rule: CustomerRule,
+	): Promise<QuotaGrant | undefined> {
+		const {ledger, clock, hostId} = this._options;
+		if (owner === undefined) {
+			return undefined;
+		}
+
+		if (owner === hostId) {
+			return ledger.take(rule, 1, clock());
+		}
+
+		const {name, unitsPerSecond} = rule;
+		const reservation = await this._queryOwners(owner, name, 1, unitsPerSecond);
+		return reservation?.grant;
+	}
+
 	private async _queryOwners(
 		first: string,
 		customer: string,
 		units: number,
+		serverLimit?: number,
 	): Promise<Reservation | undefined> {
 		const {send, hostId, clock} = this._options;
 		const asked: string[] = [];
@@ -764,7 +794,14 @@
 			if (peer !== undefined) {
 				asked.push(id);
 				send(
-					{type: 'quotaAsk', from: hostId, askId, customer, units},
+					{
+						type: 'quotaAsk',
+						from: hostId,
+						askId,
+						customer,
+						units,
+						...(serverLimit !== undefined && {serverLimit}),
+					},
 					peer.endpoint,
 				);
 			}
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -17,6 +17,7 @@
 	StoreEra,
 	StreamOrigins,
 	SuspectRegistry,
+	ServerLimitRules,
 	VersionBounds,
 	type AuthorityChange,
 	type AuthorityRow,
@@ -60,6 +61,7 @@
 import {QuotaResponder} from './quota-responder.js';
 import {RelayedTable} from './relayed-table.js';
 import {SentCalls} from './sent-calls.js';
+import {ServerLimitTask} from './server-limit-task.js';
 import {ServerLog} from './server-log.js';
 import {ServiceLimits} from './service-limits.js';
 import {StallMonitor} from './stall-monitor.js';
@@ -148,6 +150,7 @@
 	});
 
 	private readonly _usage: UsageTask | undefined;
+	private readonly _limitRules = ServerLimitRules.create();
 	private readonly _ingress: Ingress;
 	private readonly _watches: Disposable[] = [];
 	private readonly _era = StoreEra.create();
@@ -214,6 +217,8 @@
 				this._authority.inForce?.config.customers?.find(
 					({name}) => name === customer,
 				),
+			limitRuleOf: (name, perSecond) =>
+				this._limitRules.ruleFor(name, perSecond, clock()),
 			send: (message, to) => {
 				this._send(message, to);
 			},
@@ -359,6 +364,14 @@
 			suspects: this._suspects,
 			partQuarantine: this._partQuarantine,
 			upstream: this._upstream,
+			serverLimits: ServerLimitTask.create({
+				clock,
+				fleet: this._fleet,
+				rules: this._limitRules,
+				peers: this._peers,
+				metrics: this._metrics,
+				log: this._options.log,
+			}),
 			waitQueue: this._waitQueue,
 			prefillWaiting: this._prefillWaiting,
 			sentCalls: this._sentCalls,
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -145,6 +145,12 @@
 			readonly forMs?: number;
 			readonly value?: string;
 	  }
+	/** A server named a limit, in requests a second from all entries together, or names none any more (without `perSecond`). */
+	| {
+			readonly event: 'serverLimit';
+			readonly server: string;
+			readonly perSecond?: number;
+	  }
 	/** The connection to a server was closed, since a part of what it sent was longer than any response has. */
 	| {
 			readonly event: 'endlessResponse';
--- a/packages/daemon/src/direct/metric-definitions.ts
+++ b/packages/daemon/src/direct/metric-definitions.ts
@@ -15,7 +15,7 @@
 	wait: {
 		kind: 'histogram',
 		name: 'balsamtray_wait_seconds',
-		help: 'Time from arrival to the last send, by what the request waited for (`nothing`, `awaitAdapter`, `full`, `noServer`, `promptQueue`, `serversSuspended`).',
+		help: 'Time from arrival to the last send, by what the request waited for (`nothing`, `awaitAdapter`, `full`, `noServer`, `promptQueue`, `serversSuspended`, `serversLimited`).',
 		labels: ['cause'],
 	},
 	waitCauses: {
@@ -126,6 +126,12 @@
 		help: 'Windows with which this entry ended as the holder of the usage duty: `reported`, `late`, or `missed`.',
 		labels: ['outcome'],
 	},
+	limitAsks: {
+		kind: 'counter',
+		name: 'balsamtray_server_limit_asks_total',
+		help: 'Requests for a server that names a limit, by what became of their permission: `granted` or `refused` by the owner of the limit, `unanswered` by it, or `closed`, not asked as it refused shortly before.',
+		labels: ['outcome'],
+	},
 	loopDelay: {
 		kind: 'gauge',
 		name: 'balsamtray_event_loop_delay_seconds',
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -545,7 +545,10 @@
 			waitQueue.add(waiter);
 		}
 
-		if (choice.kind === 'serversSuspended') {
+		if (
+			choice.kind === 'serversSuspended' ||
+			choice.kind === 'serversLimited'
+		) {
 			waitQueue.wakeAt(waiter, now + choice.delayMs);
 		}
 
@@ -673,6 +676,17 @@
 	 * dispatches.
 	 */
 	private async _sendIfPresent(attempt: Attempt): Promise<void> {
+		const isPermitted = await this._context.serverLimits.take(attempt.server);
+		if (this._attempt !== attempt) {
+			return;
+		}
+
+		if (!isPermitted) {
+			this._endAttempt('not sent: server limit');
+			this._assignServer();
+			return;
+		}
+
 		const turns = turnsBeforeSend(this._context.isCatchingUp());
 		const hasLeft = await hasCallerLeft(this._req.socket, turns);
 		if (this._attempt !== attempt) {
@@ -919,6 +933,7 @@
 				const response = codec.decodeResponse(status, headers, callId);
 				this._noteServerState(attempt.server, response);
 				this._noteLoad(attempt, response);
+				this._noteLimit(attempt, response);
 				if (isCurrent()) {
 					attempt.framing = framing;
 					this._onHeaders(attempt, status, headers, response);
@@ -1113,6 +1128,16 @@
 		}
 	}
 
+	/** Records the limit that a response names. Only a response to a request that ran says that there is none any more. */
+	private _noteLimit(
+		{server, sentAt = 0}: Attempt,
+		{limitPerSecond, isNotRun, isGenuine}: ResponseMetadata,
+	): void {
+		if (limitPerSecond !== undefined || (isGenuine && !isNotRun)) {
+			this._context.serverLimits.note(server, limitPerSecond, sentAt);
+		}
+	}
+
 	/** A server that lacks the adapter is healthy. One that refuses for another reason is avoided for a while. */
 	private _noteServerRefusal(server: string, status: number): void {
 		const {fleet, clock} = this._context;
--- a/packages/daemon/src/direct/quota-responder.ts
+++ b/packages/daemon/src/direct/quota-responder.ts
@@ -10,6 +10,8 @@
 	readonly ledger: QuotaLedger;
 	/** Returns the rule of a customer; undefined if the configuration has none. */
 	readonly ruleOf: (customer: string) => CustomerRule | undefined;
+	/** Returns the rate that stands for the limit of a server, in requests a second. */
+	readonly limitRuleOf: (name: string, perSecond: number) => CustomerRule;
 	readonly send: (message: GossipMessage, to: Endpoint) => void;
 };
 
@@ -30,9 +32,12 @@
 	private constructor(private readonly _options: QuotaResponderOptions) {}
 
 	onQuery(query: QuotaQuery, from: Endpoint): void {
-		const {peers, ledger, clock, ruleOf, send} = this._options;
+		const {peers, ledger, clock, ruleOf, limitRuleOf, send} = this._options;
 		const {askId, customer, units, replyTo = from} = query;
-		const rule = ruleOf(customer);
+		const rule =
+			query.serverLimit === undefined
+				? ruleOf(customer)
+				: limitRuleOf(customer, query.serverLimit);
 		if (rule === undefined) {
 			return;
 		}
--- a/packages/daemon/src/direct/server-wait.ts
+++ b/packages/daemon/src/direct/server-wait.ts
@@ -65,7 +65,9 @@
 	}
 
 	const suspendedForMs =
-		choice.kind === 'serversSuspended' ? choice.delayMs : 0;
+		choice.kind === 'serversSuspended' || choice.kind === 'serversLimited'
+			? choice.delayMs
+			: 0;
 	return context.clock() + suspendedForMs >= waitDeadlineAt
 		? {
 				...refuseWait(context, metadata, choice.kind),
--- a/packages/daemon/src/direct/types.ts
+++ b/packages/daemon/src/direct/types.ts
@@ -163,6 +163,8 @@
 	readonly isLeaving: boolean;
 	/** What the server says about when to send again, if it turned the request away for now. */
 	readonly suspension: SuspensionRequest | undefined;
+	/** Requests a second that the server takes from all entries together; absent if it names no limit, or none that is valid. */
+	readonly limitPerSecond?: number;
 	/** What the server says of its load; absent if it says nothing or nothing valid. */
 	readonly load?: ReportedLoad;
 };
--- a/packages/protocol/src/gossip/messages.ts
+++ b/packages/protocol/src/gossip/messages.ts
@@ -73,6 +73,8 @@
 	readonly askId: number;
 	readonly customer: string;
 	readonly units: number;
+	/** Limit that a server names, in requests a second, if the units are requests to it. Older entries reply nothing. */
+	readonly serverLimit?: number;
 	/** Where to send the reply if another entry forwarded the query. Otherwise the reply goes to the sender. */
 	readonly replyTo?: {readonly host: string; readonly port: number};
 };
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -107,6 +107,14 @@
 		to: 'res.destroy();',
 		test: path,
 	},
+	{
+		rule: 'LIMIT',
+		what: 'a request goes to a server without a permission of the owner of its limit',
+		file: `${direct}/server-limit-task.ts`,
+		from: 'if (perSecond === undefined) {',
+		to: 'if (perSecond !== 0) {',
+		test: 'platform/dist/server-limits.test.js',
+	},
 	{
 		rule: 'ORDER',
 		what: 'a stream that ends inside an event is taken for complete',
