--- a/packages/core/src/direct/event-stream-splitter.test.ts
+++ b/packages/core/src/direct/event-stream-splitter.test.ts
@@ -56,6 +56,27 @@
 		}
 	});
 
+	// Guards against the head of an error among the events of a stream that another server continues (ORDER).
+	it('ends before the first event that does not follow the one before', () => {
+		const stream = 'id: 3\ndata: a\n\n: ping\n\nid: 5\ndata: b\n\n';
+		for (const odd of [
+			'HTTP/1.1 500 Error\r\nServer: x\r\n\r\n',
+			'data: c\n\n',
+			'id: 5\ndata: b\n\n',
+			'id: 1\ndata: a\n\n',
+		]) {
+			const bytes = Buffer.from(`${stream}${odd}id: 6\ndata: d\n\n`);
+			const events = EventStreamSplitter.create().push(bytes, '2');
+			assert.equal(Buffer.from(events.bytes).toString(), stream, odd);
+			assert.equal(events.isInOrder, false);
+			assert.equal(events.lastEventId, '5');
+		}
+
+		const events = EventStreamSplitter.create().push(Buffer.from(stream), '2');
+		assert.equal(events.isInOrder, true);
+		assert.equal(events.bytes.length, stream.length);
+	});
+
 	it('finds the same events wherever the chunks are cut', () => {
 		const stream =
 			'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n\n\ndata: c\n\nid: 3';
--- a/packages/core/src/direct/event-stream-splitter.ts
+++ b/packages/core/src/direct/event-stream-splitter.ts
@@ -13,6 +13,8 @@
 	readonly lastEventId: string | undefined;
 	/** Number of the events. */
 	readonly events: number;
+	/** Whether each event follows the one before. The bytes end before the first that does not. */
+	readonly isInOrder: boolean;
 };
 
 /** Splits a `text/event-stream` into complete events, so that an interrupted stream ends between two events. */
@@ -37,12 +39,21 @@
 		return this._partialEventBytes > maxEventBytes;
 	}
 
-	/** Appends bytes and returns the events that they complete. */
-	push(chunk: Uint8Array): CompleteEvents {
+	/**
+	 * Appends bytes and returns the events that they complete.
+	 *
+	 * @param after identifier of the last event before; from then on each event needs one, and whole numbers have to rise
+	 */
+	push(chunk: Uint8Array, after?: string): CompleteEvents {
 		const end = this._endOfLastEventIn(chunk);
 		if (end === 0) {
 			this._append(chunk);
-			return {bytes: new Uint8Array(0), lastEventId: undefined, events: 0};
+			return {
+				bytes: new Uint8Array(0),
+				lastEventId: undefined,
+				events: 0,
+				isInOrder: true,
+			};
 		}
 
 		const complete =
@@ -50,7 +61,12 @@
 				? chunk.subarray(0, end)
 				: Buffer.concat([this.takePartialEvent(), chunk.subarray(0, end)]);
 		this._append(chunk.subarray(end));
-		return {bytes: complete, ...summaryOf(complete)};
+		const {end: inOrderEnd, ...summary} = summaryOf(complete, after);
+		return {
+			bytes: complete.subarray(0, inOrderEnd),
+			...summary,
+			isInOrder: inOrderEnd === complete.length,
+		};
 	}
 
 	/** Returns and clears the bytes after the last complete event. */
@@ -100,25 +116,54 @@
 	}
 }
 
+type Summary = Pick<CompleteEvents, 'lastEventId' | 'events'> & {
+	/** Offset of the first event that does not follow the one before; the length if all do. */
+	readonly end: number;
+};
+
 /** Returns the last identifier and the number of complete events. Each ends with an empty line. */
-function summaryOf(complete: Uint8Array): Omit<CompleteEvents, 'bytes'> {
+function summaryOf(complete: Uint8Array, after: string | undefined): Summary {
 	const text = Buffer.from(complete).toString('latin1');
 	let lastEventId: string | undefined;
 	let events = 0;
 	let hasFields = false;
+	let id: string | undefined;
+	let end = 0;
+	let offset = 0;
 	for (const line of text.split('\n')) {
-		if (line === '' || line === '\r') {
-			events += hasFields ? 1 : 0;
-			hasFields = false;
+		offset += line.length + 1;
+		if (line !== '' && line !== '\r') {
+			// A comment alone, as servers send to keep a connection open, is no event.
+			hasFields ||= !line.startsWith(':');
+			id = line.startsWith('id:') ? line.slice(3).trim() : id;
 			continue;
 		}
 
-		// A comment alone, as servers send to keep a connection open, is no event.
-		hasFields ||= !line.startsWith(':');
-		if (line.startsWith('id:')) {
-			lastEventId = line.slice(3).trim();
+		if (hasFields) {
+			if (after !== undefined && !follows(id, lastEventId ?? after)) {
+				return {lastEventId, events, end};
+			}
+
+			events++;
+			lastEventId = id ?? lastEventId;
+			hasFields = false;
+			id = undefined;
 		}
+
+		end = Math.min(offset, complete.length);
 	}
 
-	return {lastEventId, events};
+	return {lastEventId, events, end: complete.length};
+}
+
+/** Whether an event may come after another one. Bytes that only look like an event have no identifier. */
+function follows(id: string | undefined, last: string): boolean {
+	return (
+		id !== undefined &&
+		(!isWholeNumber(id) || !isWholeNumber(last) || Number(id) > Number(last))
+	);
+}
+
+function isWholeNumber(text: string): boolean {
+	return /^\d{1,15}$/v.test(text);
 }
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -1159,7 +1159,10 @@
 			return this._write(chunk);
 		}
 
-		const {bytes, lastEventId, events} = this._eventSplitter.push(chunk);
+		const {bytes, lastEventId, events, isInOrder} = this._eventSplitter.push(
+			chunk,
+			this._lastEventId,
+		);
 		this._output?.noteEvents(events, now);
 		this._lastEventId = lastEventId ?? this._lastEventId;
 		if (bytes.length > 0 && attempt.hasEvents) {
@@ -1170,6 +1173,14 @@
 		}
 
 		const isWritable = bytes.length === 0 || this._write(bytes);
+		if (!isInOrder) {
+			this._onUnusableResponse(
+				attempt,
+				new Error('an event does not follow the one before'),
+			);
+			return true;
+		}
+
 		if (this._eventSplitter.isEventTooLong) {
 			this._onEndlessEvent(attempt, this._eventSplitter.partialEventBytes);
 			return true;
