--- a/packages/core/src/placement/fleet-view.test.ts
+++ b/packages/core/src/placement/fleet-view.test.ts
@@ -117,6 +117,14 @@
 		fleet = createFleet();
 	});
 
+	// Guards against an adapter named as a property of all objects counting as held, so that its requests are sent in vain.
+	it('does not take an adapter for held that is named like a property of objects', () => {
+		list(record('s0', {models: [{name: 'm', adapters: {a: 1}}]}));
+		const server = fleet.server('s0')!;
+		assert.equal(server.adapterVersion('m', 'a', 0), 1);
+		assert.equal(server.adapterVersion('m', 'constructor', 0), undefined);
+	});
+
 	describe('a stream that one software version began', () => {
 		const versions = (...items: ReadonlyArray<string | undefined>) => {
 			list(
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -180,9 +180,14 @@
 		adapter: string,
 		now: number,
 	): number | undefined {
-		return this._refused.has(adapterKey(model, adapter))
-			? undefined
-			: this._models(now).find(({name}) => name === model)?.adapters[adapter];
+		if (this._refused.has(adapterKey(model, adapter))) {
+			return undefined;
+		}
+
+		const adapters =
+			this._models(now).find(({name}) => name === model)?.adapters ?? {};
+		// A caller names the adapter, for example `constructor`.
+		return Object.hasOwn(adapters, adapter) ? adapters[adapter] : undefined;
 	}
 
 	hasModel(model: string, now: number): boolean {
--- a/packages/daemon/src/membership/membership-task.test.ts
+++ b/packages/daemon/src/membership/membership-task.test.ts
@@ -96,6 +96,14 @@
 });
 
 describe('parseHosts', () => {
+	// Guards against a host whose address becomes a URL that does not exist.
+	it('skips hosts at addresses that no URL can hold', () => {
+		for (const peerAddress of ['127.0.0.1:70000', '999.0.0.1:80', '[::1:80']) {
+			const parsed = parseHosts({hosts: [{...host, peerAddress}, host]});
+			assert.deepEqual(parsed, {hosts: [host], malformed: 1});
+		}
+	});
+
 	it('never throws, and returns only well-formed hosts', () => {
 		fc.assert(
 			fc.property(fc.anything(), fc.array(fc.jsonValue()), (value, others) => {
--- a/packages/daemon/src/membership/parse-hosts.ts
+++ b/packages/daemon/src/membership/parse-hosts.ts
@@ -7,7 +7,11 @@
 	id: identifierSchema,
 	zone: identifierSchema,
 	region: identifierSchema,
-	peerAddress: z.string().regex(/^[\w.:\-\[\]]+:\d{1,5}$/v),
+	peerAddress: z
+		.string()
+		.regex(/^[\w.:\-\[\]]+:\d{1,5}$/v)
+		// A host whose address no URL can hold can't be reached.
+		.refine(address => URL.canParse(`http://${address}`)),
 	state: z.enum(['live', 'leaving']),
 };
 
