--- a/packages/core/src/quota/constants.ts
+++ b/packages/core/src/quota/constants.ts
@@ -20,8 +20,8 @@
 export const maxReturnMs = 10_000;
 
 /**
- * Time for which a limit that a server named counts beside a later one, in milliseconds: until each entry has had a response
- * with the later one.
+ * Time for which a limit that an entry asked with counts beside those of others, in milliseconds. An entry keeps an earlier
+ * limit until its next response from the server.
  */
 export const limitStatementLifetimeMs = 1500;
 
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -214,5 +214,5 @@
  */
 export const dutyCallShare = 0.5;
 
-/** Time until an entry asks again for a server's limit whose owner did not reply, in milliseconds: half a lost owner's silence. */
+/** Time until an entry asks again for a server's limit whose owner did not reply, in milliseconds. It is below `peerTimeoutMs`. */
 export const unansweredLimitMs = 250;
