--- a/packages/core/src/usage/constants.ts
+++ b/packages/core/src/usage/constants.ts
@@ -4,6 +4,9 @@
 /** Minimum number of clocks, the own one included, whose median is used. With fewer, no single one can be outvoted. */
 export const minClockSources = 3;
 
+/** Time for which counts wait for the clocks of others, in milliseconds: several heartbeats, of which some may be lost. */
+export const maxClockWaitMs = 1500;
+
 /** Maximum number of clocks that are followed, which bounds the work of an estimate. */
 export const maxClockSources = 64;
 
--- a/packages/core/src/usage/usage-core.ts
+++ b/packages/core/src/usage/usage-core.ts
@@ -1,5 +1,6 @@
 import type {KeyedRow, RowWrite, DutyOutcome} from '../duties/types.js';
 import {collectorsOf} from './collectors.js';
+import {maxClockWaitMs} from './constants.js';
 import {ContributionRelay} from './contribution-relay.js';
 import {ContributionSender} from './contribution-sender.js';
 import {Contributions} from './contributions.js';
@@ -36,6 +37,14 @@
 	readonly onEnded: (end: WindowEnd, oldestAgeMs: number | undefined) => void;
 };
 
+/** A request that is counted once true time is known. */
+type PendingCount = {
+	readonly customer: string;
+	readonly agoMs: number;
+	/** Monotonic time. */
+	readonly seenAt: number;
+};
+
 /** A contribution and the entry to which it goes. */
 export type AddressedContribution = {
 	readonly target: string;
@@ -56,6 +65,10 @@
 	private readonly _reports: UsageReports;
 	private _estimate: TrueTimeEstimate;
 	private _epoch: number;
+	/** Counts since the start or a suspension; undefined once true time is known. */
+	private _pending: PendingCount[] | undefined = [];
+	/** Monotonic time at which the own clock is used if those of others are not known. */
+	private _settlesAt: number;
 	private _holder: KnownHolder | undefined;
 	private _token: number | undefined;
 	/** Monotonic time of the current call. */
@@ -65,6 +78,7 @@
 		const {clocks, times, entries, onDecided, onEnded} = _options;
 		this._now = clocks.now;
 		this._epoch = clocks.epoch;
+		this._settlesAt = clocks.now + maxClockWaitMs;
 		this._estimate = this._trueTime.estimate(
 			clocks.now,
 			clocks.wallMs,
@@ -115,8 +129,17 @@
 		}
 	}
 
-	/** Counts a request that began to run some time ago. */
+	/**
+	 * Counts a request that began to run some time ago. Just after the start or a suspension, only the own clock is known, which
+	 * may be off by more than a window, so such a count waits.
+	 */
 	count(customer: string, agoMs: number, clocks: Clocks): void {
+		if (this._pending !== undefined || clocks.epoch !== this._epoch) {
+			this._pending ??= [];
+			this._pending.push({customer, agoMs, seenAt: clocks.now});
+			return;
+		}
+
 		const trueNow = this._trueNow(clocks);
 		this._counter.count(customer, trueNow - agoMs, trueNow);
 	}
@@ -135,12 +158,18 @@
 	): readonly AddressedContribution[] {
 		const {hostId, born, entries} = this._options;
 		this._now = clocks.now;
-		this._epoch = clocks.epoch;
+		if (clocks.epoch !== this._epoch) {
+			this._epoch = clocks.epoch;
+			this._settlesAt = clocks.now + maxClockWaitMs;
+			this._pending ??= [];
+		}
+
 		this._estimate = this._trueTime.estimate(
 			clocks.now,
 			clocks.wallMs,
 			clocks.epoch,
 		);
+		this._countPending(clocks.now);
 		const trueNow = this._trueNow(clocks);
 		this._token = token;
 		this._reports.noteEra(era, trueNow);
@@ -151,7 +180,10 @@
 
 		const due = this._sender.due(
 			this._collectors,
-			this._counter.windows(this._sender.decidedTo, trueNow),
+			// The windows of the counts that are pending are not known, so none of them is closed.
+			this._pending === undefined
+				? this._counter.windows(this._sender.decidedTo, trueNow)
+				: [],
 			{entryCount: entries().length, holder: this._holder},
 			clocks.now,
 		);
@@ -270,6 +302,20 @@
 		this._reports.onSent(window, outcome, this._trueNow(clocks));
 	}
 
+	private _countPending(now: number): void {
+		const {offsetMs, errorMs} = this._estimate;
+		if (errorMs === undefined && now < this._settlesAt) {
+			return;
+		}
+
+		for (const {customer, agoMs, seenAt} of this._pending ?? []) {
+			const trueSeenAt = seenAt + offsetMs;
+			this._counter.count(customer, trueSeenAt - agoMs, trueSeenAt);
+		}
+
+		this._pending = undefined;
+	}
+
 	/** Counts of ended processes for the holder or, if this entry holds the duty, for its successor. */
 	private _relayed(now: number): readonly AddressedContribution[] {
 		const isHolder = this._token !== undefined;
--- a/packages/core/src/usage/usage-schedules.test.ts
+++ b/packages/core/src/usage/usage-schedules.test.ts
@@ -159,6 +159,21 @@
 		);
 	});
 
+	// Guards against requests that are counted by an own clock that is off before the clocks of others are known.
+	it('count no request in a window before its start if the first heartbeats are lost', () => {
+		const simulation = UsageSimulation.run({
+			seed: 635_666_018,
+			hosts: 3,
+			durationMs,
+			faults: [],
+			maxLagMs,
+			loss: 0.1,
+			straying: 0.1,
+		});
+		checkDecisions(simulation);
+		checkCounts(simulation, false);
+	});
+
 	// Guards against a window that is decided anew, with what was counted since, after its row was lost or not seen.
 	it('never have two different counts if decisions are interrupted', () => {
 		fc.assert(
