--- a/packages/daemon/src/common/connection-guard.ts
+++ b/packages/daemon/src/common/connection-guard.ts
@@ -30,6 +30,9 @@
 	private _hasConnectionError = false;
 	/** Gate of the connection that was read last. undici handles the data in the same call. */
 	private _lastGate: ReadGate | undefined;
+	/** Gates of the connections that have carried the head of a final response. */
+	private readonly _responded = new WeakSet<ReadGate>();
+	private _isFirstResponse = true;
 
 	private constructor(connect: buildConnector.connector) {
 		this.connect = (options, callback) => {
@@ -61,6 +64,11 @@
 		};
 	}
 
+	/** Whether the final response whose head is being handled is the first one of its connection. */
+	get isFirstResponse(): boolean {
+		return this._isFirstResponse;
+	}
+
 	/** Wraps the handler of a request. A pause of its controller pauses the connection. */
 	wrap(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
 		const hasConnectionError = () => this._hasConnectionError;
@@ -68,6 +76,14 @@
 		/** Gate of the response's connection, until the response ends. */
 		let gate: ReadGate | undefined;
 		let controller: Dispatcher.DispatchController | undefined;
+		const noteResponse = (responding: ReadGate | undefined) => {
+			this._isFirstResponse =
+				responding !== undefined && !this._responded.has(responding);
+			if (responding !== undefined) {
+				this._responded.add(responding);
+			}
+		};
+
 		const releaseGate = () => {
 			gate?.noteUse();
 			gate?.open();
@@ -105,6 +121,7 @@
 				gate = lastGate();
 				if (status >= finalStatus) {
 					gate?.noteUse();
+					noteResponse(gate);
 				}
 
 				handler.onResponseStart?.(controller!, status, ...args);
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -926,11 +926,16 @@
 
 				return false;
 			},
-			onHeaders: (status, headers, framing) => {
+			onHeaders: (status, headers, framing, isFirstOnConnection) => {
 				const {fleet, clock, codec} = this._context;
 				fleet.server(attempt.server)?.noteActivity(clock());
 				const {callId} = this._metadata;
-				const response = codec.decodeResponse(status, headers, callId);
+				const decoded = codec.decodeResponse(status, headers, callId);
+				const {isGenuine, isUnnamed} = decoded;
+				const response = {
+					...decoded,
+					isGenuine: isGenuine && (isFirstOnConnection || !isUnnamed),
+				};
 				this._noteServerState(attempt.server, response);
 				this._noteLoad(attempt, response);
 				this._noteLimit(attempt, response);
@@ -1034,7 +1039,13 @@
 
 		if (response.isNotRun) {
 			this._noteServerRefusal(attempt.server, status);
-			attempt.call?.discard();
+			if (response.isUnnamed) {
+				// Without its connection, it can't come again and be taken for a response to another request.
+				attempt.call?.abort();
+			} else {
+				attempt.call?.discard();
+			}
+
 			this._endAttempt(`refused ${status}`);
 			this._retry(this._unavailableServer('serverRefused'), true);
 			return;
--- a/packages/daemon/src/direct/types.ts
+++ b/packages/daemon/src/direct/types.ts
@@ -159,6 +159,8 @@
 	readonly isNotRun: boolean;
 	/** Whether the response was written by the server itself, for this request. */
 	readonly isGenuine: boolean;
+	/** Whether it doesn't name the request. Such a response may be an earlier one of its connection, written once more. */
+	readonly isUnnamed: boolean;
 	/** Whether the server says that it is leaving. */
 	readonly isLeaving: boolean;
 	/** What the server says about when to send again, if it turned the request away for now. */
--- a/packages/daemon/src/direct/upstream.ts
+++ b/packages/daemon/src/direct/upstream.ts
@@ -38,6 +38,7 @@
 		status: number,
 		headers: IncomingHttpHeaders,
 		framing: ResponseFraming,
+		isFirstOnConnection: boolean,
 	) => void;
 	/**
 	 * Returns false to pause the response until `resume` is called. Events of data that is already read still follow.
@@ -121,12 +122,13 @@
 							started.abort(new Error('aborted'));
 						}
 					},
-					onResponseStart(_controller, status, headers) {
+					onResponseStart: (_controller, status, headers) => {
 						if (!isAborted && status >= 200) {
 							sink.onHeaders(
 								status,
 								headers,
 								framingOf(req.method, status, headers),
+								this._guard.isFirstResponse,
 							);
 						}
 					},
