--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -1,6 +1,8 @@
 import {
 	compareStoreVersions,
 	EntryTopology,
+	limitShare,
+	shareOfLimit,
 	type AuthorityRow,
 	type CustomerRule,
 	type QuotaGrant,
@@ -292,6 +294,16 @@
 		return grant?.kind === 'refused' ? grant.retryAfterMs : grant && 0;
 	}
 
+	/** The part of a server's limit that this entry may grant as its owner. */
+	grantable(rule: CustomerRule): CustomerRule {
+		const others = [...this._peers.values()].map(peer => ({
+			zone: peer.zone,
+			isWatched: peer.isLinked || peer.isChild,
+			isLost: peer.isLost,
+		}));
+		return shareOfLimit(rule, limitShare(others));
+	}
+
 	/** Returns the units of a request that did not run. */
 	returnUnits(customer: string, units: number): void {
 		const {ledger, clock, hostId, send} = this._options;
@@ -773,7 +785,7 @@
 		}
 
 		if (owner === hostId) {
-			return ledger.take(rule, 1, clock());
+			return ledger.take(this.grantable(rule), 1, clock());
 		}
 
 		const {name, unitsPerSecond} = rule;
