--- a/packages/core/src/quota/quota-ledger.ts
+++ b/packages/core/src/quota/quota-ledger.ts
@@ -134,11 +134,19 @@
 		});
 	}
 
-	/** Records the levels of customers that another entry owns, and gives up owning them here. */
+	/**
+	 * Records the levels of customers that another entry owns, and gives up owning them here. If both entries have granted
+	 * units, the lower level counts.
+	 */
 	recordPeerLevels(levels: readonly QuotaLevel[], now: number): void {
 		for (const {customer, level} of levels) {
+			const bucket = this._owned.get(customer);
+			bucket?.advanceTo(now);
 			this._owned.delete(customer);
-			this._peerLevels.set(customer, {level, at: now});
+			this._peerLevels.set(customer, {
+				level: Math.min(level, bucket?.level ?? level),
+				at: now,
+			});
 		}
 	}
 
--- a/packages/daemon/src/direct/entry-fleet.test.ts
+++ b/packages/daemon/src/direct/entry-fleet.test.ts
@@ -310,6 +310,89 @@
 	});
 });
 
+describe('a rate whose customer asks for more than it in a fleet', () => {
+	const customer: CustomerRule = {
+		...customers[0]!,
+		unitsPerSecond: 1000,
+		burstUnits: 500,
+	};
+	const windowMs = 8000;
+	/** What the users' rule allows in a window without its slack. */
+	const allowed = (1000 * (windowMs / 1000) + 500) * 1.1;
+
+	beforeEach(() => {
+		mock.timers.enable({apis: ['setTimeout']});
+	});
+
+	afterEach(() => {
+		mock.timers.reset();
+	});
+
+	type Grant = {readonly at: number; readonly isCut: boolean};
+
+	/** Grants of 20 units each. Some entries are cut from the others after 8 s, for 6 s. */
+	async function play(
+		zones: number,
+		isCut: (entry: SimulatedEntry) => boolean,
+	): Promise<readonly Grant[]> {
+		const fleet = EntryFleet.create({
+			count: 12,
+			zones,
+			seed: 11,
+			customers: [customer],
+		});
+		const grants: Grant[] = [];
+		const ask = async (entry: SimulatedEntry) => {
+			const {kind} = await fleet.reserve(entry.id, customer, 20);
+			if (kind === 'granted') {
+				grants.push({at: fleet.now, isCut: isCut(entry)});
+			}
+		};
+
+		while (fleet.now < 24_000) {
+			const isLinked = fleet.now < 8000 || fleet.now >= 14_000;
+			fleet.canPass = (from, to) => isLinked || isCut(from) === isCut(to);
+			for (const entry of fleet.entries.values()) {
+				void ask(entry);
+			}
+
+			fleet.run(50, () => {
+				mock.timers.tick(10);
+			});
+			// Lets the replies be taken.
+			// eslint-disable-next-line no-await-in-loop
+			await new Promise(setImmediate);
+		}
+
+		return grants;
+	}
+
+	function assertKept(grants: readonly Grant[], from: number): void {
+		for (const {at: begin} of grants.filter(({at}) => at >= from)) {
+			const end = begin + windowMs;
+			const units =
+				20 * grants.filter(({at}) => at >= begin && at < end).length;
+			assert.ok(
+				units <= allowed,
+				`${units} units from ${begin} ms, ${allowed} allowed`,
+			);
+		}
+	}
+
+	for (const [name, zones, isCut] of [
+		['one zone of three', 3, ({zone}: SimulatedEntry) => zone === 'zone-2'],
+		['one zone of two', 2, ({zone}: SimulatedEntry) => zone === 'zone-1'],
+		['one entry', 3, ({id}: SimulatedEntry) => id === 'entry-0'],
+	] as const) {
+		describe(`while ${name} is cut from the others, and after it`, () => {
+			// Guards against a former owner whose level replaces that of the owner again and again (QUOTA).
+			it('gets no more than the rate after the cut', async () => {
+				assertKept(await play(zones, isCut), 14_500);
+			});
+		});
+	}
+});
+
 function heartbeats(count: number): number {
 	return count * 200 + 100;
 }
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -647,8 +647,10 @@
 				isServing: this._options.isServing(),
 				levels: ledger
 					.levels(now)
-					.filter(({customer}) =>
-						this._topology.ownerCandidates(customer).includes(id),
+					.filter(
+						({customer}) =>
+							this.isOwner(customer) &&
+							this._topology.ownerCandidates(customer).includes(id),
 					)
 					.map(({customer, level}) => ({customer, level: roundMs(level)})),
 				...this._options.tables(),
