--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -52,7 +52,7 @@
 export * from './freshness/freshness-lease.js';
 export {freshnessMarginMs} from './freshness/constants.js';
 export * from './quota/quota-ledger.js';
-export * from './quota/limit-share.js';
+export * from './quota/grantable-part.js';
 export * from './quota/server-limit-rules.js';
 export type * from './placement/types.js';
 export * from './placement/prompt-pacer.js';
--- a/packages/daemon/src/direct/entry-fleet.test.ts
+++ b/packages/daemon/src/direct/entry-fleet.test.ts
@@ -7,6 +7,7 @@
 	mock,
 	type TestContext,
 } from 'node:test';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
 	createRandom,
 	maxRelayedProofAgeMs,
@@ -330,10 +331,11 @@
 
 	type Grant = {readonly at: number; readonly isCut: boolean};
 
-	/** Grants of 20 units each. Some entries are cut from the others after 8 s, for 6 s. */
+	/** Grants of 20 units each in 24 s. Some entries are cut from the others after 8 s, for a time. */
 	async function play(
 		zones: number,
 		isCut: (entry: SimulatedEntry) => boolean,
+		cutForMs = 6000,
 	): Promise<readonly Grant[]> {
 		const fleet = EntryFleet.create({
 			count: 12,
@@ -350,7 +352,7 @@
 		};
 
 		while (fleet.now < 24_000) {
-			const isLinked = fleet.now < 8000 || fleet.now >= 14_000;
+			const isLinked = fleet.now < 8000 || fleet.now >= 8000 + cutForMs;
 			fleet.canPass = (from, to) => isLinked || isCut(from) === isCut(to);
 			for (const entry of fleet.entries.values()) {
 				void ask(entry);
@@ -361,7 +363,7 @@
 			});
 			// Lets the replies be taken.
 			// eslint-disable-next-line no-await-in-loop
-			await new Promise(setImmediate);
+			await nextTurn();
 		}
 
 		return grants;
@@ -385,12 +387,28 @@
 		['one entry', 3, ({id}: SimulatedEntry) => id === 'entry-0'],
 	] as const) {
 		describe(`while ${name} is cut from the others, and after it`, () => {
+			// Guards against two owners of one rate that each grant all of it (QUOTA, review case 2).
+			it('gets no more than the rate in the cut', async () => {
+				assertKept(await play(zones, isCut), 0);
+			});
+
 			// Guards against a former owner whose level replaces that of the owner again and again (QUOTA).
 			it('gets no more than the rate after the cut', async () => {
 				assertKept(await play(zones, isCut), 14_500);
 			});
 		});
 	}
+
+	// Guards against customers that are refused within their rates for as long as some entries are lost.
+	it('gets its whole rate again once the lost entries of a zone of three can serve no more', async () => {
+		const grants = await play(3, ({zone}) => zone === 'zone-2', 16_000);
+		const units =
+			20 *
+			grants.filter(
+				grant => !grant.isCut && grant.at >= 16_000 && grant.at < 20_000,
+			).length;
+		assert.ok(units >= 0.95 * 4 * customer.unitsPerSecond, `${units} units`);
+	});
 });
 
 function heartbeats(count: number): number {
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -1,8 +1,7 @@
 import {
 	compareStoreVersions,
 	EntryTopology,
-	limitShare,
-	shareOfLimit,
+	grantablePart,
 	type AuthorityRow,
 	type CustomerRule,
 	type QuotaGrant,
@@ -267,7 +266,8 @@
 
 		const owner = this._entryToAsk(customer.name);
 		if (owner === hostId) {
-			return {grant: ledger.take(customer, units, clock()), owner};
+			const rule = this.grantable(customer);
+			return {grant: ledger.take(rule, units, clock()), owner};
 		}
 
 		const reservation =
@@ -294,14 +294,15 @@
 		return grant?.kind === 'refused' ? grant.retryAfterMs : grant && 0;
 	}
 
-	/** The part of a server's limit that this entry may grant as its owner. */
+	/** The part of a rate that this entry may grant as its owner. */
 	grantable(rule: CustomerRule): CustomerRule {
+		const now = this._options.clock();
 		const others = [...this._peers.values()].map(peer => ({
 			zone: peer.zone,
 			isWatched: peer.isLinked || peer.isChild,
-			isLost: peer.isLost,
+			lostForMs: peer.isLost ? now - peer.lostAt : undefined,
 		}));
-		return shareOfLimit(rule, limitShare(others));
+		return grantablePart(rule, others);
 	}
 
 	/** Returns the units of a request that did not run. */
--- a/packages/daemon/src/direct/quota-responder.ts
+++ b/packages/daemon/src/direct/quota-responder.ts
@@ -50,9 +50,9 @@
 		const now = clock();
 		this._expire(now);
 		const key = `${query.from}/${askId}`;
-		const spent =
-			query.serverLimit === undefined ? rule : peers.grantable(rule);
-		const grant = this._sent.get(key)?.grant ?? ledger.take(spent, units, now);
+		const grant =
+			this._sent.get(key)?.grant ??
+			ledger.take(peers.grantable(rule), units, now);
 		this._sent.set(key, {grant, at: now});
 		send({type: 'quotaAnswer', askId, grant}, replyTo);
 	}
