--- a/packages/core/src/entry/constants.ts
+++ b/packages/core/src/entry/constants.ts
@@ -34,5 +34,8 @@
 /** Crashes during which a request was running before its fingerprint is quarantined. */
 export const crashesUntilQuarantine = 2;
 
+/** Maximum number of quarantined requests that entries tell an entry that has just started. */
+export const maxToldQuarantines = 128;
+
 /** How long a fingerprint is kept, and quarantined, after its last crash, in milliseconds. */
 export const quarantineMs = 10 * 60 * 1000;
--- a/packages/core/src/entry/suspect-registry.test.ts
+++ b/packages/core/src/entry/suspect-registry.test.ts
@@ -15,6 +15,42 @@
 		});
 	});
 
+	// Guards against entries that forget such requests when they restart (BUDGET, review case 3).
+	describe('of an entry that has just started', () => {
+		it('has the quarantined requests of another one, for as long as that', () => {
+			const known = SuspectRegistry.create();
+			for (const server of ['first', 'second']) {
+				known.noteCrash(['request'], server, 1000);
+				known.noteCrash([`only ${server}`], server, 1000);
+			}
+
+			const started = SuspectRegistry.create();
+			assert.equal(started.digest(0), '');
+			assert.notEqual(known.digest(5000), '');
+			started.merge(known.quarantined(5000), 100);
+			assert.equal(started.digest(100), known.digest(5000));
+			assert.equal(
+				started.quarantinedForMs('request', 100),
+				known.quarantinedForMs('request', 5000),
+			);
+			assert.equal(started.quarantinedForMs('only first', 100), 0);
+		});
+
+		it('keeps the later of two times, and ignores malformed items', () => {
+			const registry = SuspectRegistry.create();
+			registry.noteCrash(['request'], 'first', 0);
+			registry.noteCrash(['request'], 'second', 9000);
+			const before = registry.quarantinedForMs('request', 10_000);
+			const request = {
+				fingerprint: 'request',
+				bootIds: ['a', 'b'],
+				agoMs: 9000,
+			};
+			registry.merge([request, 1, {...request, agoMs: -1}, {}], 10_000);
+			assert.equal(registry.quarantinedForMs('request', 10_000), before);
+		});
+	});
+
 	describe('for a request that ran at one crash', () => {
 		// Guards against a quarantine by reports of a single crash.
 		it('does not quarantine it when that crash is reported again', () => {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -81,7 +81,10 @@
 export {shutdownFirstRequestMs, shutdownLeaveMs} from './direct/constants.js';
 export * from './direct/dispatch-check.js';
 export * from './direct/retry-allowance.js';
-export {SuspectRegistry} from './entry/suspect-registry.js';
+export {
+	SuspectRegistry,
+	type QuarantinedRequest,
+} from './entry/suspect-registry.js';
 export {PartSuspects} from './suspects/part-suspects.js';
 export type * from './suspects/types.js';
 export * from './direct/entry-drain.js';
--- a/packages/daemon/src/direct/entry-fleet.testing.ts
+++ b/packages/daemon/src/direct/entry-fleet.testing.ts
@@ -226,6 +226,8 @@
 			onRootChanged: () => undefined,
 			quarantine: () => '',
 			onQuarantine: () => undefined,
+			quarantinedRequests: () => '',
+			onQuarantinedRequests: () => undefined,
 			onQueryEnded: () => undefined,
 			onLost: () => undefined,
 			onRegained: () => undefined,
--- a/packages/daemon/src/direct/entry-peers.test.ts
+++ b/packages/daemon/src/direct/entry-peers.test.ts
@@ -83,6 +83,8 @@
 		},
 		quarantine: () => '',
 		onQuarantine: () => undefined,
+		quarantinedRequests: () => '',
+		onQuarantinedRequests: () => undefined,
 		onQueryEnded: () => undefined,
 		onLost: () => undefined,
 		onRegained: () => undefined,
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -82,6 +82,13 @@
 		peer: {readonly id: string; readonly endpoint: Endpoint},
 		digest: string | undefined,
 	) => void;
+	/** Text that differs if this entry has quarantined other requests; empty without any. */
+	readonly quarantinedRequests: () => string;
+	/** Called with what a heartbeat says of the peer's quarantined requests. */
+	readonly onQuarantinedRequests: (
+		peer: {readonly id: string; readonly endpoint: Endpoint},
+		digest: string | undefined,
+	) => void;
 	/** Called when a quota query to another entry ends. */
 	readonly onQueryEnded: PendingQueriesOptions['onEnded'];
 	readonly onLost: (peer: string, err: unknown) => void;
@@ -437,6 +444,7 @@
 		const sender = {id, endpoint: peer.endpoint};
 		this._options.onTables(sender, heartbeat, isParent);
 		this._options.onQuarantine(sender, heartbeat.quarantine);
+		this._options.onQuarantinedRequests(sender, heartbeat.quarantinedRequests);
 	}
 
 	onQuotaReply(askId: number, grant: QuotaGrant): void {
@@ -629,6 +637,7 @@
 		const {lastHeartbeat, endpoint} = peer;
 		const proofAgeMs = now - provenAt();
 		const quarantine = this._options.quarantine();
+		const quarantinedRequests = this._options.quarantinedRequests();
 		const zoneLost =
 			peer.zone === zone
 				? [...this._peers]
@@ -656,6 +665,7 @@
 					.map(({customer, level}) => ({customer, level: roundMs(level)})),
 				...this._options.tables(),
 				...(quarantine !== '' && {quarantine}),
+				...(quarantinedRequests !== '' && {quarantinedRequests}),
 				...(zoneLost.length > 0 && {zoneLost}),
 				...(Number.isFinite(proofAgeMs) && {
 					proofAgeMs: Math.ceil(proofAgeMs),
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -60,6 +60,7 @@
 import type {ServerStart} from './part-exposures.js';
 import {QuotaResponder} from './quota-responder.js';
 import {RelayedTable} from './relayed-table.js';
+import {RequestQuarantine} from './request-quarantine.js';
 import {SentCalls} from './sent-calls.js';
 import {ServerLimitTask} from './server-limit-task.js';
 import {ServerLog} from './server-log.js';
@@ -127,6 +128,15 @@
 	private readonly _sentCalls = SentCalls.create();
 	private readonly _loadTimes = AdapterLoadTimes.create();
 	private readonly _suspects = SuspectRegistry.create();
+	private readonly _requestQuarantine = RequestQuarantine.create({
+		clock,
+		suspects: this._suspects,
+		fetchRequests: async from => this._exchange.fetchQuarantinedRequests(from),
+		onError: (step, error) => {
+			this._logError(step, error);
+		},
+	});
+
 	private readonly _partQuarantine: PartQuarantine;
 	private readonly _exchange: TableExchange;
 	private readonly _servers: RelayedTable<ServerChange>;
@@ -206,6 +216,7 @@
 			servers: () => this._servers.copy(clock()),
 			members: () => this._members.copy(clock()),
 			suspects: () => this._partQuarantine.entries(clock()),
+			quarantinedRequests: () => this._suspects.quarantined(clock()),
 		});
 		this._partQuarantine = this._createPartQuarantine();
 		this._peers = this._createPeers();
@@ -574,6 +585,10 @@
 			onQuarantine: (peer, digest) => {
 				void this._partQuarantine.onDigest(peer, digest);
 			},
+			quarantinedRequests: () => this._requestQuarantine.digest,
+			onQuarantinedRequests: (peer, digest) => {
+				void this._requestQuarantine.onDigest(peer, digest);
+			},
 			onQueryEnded: (outcome, durationMs) => {
 				this._metrics.noteQuery('rate', outcome, durationMs);
 			},
--- a/packages/daemon/src/direct/member-era.testing.ts
+++ b/packages/daemon/src/direct/member-era.testing.ts
@@ -433,6 +433,8 @@
 			onRootChanged: () => undefined,
 			quarantine: () => '',
 			onQuarantine: () => undefined,
+			quarantinedRequests: () => '',
+			onQuarantinedRequests: () => undefined,
 			onQueryEnded: () => undefined,
 			onLost: () => undefined,
 			onRegained: () => undefined,
--- a/packages/daemon/src/direct/store-era.testing.ts
+++ b/packages/daemon/src/direct/store-era.testing.ts
@@ -499,6 +499,8 @@
 			onRootChanged: () => undefined,
 			quarantine: () => '',
 			onQuarantine: () => undefined,
+			quarantinedRequests: () => '',
+			onQuarantinedRequests: () => undefined,
 			onQueryEnded: () => undefined,
 			onLost: () => undefined,
 			onRegained: () => undefined,
--- a/packages/daemon/src/direct/table-exchange.ts
+++ b/packages/daemon/src/direct/table-exchange.ts
@@ -2,6 +2,7 @@
 	AuthorityRow,
 	AuthorityView,
 	PartSuspectEntry,
+	QuarantinedRequest,
 	ServerChange,
 } from '@balsamtray/core';
 import {maxTableBytes, storeTimeoutMs} from './constants.js';
@@ -16,6 +17,7 @@
 	servers: '/servers',
 	members: '/members',
 	suspects: '/suspects',
+	quarantinedRequests: '/quarantined-requests',
 } as const;
 
 export type TableExchangeOptions = {
@@ -24,6 +26,8 @@
 	readonly members: () => TableCopy<MemberRow> | undefined;
 	/** Evidence on parts of prompts that may crash servers. */
 	readonly suspects: () => readonly PartSuspectEntry[];
+	/** Requests that have crashed servers. */
+	readonly quarantinedRequests: () => readonly QuarantinedRequest[];
 };
 
 /** Serves this entry's copies of the store's tables to other entries and fetches theirs. */
@@ -37,7 +41,8 @@
 	private constructor(private readonly _options: TableExchangeOptions) {}
 
 	responseFor(path: string): TextResponse {
-		const {authority, servers, members, suspects} = this._options;
+		const {authority, servers, members, suspects, quarantinedRequests} =
+			this._options;
 		switch (path) {
 			case paths.statements: {
 				return jsonResponse(authority.rows());
@@ -55,6 +60,10 @@
 				return jsonResponse(suspects());
 			}
 
+			case paths.quarantinedRequests: {
+				return jsonResponse(quarantinedRequests());
+			}
+
 			default: {
 				return {status: 404, contentType: 'text/plain', body: 'not found'};
 			}
@@ -90,6 +99,18 @@
 		return entries as readonly PartSuspectEntry[];
 	}
 
+	/** Fetches the requests that an entry has quarantined. Their form is not checked. */
+	async fetchQuarantinedRequests(from: Endpoint): Promise<readonly unknown[]> {
+		const requests = await this._fetch(from, paths.quarantinedRequests);
+		if (!Array.isArray(requests)) {
+			throw new TypeError(
+				`quarantined requests from ${from.host}: expected an array`,
+			);
+		}
+
+		return requests;
+	}
+
 	private async _fetch(endpoint: Endpoint, path: string): Promise<unknown> {
 		const {status, body} = await this._client.call({
 			endpoint,
--- a/packages/protocol/src/gossip/messages.ts
+++ b/packages/protocol/src/gossip/messages.ts
@@ -58,6 +58,8 @@
 	readonly isServing: boolean;
 	/** Text that differs if the sender has quarantined other parts of prompts than the receiver. Absent if it has none. */
 	readonly quarantine?: string;
+	/** Text that differs if the sender has quarantined other requests than the receiver. Absent if it has none. */
+	readonly quarantinedRequests?: string;
 	/** Remaining units of the customers whose rate the sender owns and the receiver may take over. */
 	readonly levels: readonly QuotaLevel[];
 	/** Wall clock of the sender, in milliseconds since the epoch. Absent in deployments that report no usage. */
