--- a/packages/daemon/src/direct/table-exchange.ts
+++ b/packages/daemon/src/direct/table-exchange.ts
@@ -108,7 +108,7 @@
 			);
 		}
 
-		return requests;
+		return requests as readonly unknown[];
 	}
 
 	private async _fetch(endpoint: Endpoint, path: string): Promise<unknown> {
