--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -86,6 +86,7 @@
 	type QuarantinedRequest,
 } from './entry/suspect-registry.js';
 export {PartSuspects} from './suspects/part-suspects.js';
+export {UnansweredRequests} from './suspects/unanswered-requests.js';
 export type * from './suspects/types.js';
 export * from './direct/entry-drain.js';
 export * from './direct/event-stream-splitter.js';
--- a/packages/core/src/placement/fleet-view.ts
+++ b/packages/core/src/placement/fleet-view.ts
@@ -358,6 +358,16 @@
 		return current !== undefined && current.id !== id;
 	}
 
+	/** Whether a start of a server is over: it has started again, or a newer server is listed at its address. */
+	hasStartedAgain(id: string, address: string, born: number): boolean {
+		const current = this._currentServers.get(address);
+		const knownBorn = this.server(id)?.born ?? 0;
+		return (
+			(born > 0 && knownBorn > born) ||
+			(current !== undefined && current.id !== id)
+		);
+	}
+
 	/** Whether the time is known of any server that is taken away. */
 	get hasDepartures(): boolean {
 		return this._departures.size > 0;
--- a/packages/core/src/placement/server-state.ts
+++ b/packages/core/src/placement/server-state.ts
@@ -355,6 +355,12 @@
 		this._refused.add(key);
 	}
 
+	/** Time at which bytes last arrived from the server; undefined before the first. */
+	get heardAt(): number | undefined {
+		const at = Math.max(this._reportedAt, this._lastActivityAt);
+		return Number.isFinite(at) ? at : undefined;
+	}
+
 	/** Notes that bytes arrived from the server. */
 	noteActivity(now: number): void {
 		this._lastActivityAt = now;
--- a/packages/core/src/suspects/constants.ts
+++ b/packages/core/src/suspects/constants.ts
@@ -67,3 +67,15 @@
 
 /** Maximum number of parts of a request. Further ones are ignored. */
 export const maxPartsPerRequest = 16;
+
+/** Number of requests that were given up without an answer and are kept in case their servers turn out to have ended. */
+export const maxUnansweredRequests = 256;
+
+/** Time for which such a request is kept, in milliseconds: a server that went dark is back after some seconds. */
+export const unansweredLifetimeMs = 15_000;
+
+/** Time that a server may have been silent before such a request was sent, in milliseconds. After longer, it was dark before. */
+export const maxIdleBeforeMs = 1000;
+
+/** Time within which servers that go dark count as one end of the same request, in milliseconds. */
+export const sameMomentMs = 1000;
--- /dev/null
+++ b/packages/core/src/suspects/unanswered-requests.ts
@@ -0,0 +1,108 @@
+import {silenceTimeoutMs} from '../placement/constants.js';
+import {
+	maxIdleBeforeMs,
+	maxUnansweredRequests,
+	sameMomentMs,
+	unansweredLifetimeMs,
+} from './constants.js';
+
+/** A request that was given up without an answer. Times are monotonic, in milliseconds. */
+export type UnansweredRequest = {
+	readonly fingerprint: string;
+	readonly server: string;
+	readonly address: string;
+	/** Start of the server, in milliseconds since the epoch; 0 if unknown. */
+	readonly born: number;
+	readonly sentAt: number;
+	readonly leftAt: number;
+	/** Time at which the server was last heard; undefined if it never was. */
+	readonly heardAt: number | undefined;
+};
+
+/**
+ * Requests under which a server may have gone dark. A server that ends so breaks no connection, so the request is known only
+ * once another start of a server has its place. A server is counted that went silent while the request was there, or shortly
+ * before; the other requests that it had count as well, as with a connection that breaks.
+ */
+export class UnansweredRequests {
+	static create(): UnansweredRequests {
+		return new UnansweredRequests();
+	}
+
+	/** Oldest first. */
+	private readonly _requests = new Set<UnansweredRequest>();
+	/** Time at which the last counted server went silent, by fingerprint, oldest first. */
+	private readonly _countedAt = new Map<string, number>();
+
+	private constructor() {}
+
+	/** Takes a request that was given up. */
+	add(request: UnansweredRequest): void {
+		const {sentAt, leftAt, heardAt = sentAt} = request;
+		const isSilent = leftAt - Math.max(sentAt, heardAt) >= silenceTimeoutMs;
+		if (isSilent && sentAt - heardAt <= maxIdleBeforeMs) {
+			this._requests.add(request);
+			dropOldest(this._requests, maxUnansweredRequests);
+		}
+	}
+
+	/**
+	 * Returns the requests whose servers have ended since they were given up, each once. Servers that went silent at one moment
+	 * count as one: requests are repeated at one server after the other.
+	 */
+	takeCrashed(
+		hasEnded: (request: UnansweredRequest) => boolean,
+		now: number,
+	): readonly UnansweredRequest[] {
+		const crashed: UnansweredRequest[] = [];
+		for (const request of this._requests) {
+			if (now - request.leftAt > unansweredLifetimeMs) {
+				this._requests.delete(request);
+			} else if (hasEnded(request)) {
+				this._requests.delete(request);
+				if (this._isOtherMoment(request)) {
+					crashed.push(request);
+				}
+			}
+		}
+
+		return crashed;
+	}
+
+	private _isOtherMoment({
+		fingerprint,
+		sentAt,
+		heardAt = sentAt,
+	}: UnansweredRequest): boolean {
+		const silentAt = Math.max(sentAt, heardAt);
+		const countedAt = this._countedAt.get(fingerprint);
+		if (
+			countedAt !== undefined &&
+			Math.abs(silentAt - countedAt) < sameMomentMs
+		) {
+			return false;
+		}
+
+		this._countedAt.delete(fingerprint);
+		this._countedAt.set(fingerprint, silentAt);
+		dropOldest(this._countedAt, maxUnansweredRequests);
+		return true;
+	}
+}
+
+function dropOldest<Key>(
+	items: {
+		readonly size: number;
+		keys(): IterableIterator<Key>;
+		delete(key: Key): boolean;
+	},
+	maxSize: number,
+): void {
+	for (const key of items.keys()) {
+		if (items.size <= maxSize) {
+			return;
+		}
+
+		items.delete(key);
+	}
+}
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -4,6 +4,7 @@
 	FleetView,
 	RetryAllowance,
 	SuspectRegistry,
+	UnansweredRequests,
 } from '@balsamtray/core';
 import type {AbortiveClose} from '../common/abortive-close.js';
 import type {DepartingCalls} from './departing-calls.js';
@@ -34,6 +35,7 @@
 	readonly agentClient: AgentClient;
 	/** Requests that were running on a server when its connection broke, and may have crashed it. */
 	readonly suspects: SuspectRegistry;
+	readonly unanswered: UnansweredRequests;
 	/** Parts of prompts under which servers ended. */
 	readonly partQuarantine: PartQuarantine;
 	readonly upstream: Upstream;
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -17,6 +17,7 @@
 	StoreEra,
 	StreamOrigins,
 	SuspectRegistry,
+	UnansweredRequests,
 	ServerLimitRules,
 	VersionBounds,
 	type AuthorityChange,
@@ -128,6 +129,7 @@
 	private readonly _sentCalls = SentCalls.create();
 	private readonly _loadTimes = AdapterLoadTimes.create();
 	private readonly _suspects = SuspectRegistry.create();
+	private readonly _unanswered = UnansweredRequests.create();
 	private readonly _requestQuarantine = RequestQuarantine.create({
 		clock,
 		suspects: this._suspects,
@@ -313,6 +315,7 @@
 		}, stallCheckIntervalMs);
 		setInterval(() => {
 			this._partQuarantine.checkServers(clock());
+			this._checkUnanswered();
 		}, exposureCheckMs);
 		this._peers.start();
 		this._agentClient.start();
@@ -373,6 +376,7 @@
 			streams: this._streams,
 			agentClient: this._agentClient,
 			suspects: this._suspects,
+			unanswered: this._unanswered,
 			partQuarantine: this._partQuarantine,
 			upstream: this._upstream,
 			serverLimits: ServerLimitTask.create({
@@ -476,6 +480,20 @@
 		});
 	}
 
+	/** Tells all entries of requests under which servers went dark. */
+	private _checkUnanswered(): void {
+		const crashed = this._unanswered.takeCrashed(
+			({server, address, born}) =>
+				this._fleet.hasStartedAgain(server, address, born),
+			clock(),
+		);
+		for (const {fingerprint, server} of crashed) {
+			this._options.log.write({event: 'requestSuspected', fingerprint, server});
+			this._suspects.noteCrash([fingerprint], server, clock());
+			this._peers.spreadSuspect(fingerprint, server);
+		}
+	}
+
 	/** Whether a server has started again, or another one has its address. */
 	private _hasEnded({server, born}: ServerStart): boolean {
 		const state = this._fleet.server(server);
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -88,6 +88,12 @@
 			/** `broke`, `silent`, `left` or `restarted`. */
 			readonly evidence: string;
 	  }
+	/** The server went dark under a request that was given up, and another start has its place. The request is named by a digest. */
+	| {
+			readonly event: 'requestSuspected';
+			readonly fingerprint: string;
+			readonly server: string;
+	  }
 	/** The store came back from a copy, which may have lost its last writes; `source` is the table or entry that told it. */
 	| {readonly event: 'storeEra'; readonly era: number; readonly source: string}
 	/** This entry began to read the store for its zone, or follows another entry (`reader`) that does. */
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -326,6 +326,7 @@
 		this._attempt?.call?.abort();
 		this._attempt?.exposure?.onLeft();
 		this._mayHaveRun ||= this._attempt?.isSent ?? false;
+		this._noteUnanswered();
 		this._endAttempt('caller left');
 		this._finish({
 			status: 0,
@@ -1394,10 +1395,29 @@
 		}
 
 		this._mayHaveRun = true;
+		this._noteUnanswered();
 		this._endAttempt('deadline');
 		this._fail({status: 504, reason: 'deadline', isNotRun: false});
 	}
 
+	/** Notes that the request is given up at its server, which may have gone dark under it. */
+	private _noteUnanswered(): void {
+		const {unanswered, fleet, clock} = this._context;
+		const {server: id, sentAt} = this._attempt ?? {};
+		const server = id === undefined ? undefined : fleet.server(id);
+		if (server !== undefined && sentAt !== undefined) {
+			unanswered.add({
+				fingerprint: this._fingerprint,
+				server: server.record.id,
+				address: server.record.address,
+				born: server.born,
+				sentAt,
+				leftAt: clock(),
+				heardAt: server.heardAt,
+			});
+		}
+	}
+
 	private _endAttempt(outcome: string): void {
 		const {_attempt: attempt} = this;
 		if (attempt === undefined) {
