--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -19,6 +19,46 @@
 const partQuarantine = 'packages/daemon/dist/direct/part-quarantine.test.js';
 
 export const mutations = [
+	{
+		rule: 'REFUSED',
+		what: 'a response that names no request counts on a connection that was used before',
+		file: `${direct}/proxied-call.ts`,
+		from: 'isGenuine: isGenuine && (isFirstOnConnection || !isUnnamed),',
+		to: 'isGenuine: isGenuine && (isFirstOnConnection || isUnnamed || true),',
+		test: 'platform/dist/repeated-refusals.test.js',
+	},
+	{
+		rule: 'QUOTA',
+		what: 'a former owner of a rate tells its level',
+		file: `${direct}/entry-peers.ts`,
+		from: 'this.isOwner(customer) &&',
+		to: '',
+		test: 'packages/daemon/dist/direct/entry-fleet.test.js',
+	},
+	{
+		rule: 'QUOTA',
+		what: 'both sides of a cut grant the whole rate of a customer',
+		file: `${core}/quota/grantable-part.ts`,
+		from: 'return 1 - part <= toleratedLostShare',
+		to: 'return 1 - part <= toleratedLostShare || part > 0',
+		test: 'packages/daemon/dist/direct/entry-fleet.test.js',
+	},
+	{
+		rule: 'BUDGET',
+		what: 'an entry that starts does not learn which requests are quarantined',
+		file: `${direct}/request-quarantine.ts`,
+		from: 'suspects.merge(await fetchRequests(peer.endpoint), clock());',
+		to: 'suspects.merge([], clock());\nawait fetchRequests(peer.endpoint);',
+		test: 'platform/dist/crashing-requests.test.js',
+	},
+	{
+		rule: 'BUDGET',
+		what: 'a request under which a server goes dark is not suspected',
+		file: `${direct}/proxied-call.ts`,
+		from: "this._noteUnanswered();\n\t\tthis._endAttempt('deadline');",
+		to: "this._endAttempt('deadline');",
+		test: 'platform/dist/crashing-requests.test.js',
+	},
 	{
 		rule: 'MIXED',
 		what: 'the call identifier of a response is not checked',
