--- a/packages/core/src/quota/grantable-part.test.ts
+++ b/packages/core/src/quota/grantable-part.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import type {CustomerRule} from '../authority/types.js';
 import {maxCutServingMs} from './constants.js';
-import {grantablePart, type RateSharer} from './grantable-part.js';
+import {grantablePart, reachOf, type RateSharer} from './grantable-part.js';
 import {serverLimitName} from './server-limit-rules.js';
 
 const customer: CustomerRule = {
@@ -29,7 +29,7 @@
 }
 
 const rateOf = (rule: CustomerRule, ...zones: Array<readonly RateSharer[]>) =>
-	grantablePart(rule, zones.flat()).unitsPerSecond;
+	grantablePart(rule, reachOf(zones.flat())).unitsPerSecond;
 
 // Guards against both sides of a cut that grant a whole rate (LIMIT; QUOTA, review case 2).
 describe('the part of a rate that its owner may grant', () => {
--- a/packages/core/src/quota/grantable-part.ts
+++ b/packages/core/src/quota/grantable-part.ts
@@ -15,29 +15,48 @@
 	readonly lostForMs: number | undefined;
 };
 
+/** Which share of the entries an entry can reach, itself included. */
+export type Reach = {
+	/** Of all known entries. */
+	readonly share: number;
+	/** Of those that may still serve. */
+	readonly shareOfServing: number;
+};
+
+export const wholeReach: Reach = {share: 1, shareOfServing: 1};
+
+/** @param others all other known entries */
+export function reachOf(others: readonly RateSharer[]): Reach {
+	const serving = others.filter(
+		({lostForMs = 0}) => lostForMs <= maxCutServingMs,
+	);
+	return {
+		share: reachedShare(others),
+		shareOfServing: reachedShare(serving),
+	};
+}
+
 /**
  * Part of a rate that its owner may grant. Entries that it has lost may be cut off and have another owner, so it grants the
  * share of those that it can reach.
  *
  * A customer's rate allows for some overage, so few lost entries change nothing. Entries that have been lost for long serve no
  * more, whether they were cut off or have ended, unless they are the majority.
- *
- * @param others all other known entries
  */
 export function grantablePart(
 	rule: CustomerRule,
-	others: readonly RateSharer[],
+	{share, shareOfServing}: Reach,
 ): CustomerRule {
-	const share = reachedShare(others);
 	if (isServerLimit(rule.name)) {
+		if (share === 1) {
+			return rule;
+		}
+
 		const rate = Math.max(minLimitPerSecond, rule.unitsPerSecond * share);
 		return {...rule, unitsPerSecond: rate, burstUnits: Math.max(1, rate)};
 	}
 
-	const serving = others.filter(
-		({lostForMs = 0}) => lostForMs <= maxCutServingMs,
-	);
-	const part = share > 0.5 ? reachedShare(serving) : share;
+	const part = share > 0.5 ? shareOfServing : share;
 	return 1 - part <= toleratedLostShare
 		? rule
 		: {
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -2,6 +2,8 @@
 	compareStoreVersions,
 	EntryTopology,
 	grantablePart,
+	reachOf,
+	wholeReach,
 	type AuthorityRow,
 	type CustomerRule,
 	type QuotaGrant,
@@ -150,6 +152,8 @@
 	private _heartbeatEpoch = -1;
 	/** Time of the first heartbeat in the current clock epoch. Echoes of earlier heartbeats prove nothing. */
 	private _epochStartedAt = 0;
+	/** Updated with each heartbeat, as it is asked for with each request. */
+	private _reach = wholeReach;
 	private _tickCount = 0;
 	private _isFetching = false;
 	private _isListed = false;
@@ -303,13 +307,7 @@
 
 	/** The part of a rate that this entry may grant as its owner. */
 	grantable(rule: CustomerRule): CustomerRule {
-		const now = this._options.clock();
-		const others = [...this._peers.values()].map(peer => ({
-			zone: peer.zone,
-			isWatched: peer.isLinked || peer.isChild,
-			lostForMs: peer.isLost ? now - peer.lostAt : undefined,
-		}));
-		return grantablePart(rule, others);
+		return grantablePart(rule, this._reach);
 	}
 
 	/** Returns the units of a request that did not run. */
@@ -475,6 +473,7 @@
 
 		this._detectLosses(now);
 		this._updateLinks(now);
+		this._updateReach(now);
 		for (const [id, peer] of this._peers) {
 			if (isInTouch(peer, now)) {
 				this._sendHeartbeat(id, peer, now);
@@ -590,6 +589,15 @@
 		}
 	}
 
+	private _updateReach(now: number): void {
+		const others = [...this._peers.values()].map(peer => ({
+			zone: peer.zone,
+			isWatched: peer.isLinked || peer.isChild,
+			lostForMs: peer.isLost ? now - peer.lostAt : undefined,
+		}));
+		this._reach = reachOf(others);
+	}
+
 	private _detectLosses(now: number): void {
 		const probed = new Set(this._topology.lostLinks(this._isLost));
 		let hasRemoved = false;
--- a/packages/daemon/src/direct/request-quarantine.ts
+++ b/packages/daemon/src/direct/request-quarantine.ts
@@ -1,5 +1,5 @@
 import type {SuspectRegistry} from '@balsamtray/core';
-import {suspectsFetchIntervalMs} from './constants.js';
+import {heartbeatIntervalMs, suspectsFetchIntervalMs} from './constants.js';
 import type {Endpoint} from './types.js';
 
 export type RequestQuarantineOptions = {
@@ -15,6 +15,8 @@
 		return new RequestQuarantine(options);
 	}
 
+	private _digest = '';
+	private _digestedAt = Number.NEGATIVE_INFINITY;
 	private _fetchedAt = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly _options: RequestQuarantineOptions) {}
@@ -22,7 +24,14 @@
 	/** Text that differs if other requests are quarantined; empty without any. */
 	get digest(): string {
 		const {suspects, clock} = this._options;
-		return suspects.digest(clock());
+		const now = clock();
+		// Each heartbeat asks for it.
+		if (now - this._digestedAt >= heartbeatIntervalMs) {
+			this._digestedAt = now;
+			this._digest = suspects.digest(now);
+		}
+
+		return this._digest;
 	}
 
 	/** Fetches the quarantined requests of an entry that has others than this one. */
