--- a/packages/core/src/quota/quota-ledger.test.ts
+++ b/packages/core/src/quota/quota-ledger.test.ts
@@ -52,6 +52,17 @@
 		assert.equal(kindOf(ledger, 50, 400), 'granted');
 	});
 
+	// Guards against a burst that a former owner's level gives a customer once more (QUOTA).
+	it('continues from the lower level if another entry has granted units too', () => {
+		for (const reported of [5, 200]) {
+			const ledger = create(true);
+			assert.equal(kindOf(ledger, 190, 0), 'granted');
+			ledger.recordPeerLevels([{customer: 'c', level: reported}], 0);
+			assert.equal(kindOf(ledger, 11, 0), 'refused');
+			assert.equal(kindOf(ledger, Math.min(10, reported), 0), 'granted');
+		}
+	});
+
 	it('starts empty when the reported level is too old', () => {
 		const ledger = create(true);
 		ledger.recordPeerLevels([{customer: 'c', level: 200}], 0);
--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -29,11 +29,11 @@
 	},
 	{
 		rule: 'QUOTA',
-		what: 'a former owner of a rate tells its level',
-		file: `${direct}/entry-peers.ts`,
-		from: 'this.isOwner(customer) &&',
-		to: '',
-		test: 'packages/daemon/dist/direct/entry-fleet.test.js',
+		what: 'the level of another entry replaces a lower one',
+		file: `${core}/quota/quota-ledger.ts`,
+		from: 'level: Math.min(level, bucket?.level ?? level),',
+		to: 'level: bucket === undefined ? level : level,',
+		test: 'packages/core/dist/quota/quota-ledger.test.js',
 	},
 	{
 		rule: 'QUOTA',
