--- a/packages/core/src/entry/suspect-registry.ts
+++ b/packages/core/src/entry/suspect-registry.ts
@@ -1,3 +1,4 @@
+import {dropOldest} from '../common/drop-oldest.js';
 import {hashString} from '../common/rendezvous.js';
 import {
 	crashesUntilQuarantine,
@@ -46,7 +47,7 @@
 			});
 		}
 
-		this._evictOldest();
+		dropOldest(this._suspects, maxTrackedFingerprints);
 	}
 
 	/** Returns the milliseconds until the fingerprint may run again, or 0 if it may run now. */
@@ -105,16 +106,6 @@
 			? suspect
 			: undefined;
 	}
-
-	private _evictOldest(): void {
-		for (const fingerprint of this._suspects.keys()) {
-			if (this._suspects.size <= maxTrackedFingerprints) {
-				return;
-			}
-
-			this._suspects.delete(fingerprint);
-		}
-	}
 }
 
 function isQuarantinedRequest(value: unknown): value is QuarantinedRequest {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -74,7 +74,6 @@
 export {ServerState} from './placement/server-state.js';
 export * from './placement/adapter-load-times.js';
 export * from './placement/fleet-view.js';
-export type {LimitChange} from './placement/server-limits.js';
 export type {OutputProgress} from './work/output-progress.js';
 export type {OutputSubject} from './work/output-lengths.js';
 export * from './orders/order-planner.js';
@@ -86,7 +85,10 @@
 	type QuarantinedRequest,
 } from './entry/suspect-registry.js';
 export {PartSuspects} from './suspects/part-suspects.js';
-export {UnansweredRequests} from './suspects/unanswered-requests.js';
+export {
+	UnansweredRequests,
+	type UnansweredRequest,
+} from './suspects/unanswered-requests.js';
 export type * from './suspects/types.js';
 export * from './direct/entry-drain.js';
 export * from './direct/event-stream-splitter.js';
--- a/packages/core/src/placement/server-limits.ts
+++ b/packages/core/src/placement/server-limits.ts
@@ -1,3 +1,4 @@
+import {dropOldest} from '../common/drop-oldest.js';
 import {
 	maxLimitAskShare,
 	maxRememberedServers,
@@ -33,10 +34,6 @@
 
 	private constructor() {}
 
-	get size(): number {
-		return this._limits.size;
-	}
-
 	/** Limit of a server in requests a second; undefined if it names none. */
 	perSecond(server: string): number | undefined {
 		return this._limits.get(server)?.perSecond;
@@ -73,7 +70,7 @@
 			perSecond,
 			namedAt: now,
 		});
-		this._forgetOldest();
+		dropOldest(this._limits, maxRememberedServers);
 		return known?.perSecond === perSecond
 			? undefined
 			: {kind: 'named', perSecond};
@@ -122,14 +119,4 @@
 			this._limits.set(server, {...limit, ...change(limit)});
 		}
 	}
-
-	private _forgetOldest(): void {
-		for (const server of this._limits.keys()) {
-			if (this._limits.size <= maxRememberedServers) {
-				return;
-			}
-
-			this._limits.delete(server);
-		}
-	}
 }
--- a/packages/core/src/quota/constants.ts
+++ b/packages/core/src/quota/constants.ts
@@ -7,9 +7,6 @@
 /** Share of a customer's rate that is not held back for entries that are lost. The other half of the allowed overage. */
 export const toleratedLostShare = 0.05;
 
-/** Time for which an entry that is cut from the store and its peers may go on serving at most, in milliseconds. */
-export const maxCutServingMs = 5000;
-
 /** Share of the slack units that all hosts together may spend while no owner answers. The rest is for new owners. */
 export const unownedSlackShare = 0.5;
 
--- a/packages/core/src/quota/grantable-part.test.ts
+++ b/packages/core/src/quota/grantable-part.test.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import type {CustomerRule} from '../authority/types.js';
-import {maxCutServingMs} from './constants.js';
 import {grantablePart, reachOf, type RateSharer} from './grantable-part.js';
 import {serverLimitName} from './server-limit-rules.js';
 
@@ -14,6 +13,7 @@
 	isMeteredInTokens: false,
 	plainTokens: 1,
 };
+const maxCutServingMs = 5000;
 const limit = {...customer, name: serverLimitName('s')};
 
 /** Entries of a zone, of which some are watched and some of these are lost. */
@@ -29,7 +29,7 @@
 }
 
 const rateOf = (rule: CustomerRule, ...zones: Array<readonly RateSharer[]>) =>
-	grantablePart(rule, reachOf(zones.flat())).unitsPerSecond;
+	grantablePart(rule, reachOf(zones.flat(), maxCutServingMs)).unitsPerSecond;
 
 // Guards against both sides of a cut that grant a whole rate (LIMIT; QUOTA, review case 2).
 describe('the part of a rate that its owner may grant', () => {
--- a/packages/core/src/quota/grantable-part.ts
+++ b/packages/core/src/quota/grantable-part.ts
@@ -1,9 +1,5 @@
 import type {CustomerRule} from '../authority/types.js';
-import {
-	maxCutServingMs,
-	minLimitPerSecond,
-	toleratedLostShare,
-} from './constants.js';
+import {minLimitPerSecond, toleratedLostShare} from './constants.js';
 import {isServerLimit} from './server-limit-rules.js';
 
 /** Another entry, as the owner of a rate sees it. */
@@ -25,8 +21,14 @@
 
 export const wholeReach: Reach = {share: 1, shareOfServing: 1};
 
-/** @param others all other known entries */
-export function reachOf(others: readonly RateSharer[]): Reach {
+/**
+ * @param others all other known entries
+ * @param maxCutServingMs time for which an entry that is cut from the store and its peers may go on serving, in milliseconds
+ */
+export function reachOf(
+	others: readonly RateSharer[],
+	maxCutServingMs: number,
+): Reach {
 	const serving = others.filter(
 		({lostForMs = 0}) => lostForMs <= maxCutServingMs,
 	);
--- a/packages/core/src/suspects/unanswered-requests.ts
+++ b/packages/core/src/suspects/unanswered-requests.ts
@@ -1,3 +1,4 @@
+import {dropOldest} from '../common/drop-oldest.js';
 import {silenceTimeoutMs} from '../placement/constants.js';
 import {
 	maxIdleBeforeMs,
@@ -20,9 +21,9 @@
 };
 
 /**
- * Requests under which a server may have gone dark. A server that ends so breaks no connection, so the request is known only
- * once another start of a server has its place. A server is counted that went silent while the request was there, or shortly
- * before; the other requests that it had count as well, as with a connection that breaks.
+ * Requests under which a server may have gone dark. Such a server breaks no connection; its end is known once another start of
+ * a server has its place. Only requests count that were there when it went silent, or came shortly after. As with a broken
+ * connection, it is not known which of them ended it.
  */
 export class UnansweredRequests {
 	static create(): UnansweredRequests {
@@ -89,20 +90,3 @@
 		return true;
 	}
 }
-
-function dropOldest<Key>(
-	items: {
-		readonly size: number;
-		keys(): IterableIterator<Key>;
-		delete(key: Key): boolean;
-	},
-	maxSize: number,
-): void {
-	for (const key of items.keys()) {
-		if (items.size <= maxSize) {
-			return;
-		}
-
-		items.delete(key);
-	}
-}
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -4,7 +4,6 @@
 	FleetView,
 	RetryAllowance,
 	SuspectRegistry,
-	UnansweredRequests,
 } from '@balsamtray/core';
 import type {AbortiveClose} from '../common/abortive-close.js';
 import type {DepartingCalls} from './departing-calls.js';
@@ -15,6 +14,7 @@
 import type {EventLog} from './event-log.js';
 import type {KeyCounts} from './key-counts.js';
 import type {PartQuarantine} from './part-quarantine.js';
+import type {RequestQuarantine} from './request-quarantine.js';
 import type {StreamDirectory} from './stream-directory.js';
 import type {CallCodec} from './types.js';
 import type {ServerLimitTask} from './server-limit-task.js';
@@ -35,7 +35,7 @@
 	readonly agentClient: AgentClient;
 	/** Requests that were running on a server when its connection broke, and may have crashed it. */
 	readonly suspects: SuspectRegistry;
-	readonly unanswered: UnansweredRequests;
+	readonly requestQuarantine: Pick<RequestQuarantine, 'noteUnanswered'>;
 	/** Parts of prompts under which servers ended. */
 	readonly partQuarantine: PartQuarantine;
 	readonly upstream: Upstream;
--- a/packages/daemon/src/direct/entry-fleet.testing.ts
+++ b/packages/daemon/src/direct/entry-fleet.testing.ts
@@ -228,6 +228,7 @@
 			onQuarantine: () => undefined,
 			quarantinedRequests: () => '',
 			onQuarantinedRequests: () => undefined,
+			maxCutServingMs: () => 5000,
 			onQueryEnded: () => undefined,
 			onLost: () => undefined,
 			onRegained: () => undefined,
--- a/packages/daemon/src/direct/entry-peers.test.ts
+++ b/packages/daemon/src/direct/entry-peers.test.ts
@@ -85,6 +85,7 @@
 		onQuarantine: () => undefined,
 		quarantinedRequests: () => '',
 		onQuarantinedRequests: () => undefined,
+		maxCutServingMs: () => 5000,
 		onQueryEnded: () => undefined,
 		onLost: () => undefined,
 		onRegained: () => undefined,
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -91,6 +91,8 @@
 		peer: {readonly id: string; readonly endpoint: Endpoint},
 		digest: string | undefined,
 	) => void;
+	/** Time for which an entry that is cut from the store and its peers may go on serving, in milliseconds. */
+	readonly maxCutServingMs: () => number;
 	/** Called when a quota query to another entry ends. */
 	readonly onQueryEnded: PendingQueriesOptions['onEnded'];
 	readonly onLost: (peer: string, err: unknown) => void;
@@ -152,7 +154,7 @@
 	private _heartbeatEpoch = -1;
 	/** Time of the first heartbeat in the current clock epoch. Echoes of earlier heartbeats prove nothing. */
 	private _epochStartedAt = 0;
-	/** Updated with each heartbeat, as it is asked for with each request. */
+	/** Updated once a heartbeat interval, since each reservation reads it. */
 	private _reach = wholeReach;
 	private _tickCount = 0;
 	private _isFetching = false;
@@ -595,7 +597,7 @@
 			isWatched: peer.isLinked || peer.isChild,
 			lostForMs: peer.isLost ? now - peer.lostAt : undefined,
 		}));
-		this._reach = reachOf(others);
+		this._reach = reachOf(others, this._options.maxCutServingMs());
 	}
 
 	private _detectLosses(now: number): void {
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -17,7 +17,6 @@
 	StoreEra,
 	StreamOrigins,
 	SuspectRegistry,
-	UnansweredRequests,
 	ServerLimitRules,
 	VersionBounds,
 	type AuthorityChange,
@@ -129,16 +128,7 @@
 	private readonly _sentCalls = SentCalls.create();
 	private readonly _loadTimes = AdapterLoadTimes.create();
 	private readonly _suspects = SuspectRegistry.create();
-	private readonly _unanswered = UnansweredRequests.create();
-	private readonly _requestQuarantine = RequestQuarantine.create({
-		clock,
-		suspects: this._suspects,
-		fetchRequests: async from => this._exchange.fetchQuarantinedRequests(from),
-		onError: (step, error) => {
-			this._logError(step, error);
-		},
-	});
-
+	private readonly _requestQuarantine: RequestQuarantine;
 	private readonly _partQuarantine: PartQuarantine;
 	private readonly _exchange: TableExchange;
 	private readonly _servers: RelayedTable<ServerChange>;
@@ -220,6 +210,7 @@
 			suspects: () => this._partQuarantine.entries(clock()),
 			quarantinedRequests: () => this._suspects.quarantined(clock()),
 		});
+		this._requestQuarantine = this._createRequestQuarantine();
 		this._partQuarantine = this._createPartQuarantine();
 		this._peers = this._createPeers();
 		this._quotaResponder = QuotaResponder.create({
@@ -315,7 +306,7 @@
 		}, stallCheckIntervalMs);
 		setInterval(() => {
 			this._partQuarantine.checkServers(clock());
-			this._checkUnanswered();
+			this._requestQuarantine.checkServers();
 		}, exposureCheckMs);
 		this._peers.start();
 		this._agentClient.start();
@@ -376,7 +367,7 @@
 			streams: this._streams,
 			agentClient: this._agentClient,
 			suspects: this._suspects,
-			unanswered: this._unanswered,
+			requestQuarantine: this._requestQuarantine,
 			partQuarantine: this._partQuarantine,
 			upstream: this._upstream,
 			serverLimits: ServerLimitTask.create({
@@ -457,6 +448,24 @@
 		});
 	}
 
+	private _createRequestQuarantine(): RequestQuarantine {
+		return RequestQuarantine.create({
+			clock,
+			suspects: this._suspects,
+			hasEnded: ({server, address, born}) =>
+				this._fleet.hasStartedAgain(server, address, born),
+			spread: (fingerprint, server) => {
+				this._peers.spreadSuspect(fingerprint, server);
+			},
+			fetchRequests: async from =>
+				this._exchange.fetchQuarantinedRequests(from),
+			onError: (step, error) => {
+				this._logError(step, error);
+			},
+			log: this._options.log,
+		});
+	}
+
 	private _createPartQuarantine(): PartQuarantine {
 		return PartQuarantine.create({
 			clock,
@@ -480,26 +489,12 @@
 		});
 	}
 
-	/** Tells all entries of requests under which servers went dark. */
-	private _checkUnanswered(): void {
-		const crashed = this._unanswered.takeCrashed(
-			({server, address, born}) =>
-				this._fleet.hasStartedAgain(server, address, born),
-			clock(),
-		);
-		for (const {fingerprint, server} of crashed) {
-			this._options.log.write({event: 'requestSuspected', fingerprint, server});
-			this._suspects.noteCrash([fingerprint], server, clock());
-			this._peers.spreadSuspect(fingerprint, server);
-		}
-	}
-
 	/** Whether a server has started again, or another one has its address. */
 	private _hasEnded({server, born}: ServerStart): boolean {
 		const state = this._fleet.server(server);
 		return (
 			state !== undefined &&
-			((born > 0 && state.born > born) || this._fleet.isReplaced(state))
+			this._fleet.hasStartedAgain(server, state.record.address, born)
 		);
 	}
 
@@ -607,6 +602,7 @@
 			onQuarantinedRequests: (peer, digest) => {
 				void this._requestQuarantine.onDigest(peer, digest);
 			},
+			maxCutServingMs: () => this._bounds.revokeMs ?? Number.POSITIVE_INFINITY,
 			onQueryEnded: (outcome, durationMs) => {
 				this._metrics.noteQuery('rate', outcome, durationMs);
 			},
--- a/packages/daemon/src/direct/member-era.testing.ts
+++ b/packages/daemon/src/direct/member-era.testing.ts
@@ -435,6 +435,7 @@
 			onQuarantine: () => undefined,
 			quarantinedRequests: () => '',
 			onQuarantinedRequests: () => undefined,
+			maxCutServingMs: () => 5000,
 			onQueryEnded: () => undefined,
 			onLost: () => undefined,
 			onRegained: () => undefined,
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -1402,11 +1402,11 @@
 
 	/** Notes that the request is given up at its server, which may have gone dark under it. */
 	private _noteUnanswered(): void {
-		const {unanswered, fleet, clock} = this._context;
+		const {requestQuarantine, fleet, clock} = this._context;
 		const {server: id, sentAt} = this._attempt ?? {};
 		const server = id === undefined ? undefined : fleet.server(id);
 		if (server !== undefined && sentAt !== undefined) {
-			unanswered.add({
+			requestQuarantine.noteUnanswered({
 				fingerprint: this._fingerprint,
 				server: server.record.id,
 				address: server.record.address,
--- a/packages/daemon/src/direct/store-era.testing.ts
+++ b/packages/daemon/src/direct/store-era.testing.ts
@@ -501,6 +501,7 @@
 			onQuarantine: () => undefined,
 			quarantinedRequests: () => '',
 			onQuarantinedRequests: () => undefined,
+			maxCutServingMs: () => 5000,
 			onQueryEnded: () => undefined,
 			onLost: () => undefined,
 			onRegained: () => undefined,
