--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -80,6 +80,7 @@
 export {shutdownFirstRequestMs, shutdownLeaveMs} from './direct/constants.js';
 export * from './direct/dispatch-check.js';
 export * from './direct/retry-allowance.js';
+export * from './direct/retry-audit.js';
 export {
 	SuspectRegistry,
 	type QuarantinedRequest,
