Count and log what becomes of retries, by service

The logs could not tell whether an entry refused retries, which it was granted, or among how many entries it divided the fixed part of the limit. balsamtray_retries_total counts taken and refused retries by service, and a retryAllowance line says when a service's retries are used up and when one is allowed again, with the figures that decided. The decision is unchanged.

--- a/packages/core/src/direct/retry-allowance.ts
+++ b/packages/core/src/direct/retry-allowance.ts
@@ -14,6 +14,12 @@
 	readonly extra: number;
 };
 
+/** What an entry has sent to a service in the window. */
+export type RetryCounts = {
+	readonly requests: number;
+	readonly retries: number;
+};
+
 type Bucket = {
 	readonly startedAt: number;
 	requests: number;
@@ -38,13 +44,7 @@
 	/** Takes one retry. Returns whether the budget allowed it. */
 	tryTake(entryCount: number, now: number): boolean {
 		const bucket = this._bucketAt(now);
-		let requests = 0;
-		let retries = 0;
-		for (const past of this._buckets) {
-			requests += past.requests;
-			retries += past.retries;
-		}
-
+		const {requests, retries} = this.counts(now);
 		const {ratio, extra} = this._limit();
 		const fixed = extra / Math.max(entryCount, minBudgetEntries);
 		if (retries + 1 > retryBudgetShare * (ratio * requests + fixed)) {
@@ -55,6 +55,19 @@
 		return true;
 	}
 
+	/** Requests and retries of the window that ends now. */
+	counts(now: number): RetryCounts {
+		this._bucketAt(now);
+		let requests = 0;
+		let retries = 0;
+		for (const past of this._buckets) {
+			requests += past.requests;
+			retries += past.retries;
+		}
+
+		return {requests, retries};
+	}
+
 	private _bucketAt(now: number): Bucket {
 		const {windowMs} = this._limit();
 		const bucketMs = windowMs / retryWindowBuckets;
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -2,7 +2,6 @@
 	AdapterLoadTimes,
 	AuthorityView,
 	FleetView,
-	RetryAllowance,
 	SuspectRegistry,
 } from '@balsamtray/core';
 import type {AbortiveClose} from '../common/abortive-close.js';
@@ -18,6 +17,7 @@
 import type {StreamDirectory} from './stream-directory.js';
 import type {CallCodec} from './types.js';
 import type {ServerLimitTask} from './server-limit-task.js';
+import type {ServiceRetries} from './service-retries.js';
 import type {SentCalls} from './sent-calls.js';
 import type {Upstream} from './upstream.js';
 import type {UsageTask} from './usage-task.js';
@@ -63,7 +63,7 @@
 	readonly proofAgeMs: () => number | undefined;
 	/** Counts requests that begin to run; undefined in a deployment that reports no usage. */
 	readonly usage: Pick<UsageTask, 'countBegun'> | undefined;
-	readonly retryAllowance: (service: string) => RetryAllowance;
+	readonly retries: Pick<ServiceRetries, 'noteRequest' | 'tryTake'>;
 	/** Maximum number of connections from this entry to one server of the service. */
 	readonly maxConnections: (service: string) => number;
 	/** Called when a response says that its server is leaving, which is news. */
--- a/packages/daemon/src/direct/direct-metrics.ts
+++ b/packages/daemon/src/direct/direct-metrics.ts
@@ -32,6 +32,7 @@
 	private readonly _registry = new Registry();
 	private readonly _requests = this._counter(metricDefinitions.requests);
 	private readonly _sends = this._counter(metricDefinitions.sends);
+	private readonly _retries = this._counter(metricDefinitions.retries);
 	private readonly _orders = this._counter(metricDefinitions.orders);
 	private readonly _engineChoices = this._counter(
 		metricDefinitions.engineChoices,
@@ -135,6 +136,11 @@
 		this._sends.inc({service, outcome});
 	}
 
+	/** @param outcome whether the limit on retries allowed one */
+	noteRetry(service: string, outcome: 'taken' | 'refused'): void {
+		this._retries.inc({service, outcome});
+	}
+
 	noteSuspension(kind: 'valid' | 'invalid'): void {
 		this._suspensions.inc({kind});
 	}
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -65,6 +65,7 @@
 import {ServerLimitTask} from './server-limit-task.js';
 import {ServerLog} from './server-log.js';
 import {ServiceLimits} from './service-limits.js';
+import {ServiceRetries} from './service-retries.js';
 import {StallMonitor} from './stall-monitor.js';
 import {StreamDirectory} from './stream-directory.js';
 import {TableExchange} from './table-exchange.js';
@@ -148,7 +149,6 @@
 	private readonly _limits = ServiceLimits.create({
 		serviceOf: name => this._serviceOf(name),
 		entryCount: () => this._peers.entryCount,
-		retryLimit: () => this._bounds.retry,
 	});
 
 	private readonly _usage: UsageTask | undefined;
@@ -394,7 +394,13 @@
 			epoch: () => this._currentEpoch(),
 			proofAgeMs: () => this._freshness.proofAgeMs(),
 			usage: this._usage,
-			retryAllowance: service => this._limits.retryAllowance(service),
+			retries: ServiceRetries.create({
+				clock,
+				limit: () => this._bounds.retry,
+				entryCount: () => this._peers.entryCount,
+				log: this._options.log,
+				metrics: this._metrics,
+			}),
 			maxConnections: service => this._limits.maxConnections(service),
 			onServerLeaving: server => {
 				this._onServerLeaving(server);
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -157,6 +157,18 @@
 			readonly server: string;
 			readonly perSecond?: number;
 	  }
+	/**
+	 * This entry's retries of requests to a service are used up, or one was allowed again. `requests` and `retries` are this
+	 * entry's own in the window, `entries` the number among which it divides the fixed part of the limit.
+	 */
+	| {
+			readonly event: 'retryAllowance';
+			readonly service: string;
+			readonly isUsedUp: boolean;
+			readonly requests: number;
+			readonly retries: number;
+			readonly entries: number;
+	  }
 	/** The connection to a server was closed, since a part of what it sent was longer than any response has. */
 	| {
 			readonly event: 'endlessResponse';
--- a/packages/daemon/src/direct/metric-definitions.ts
+++ b/packages/daemon/src/direct/metric-definitions.ts
@@ -12,6 +12,12 @@
 		help: 'Sends to servers, by service and by how they ended.',
 		labels: ['service', 'outcome'],
 	},
+	retries: {
+		kind: 'counter',
+		name: 'balsamtray_retries_total',
+		help: 'Retries of requests that this entry wanted to send, by service and by whether the limit on retries allowed them (`taken`, `refused`).',
+		labels: ['service', 'outcome'],
+	},
 	wait: {
 		kind: 'histogram',
 		name: 'balsamtray_wait_seconds',
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -738,15 +738,8 @@
 	}
 
 	private _dispatch(attempt: Attempt): void {
-		const {
-			fleet,
-			retryAllowance,
-			upstream,
-			codec,
-			peers,
-			maxConnections,
-			clock,
-		} = this._context;
+		const {fleet, retries, upstream, codec, maxConnections, clock} =
+			this._context;
 		const late = this._checkDispatch();
 		if (late !== undefined) {
 			this._endAttempt(`not sent: ${late.reason}`);
@@ -758,11 +751,11 @@
 		const {service, address} = fleet.server(attempt.server)!.record;
 		if (!this._hasCountedRequest) {
 			this._hasCountedRequest = true;
-			retryAllowance(service).noteRequest(now);
+			retries.noteRequest(service);
 		} else if (
 			this._hasSent &&
 			!this._hasPaidRetry &&
-			!retryAllowance(service).tryTake(peers.entryCount, now)
+			!retries.tryTake(service)
 		) {
 			this._endAttempt('not sent: retry budget exhausted');
 			this._fail(unavailable('retryBudget'));
@@ -999,15 +992,14 @@
 
 	/** Moves the request if it is due, another server takes it and a retry is left. Has its adapter loaded elsewhere. */
 	private _move(attempt: Attempt, isDue: boolean): void {
-		const {clock, retryAllowance, peers} = this._context;
+		const {clock, retries} = this._context;
 		const now = clock();
 		const isTaken = this._canGoOn && this._chooseServer(now).kind === 'send';
 		if (!isTaken || !isDue) {
 			return;
 		}
 
-		const allowance = retryAllowance(this._service!);
-		this._hasPaidRetry ||= allowance.tryTake(peers.entryCount, now);
+		this._hasPaidRetry ||= retries.tryTake(this._service!);
 		if (this._hasPaidRetry) {
 			this._eventSplitter?.takePartialEvent();
 			this._recall(attempt, 'serverDeparting');
--- a/packages/daemon/src/direct/service-limits.ts
+++ b/packages/daemon/src/direct/service-limits.ts
@@ -1,13 +1,8 @@
-import {
-	RetryAllowance,
-	type RetryLimit,
-	type ServiceSpec,
-} from '@balsamtray/core';
+import type {ServiceSpec} from '@balsamtray/core';
 
 export type ServiceLimitsOptions = {
 	readonly serviceOf: (name: string) => ServiceSpec | undefined;
 	readonly entryCount: () => number;
-	readonly retryLimit: () => RetryLimit;
 };
 
 /**
@@ -28,20 +23,8 @@
 		return new ServiceLimits(options);
 	}
 
-	private readonly _retryAllowances = new Map<string, RetryAllowance>();
-
 	private constructor(private readonly _options: ServiceLimitsOptions) {}
 
-	retryAllowance(service: string): RetryAllowance {
-		let allowance = this._retryAllowances.get(service);
-		if (allowance === undefined) {
-			allowance = RetryAllowance.create(this._options.retryLimit);
-			this._retryAllowances.set(service, allowance);
-		}
-
-		return allowance;
-	}
-
 	/** Maximum number of connections to one server of the service. */
 	maxConnections(service: string): number {
 		const {serviceOf, entryCount} = this._options;
--- /dev/null
+++ b/packages/daemon/src/direct/service-retries.ts
@@ -0,0 +1,71 @@
+import {RetryAllowance, type RetryLimit} from '@balsamtray/core';
+import type {DirectMetrics} from './direct-metrics.js';
+import type {EventLog} from './event-log.js';
+
+export type ServiceRetriesOptions = {
+	readonly clock: () => number;
+	readonly limit: () => RetryLimit;
+	/** Number of known entries, including this one. */
+	readonly entryCount: () => number;
+	readonly log: Pick<EventLog, 'write'>;
+	readonly metrics: Pick<DirectMetrics, 'noteRetry'>;
+};
+
+type Service = {
+	readonly allowance: RetryAllowance;
+	/** Whether the last retry was refused. */
+	isUsedUp: boolean;
+};
+
+/** This entry's retries of requests, limited by service. */
+export class ServiceRetries {
+	static create(options: ServiceRetriesOptions): ServiceRetries {
+		return new ServiceRetries(options);
+	}
+
+	private readonly _services = new Map<string, Service>();
+
+	private constructor(private readonly _options: ServiceRetriesOptions) {}
+
+	/** Counts a request that is sent to the service for the first time. */
+	noteRequest(name: string): void {
+		this._service(name).allowance.noteRequest(this._options.clock());
+	}
+
+	/** Takes one retry. Returns whether the limit allowed it. */
+	tryTake(name: string): boolean {
+		const {clock, entryCount, metrics} = this._options;
+		const service = this._service(name);
+		const isTaken = service.allowance.tryTake(entryCount(), clock());
+		metrics.noteRetry(name, isTaken ? 'taken' : 'refused');
+		if (service.isUsedUp === isTaken) {
+			service.isUsedUp = !isTaken;
+			this._logChange(name, service);
+		}
+
+		return isTaken;
+	}
+
+	private _logChange(name: string, {allowance, isUsedUp}: Service): void {
+		const {log, clock, entryCount} = this._options;
+		log.write({
+			event: 'retryAllowance',
+			service: name,
+			isUsedUp,
+			...allowance.counts(clock()),
+			entries: entryCount(),
+		});
+	}
+
+	private _service(name: string): Service {
+		const known = this._services.get(name);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const allowance = RetryAllowance.create(this._options.limit);
+		const service = {allowance, isUsedUp: false};
+		this._services.set(name, service);
+		return service;
+	}
+}
