Give a restarted entry its fixed retries only after one window

A process that is not of the first start of the fleet now has its part only one window after its start. Until then it may still send a share of its own requests once more, which no other process counts.

--- a/packages/core/src/direct/direct.test.ts
+++ b/packages/core/src/direct/direct.test.ts
@@ -5,12 +5,16 @@
 import {RetryAllowance} from './retry-allowance.js';
 
 const limit = {windowMs: 10_000, ratio: 0.2, extra: 56};
+const firstStart = {startedAt: 0, isFirstStart: true};
 
 describe('RetryAllowance', () => {
 	it('keeps all entries together within the limit without requests', () => {
 		let retries = 0;
 		for (let entry = 0; entry < 8; entry++) {
-			const allowance = RetryAllowance.create(() => limit);
+			const allowance = RetryAllowance.create({
+				limit: () => limit,
+				...firstStart,
+			});
 			for (let i = 0; i < 100; i++) {
 				retries += allowance.tryTake(8, 0) ? 1 : 0;
 			}
@@ -20,7 +24,10 @@
 	});
 
 	it('stays within the limit in each window while requests arrive', () => {
-		const allowance = RetryAllowance.create(() => limit);
+		const allowance = RetryAllowance.create({
+			limit: () => limit,
+			...firstStart,
+		});
 		const taken: number[] = [];
 		let requests = 0;
 		for (let now = 0; now < 30_000; now += 50) {
@@ -42,7 +49,10 @@
 
 	it('applies a new limit at once and counts earlier retries', () => {
 		let current = limit;
-		const allowance = RetryAllowance.create(() => current);
+		const allowance = RetryAllowance.create({
+			limit: () => current,
+			...firstStart,
+		});
 		for (let i = 0; i < limit.extra; i++) {
 			allowance.tryTake(1, 0);
 		}
--- a/packages/core/src/direct/retry-allowance.ts
+++ b/packages/core/src/direct/retry-allowance.ts
@@ -20,22 +20,34 @@
 	readonly retries: number;
 };
 
+export type RetryAllowanceOptions = {
+	/** Returns the current limit. */
+	readonly limit: () => RetryLimit;
+	/** Start of the process, in milliseconds on its monotonic clock. */
+	readonly startedAt: number;
+	/** Whether the whole fleet starts for the first time, so that no earlier process of this entry has sent retries. */
+	readonly isFirstStart: boolean;
+};
+
 type Bucket = {
 	readonly startedAt: number;
 	requests: number;
 	retries: number;
 };
 
-/** Limits this entry's retries of requests to one service, over a sliding window. */
+/**
+ * Limits this entry's retries of requests to one service, over a sliding window. Each entry may send a share of its own
+ * requests once more, and has a part of the fixed retries. An earlier process of this entry may have used that part in the
+ * window, so a new process has it only after one window.
+ */
 export class RetryAllowance {
-	/** @param limit returns the current limit */
-	static create(limit: () => RetryLimit): RetryAllowance {
-		return new RetryAllowance(limit);
+	static create(options: RetryAllowanceOptions): RetryAllowance {
+		return new RetryAllowance(options);
 	}
 
 	private _buckets: Bucket[] = [];
 
-	private constructor(private readonly _limit: () => RetryLimit) {}
+	private constructor(private readonly _options: RetryAllowanceOptions) {}
 
 	noteRequest(now: number): void {
 		this._bucketAt(now).requests++;
@@ -45,8 +57,8 @@
 	tryTake(entryCount: number, now: number): boolean {
 		const bucket = this._bucketAt(now);
 		const {requests, retries} = this.counts(now);
-		const {ratio, extra} = this._limit();
-		const fixed = extra / Math.max(entryCount, minBudgetEntries);
+		const {ratio} = this._options.limit();
+		const fixed = this._fixedPart(entryCount, now);
 		if (retries + 1 > retryBudgetShare * (ratio * requests + fixed)) {
 			return false;
 		}
@@ -68,8 +80,17 @@
 		return {requests, retries};
 	}
 
+	/** This entry's part of the fixed retries. */
+	private _fixedPart(entryCount: number, now: number): number {
+		const {limit, startedAt, isFirstStart} = this._options;
+		const {windowMs, extra} = limit();
+		return isFirstStart || now - startedAt >= windowMs
+			? extra / Math.max(entryCount, minBudgetEntries)
+			: 0;
+	}
+
 	private _bucketAt(now: number): Bucket {
-		const {windowMs} = this._limit();
+		const {windowMs} = this._options.limit();
 		const bucketMs = windowMs / retryWindowBuckets;
 		const last = this._buckets.at(-1);
 		if (last !== undefined && now - last.startedAt < bucketMs) {
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -397,6 +397,7 @@
 			retries: ServiceRetries.create({
 				clock,
 				limit: () => this._bounds.retry,
+				isFirstStart: this._options.settings.isFirstStart,
 				entryCount: () => this._peers.entryCount,
 				log: this._options.log,
 				metrics: this._metrics,
--- a/packages/daemon/src/direct/service-retries.test.ts
+++ b/packages/daemon/src/direct/service-retries.test.ts
@@ -18,6 +18,7 @@
 		retries = ServiceRetries.create({
 			clock: () => now,
 			limit: () => limit,
+			isFirstStart: true,
 			entryCount: () => 8,
 			log: {
 				write(event) {
--- a/packages/daemon/src/direct/service-retries.ts
+++ b/packages/daemon/src/direct/service-retries.ts
@@ -5,6 +5,7 @@
 export type ServiceRetriesOptions = {
 	readonly clock: () => number;
 	readonly limit: () => RetryLimit;
+	readonly isFirstStart: boolean;
 	/** Number of known entries, including this one. */
 	readonly entryCount: () => number;
 	readonly log: Pick<EventLog, 'write'>;
@@ -24,8 +25,11 @@
 	}
 
 	private readonly _services = new Map<string, Service>();
+	private readonly _startedAt: number;
 
-	private constructor(private readonly _options: ServiceRetriesOptions) {}
+	private constructor(private readonly _options: ServiceRetriesOptions) {
+		this._startedAt = _options.clock();
+	}
 
 	/** Counts a request that is sent to the service for the first time. */
 	noteRequest(name: string): void {
@@ -63,7 +67,12 @@
 			return known;
 		}
 
-		const allowance = RetryAllowance.create(this._options.limit);
+		const {limit, isFirstStart} = this._options;
+		const allowance = RetryAllowance.create({
+			limit,
+			startedAt: this._startedAt,
+			isFirstStart,
+		});
 		const service = {allowance, isUsedUp: false};
 		this._services.set(name, service);
 		return service;
