Divide the fixed retries among all entries that may have used them

An entry divided the fixed part of the limit on retries by the entries that it had heard of, and by 8 at least. After a restart it has heard of none until it has read the members table, so of more than 8 entries each took an eighth (BUDGET). An entry that left was no longer counted at once, though its retries were still in the window.

EntryCensus counts the entries that were known at some time of the window. It knows no number before the members table was read; an entry then retries its share of requests only.

--- a/packages/core/src/direct/retry-allowance.ts
+++ b/packages/core/src/direct/retry-allowance.ts
@@ -53,8 +53,12 @@
 		this._bucketAt(now).requests++;
 	}
 
-	/** Takes one retry. Returns whether the budget allowed it. */
-	tryTake(entryCount: number, now: number): boolean {
+	/**
+	 * Takes one retry. Returns whether the budget allowed it.
+	 *
+	 * @param entryCount number of entries that may have sent retries in the window; undefined if it is not known
+	 */
+	tryTake(entryCount: number | undefined, now: number): boolean {
 		const bucket = this._bucketAt(now);
 		const {requests, retries} = this.counts(now);
 		const {ratio} = this._options.limit();
@@ -80,13 +84,14 @@
 		return {requests, retries};
 	}
 
-	/** This entry's part of the fixed retries. */
-	private _fixedPart(entryCount: number, now: number): number {
+	/** This entry's part of the fixed retries; none while it may have been used, or it is not known how large it is. */
+	private _fixedPart(entryCount: number | undefined, now: number): number {
 		const {limit, startedAt, isFirstStart} = this._options;
 		const {windowMs, extra} = limit();
-		return isFirstStart || now - startedAt >= windowMs
-			? extra / Math.max(entryCount, minBudgetEntries)
-			: 0;
+		const isUnused = isFirstStart || now - startedAt >= windowMs;
+		return entryCount === undefined || !isUnused
+			? 0
+			: extra / Math.max(entryCount, minBudgetEntries);
 	}
 
 	private _bucketAt(now: number): Bucket {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -95,6 +95,7 @@
 export * from './direct/event-stream-splitter.js';
 export type * from './topology/types.js';
 export * from './topology/constants.js';
+export * from './topology/entry-census.js';
 export * from './topology/entry-topology.js';
 export * from './topology/read-duty.js';
 export type * from './streams/types.js';
--- a/packages/core/src/topology/constants.ts
+++ b/packages/core/src/topology/constants.ts
@@ -24,3 +24,6 @@
 
 /** Range over which entries of a zone spread their own reads when they miss the relayed ones, in milliseconds. */
 export const readSpreadMs = 200;
+
+/** Longest time for which entries that are no longer known are counted, in milliseconds. Longer than any window of a limit. */
+export const maxCensusMs = 60_000;
--- a/packages/core/src/topology/entry-census.ts
+++ b/packages/core/src/topology/entry-census.ts
@@ -1,3 +1,5 @@
+import {maxCensusMs} from './constants.js';
+
 /**
  * Counts the entries that may have used their part of a right of the whole fleet within a time: the known ones, and those
  * that were known within that time.
@@ -17,7 +19,9 @@
 	setOthers(others: Iterable<string>, now: number): void {
 		const known = new Set(others);
 		for (const [id, until] of this._knownUntil) {
-			if (until === Number.POSITIVE_INFINITY && !known.has(id)) {
+			if (now - until > maxCensusMs) {
+				this._knownUntil.delete(id);
+			} else if (until === Number.POSITIVE_INFINITY && !known.has(id)) {
 				this._knownUntil.set(id, now);
 			}
 		}
@@ -33,8 +37,8 @@
 	}
 
 	/**
-	 * Number of entries that were known at some time of the last `withinMs` milliseconds, including this one; undefined before
-	 * the members table was read.
+	 * Number of entries that were known at some time of the last `withinMs` milliseconds (`maxCensusMs` at most), including this
+	 * one; undefined before the members table was read.
 	 */
 	count(withinMs: number, now: number): number | undefined {
 		if (!this._hasTable) {
@@ -48,13 +52,4 @@
 
 		return count;
 	}
-
-	/** Forgets entries that have not been known for longer than any right counts. */
-	forgetBefore(time: number): void {
-		for (const [id, until] of this._knownUntil) {
-			if (until < time) {
-				this._knownUntil.delete(id);
-			}
-		}
-	}
 }
--- a/packages/daemon/src/direct/entry-peers.test.ts
+++ b/packages/daemon/src/direct/entry-peers.test.ts
@@ -155,6 +155,22 @@
 		assert.equal(peers.hasServingPeer, false);
 	});
 
+	describe('the number of entries that may have used their part of a right', () => {
+		it('is not known before the members table was read, and includes those that have left', () => {
+			const peers = createPeers('a');
+			peers.onHeartbeat(heartbeatOf('b'), endpointOf('b'));
+			assert.equal(peers.entriesWithin(1000), undefined);
+			const rows = ['a', 'b', 'c'].map(id => ({id, endpoint: endpointOf(id)}));
+			peers.setMembers(rows, true);
+			assert.equal(peers.entriesWithin(1000), 3);
+			now = 500;
+			peers.setMembers(rows.slice(0, 2), true);
+			assert.equal(peers.entriesWithin(1000), 3);
+			now = 1500;
+			assert.equal(peers.entriesWithin(1000), 2);
+		});
+	});
+
 	describe('an entry that the members table does not list', () => {
 		it('is kept while it sends heartbeats and removed when it is lost', async () => {
 			const peers = createPeers('a');
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -1,5 +1,6 @@
 import {
 	compareStoreVersions,
+	EntryCensus,
 	EntryTopology,
 	grantablePart,
 	reachOf,
@@ -144,6 +145,7 @@
 
 	private readonly _peers = new Map<string, Peer>();
 	private readonly _topology: EntryTopology;
+	private readonly _census = EntryCensus.create();
 	private readonly _quotaQueries: PendingQueries<QuotaGrant>;
 	/** Identifiers of the crash reports that were passed on, oldest first. */
 	private readonly _seenReports = new Set<string>();
@@ -181,6 +183,14 @@
 		return this._peers.size + 1;
 	}
 
+	/**
+	 * Number of entries that were known at some time of the last `withinMs` milliseconds, including this one; undefined before
+	 * the members table was read.
+	 */
+	entriesWithin(withinMs: number): number | undefined {
+		return this._census.count(withinMs, this._options.clock());
+	}
+
 	/** Known entries that are not lost, this one included. */
 	get liveEntries(): readonly string[] {
 		const others = [...this._peers.keys()].filter(id => !this._isLost(id));
@@ -263,6 +273,7 @@
 			this._updateTopology();
 		}
 
+		this._census.noteTable();
 		return hasChanged;
 	}
 
@@ -555,6 +566,7 @@
 	}
 
 	private _updateTopology(): void {
+		this._census.setOthers(this._peers.keys(), this._options.clock());
 		this._topology.setMembers(
 			[...this._peers].map(([id, {zone}]) => ({id, zone})),
 		);
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -398,7 +398,7 @@
 				clock,
 				limit: () => this._bounds.retry,
 				isFirstStart: this._options.settings.isFirstStart,
-				entryCount: () => this._peers.entryCount,
+				entryCount: withinMs => this._peers.entriesWithin(withinMs),
 				log: this._options.log,
 				metrics: this._metrics,
 			}),
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -159,7 +159,8 @@
 	  }
 	/**
 	 * This entry's retries of requests to a service are used up, or one was allowed again. `requests` and `retries` are this
-	 * entry's own in the window, `entries` the number among which it divides the fixed part of the limit.
+	 * entry's own in the window, `entries` the number among which it divides the fixed part of the limit (absent before it has read the
+	 * members table).
 	 */
 	| {
 			readonly event: 'retryAllowance';
@@ -167,7 +168,7 @@
 			readonly isUsedUp: boolean;
 			readonly requests: number;
 			readonly retries: number;
-			readonly entries: number;
+			readonly entries?: number;
 	  }
 	/** The connection to a server was closed, since a part of what it sent was longer than any response has. */
 	| {
--- a/packages/daemon/src/direct/service-retries.ts
+++ b/packages/daemon/src/direct/service-retries.ts
@@ -6,8 +6,8 @@
 	readonly clock: () => number;
 	readonly limit: () => RetryLimit;
 	readonly isFirstStart: boolean;
-	/** Number of known entries, including this one. */
-	readonly entryCount: () => number;
+	/** Number of entries that were known within a time, in milliseconds, including this one; undefined if it is not known. */
+	readonly entryCount: (withinMs: number) => number | undefined;
 	readonly log: Pick<EventLog, 'write'>;
 	readonly metrics: Pick<DirectMetrics, 'noteRetry'>;
 };
@@ -38,9 +38,9 @@
 
 	/** Takes one retry. Returns whether the limit allowed it. */
 	tryTake(name: string): boolean {
-		const {clock, entryCount, metrics} = this._options;
+		const {clock, metrics} = this._options;
 		const service = this._service(name);
-		const isTaken = service.allowance.tryTake(entryCount(), clock());
+		const isTaken = service.allowance.tryTake(this._entryCount, clock());
 		metrics.noteRetry(name, isTaken ? 'taken' : 'refused');
 		if (service.isUsedUp === isTaken) {
 			service.isUsedUp = !isTaken;
@@ -51,16 +51,22 @@
 	}
 
 	private _logChange(name: string, {allowance, isUsedUp}: Service): void {
-		const {log, clock, entryCount} = this._options;
+		const {log, clock} = this._options;
+		const entries = this._entryCount;
 		log.write({
 			event: 'retryAllowance',
 			service: name,
 			isUsedUp,
 			...allowance.counts(clock()),
-			entries: entryCount(),
+			...(entries !== undefined && {entries}),
 		});
 	}
 
+	private get _entryCount(): number | undefined {
+		const {entryCount, limit} = this._options;
+		return entryCount(limit().windowMs);
+	}
+
 	private _service(name: string): Service {
 		const known = this._services.get(name);
 		if (known !== undefined) {
