Count a retry in the window in which it is sent

A retry was charged when its server was chosen. It then waits for a connection, or for another server, up to the deadline of its caller, so that the retries of one window could reach the servers together with those of an earlier one (BUDGET). One that was never sent stayed charged.

A retry that was taken now counts until it has been sent for one window, and is given back if it is not sent. balsamtray_retries_total counts these as returned.

The new test of the allowance takes all retries at 0 s and again at 15 s while none is sent: the second time gave as many before, and gives none now.

--- a/packages/core/src/direct/direct.test.ts
+++ b/packages/core/src/direct/direct.test.ts
@@ -34,6 +34,7 @@
 			allowance.noteRequest(now);
 			requests++;
 			if (allowance.tryTake(8, now)) {
+				allowance.noteSent(now);
 				taken.push(now);
 			}
 		}
@@ -47,6 +48,43 @@
 		}
 	});
 
+	// Guards against retries that wait for a connection and are sent together with those of a later window (BUDGET).
+	it('counts a retry that waits to be sent until it has been sent for one window', () => {
+		const allowance = RetryAllowance.create({
+			limit: () => limit,
+			...firstStart,
+		});
+		const takeAll = (now: number): number => {
+			let count = 0;
+			while (allowance.tryTake(8, now)) {
+				count++;
+			}
+
+			return count;
+		};
+
+		const first = takeAll(0);
+		assert.ok(first > 0);
+		assert.equal(takeAll(15_000), 0);
+		for (let i = 0; i < first; i++) {
+			allowance.noteSent(15_000);
+		}
+
+		assert.equal(takeAll(24_999), 0);
+		assert.equal(takeAll(27_000), first);
+	});
+
+	it('allows another retry for one that is given back', () => {
+		const allowance = RetryAllowance.create({
+			limit: () => ({...limit, extra: 10}),
+			...firstStart,
+		});
+		assert.equal(allowance.tryTake(8, 0), true);
+		assert.equal(allowance.tryTake(8, 0), false);
+		allowance.giveBack();
+		assert.equal(allowance.tryTake(8, 0), true);
+	});
+
 	it('applies a new limit at once and counts earlier retries', () => {
 		let current = limit;
 		const allowance = RetryAllowance.create({
--- a/packages/core/src/direct/retry-allowance.ts
+++ b/packages/core/src/direct/retry-allowance.ts
@@ -46,6 +46,8 @@
 	}
 
 	private _buckets: Bucket[] = [];
+	/** Retries that were taken and not sent yet. */
+	private _held = 0;
 
 	private constructor(private readonly _options: RetryAllowanceOptions) {}
 
@@ -54,12 +56,12 @@
 	}
 
 	/**
-	 * Takes one retry. Returns whether the budget allowed it.
+	 * Takes one retry, which counts until it has been sent for one window, or is given back. Returns whether the budget allowed
+	 * it.
 	 *
 	 * @param entryCount number of entries that may have sent retries in the window; undefined if it is not known
 	 */
 	tryTake(entryCount: number | undefined, now: number): boolean {
-		const bucket = this._bucketAt(now);
 		const {requests, retries} = this.counts(now);
 		const {ratio} = this._options.limit();
 		const fixed = this._fixedPart(entryCount, now);
@@ -67,15 +69,26 @@
 			return false;
 		}
 
-		bucket.retries++;
+		this._held++;
 		return true;
 	}
 
-	/** Requests and retries of the window that ends now. */
+	/** Notes that a retry that was taken is sent. */
+	noteSent(now: number): void {
+		this._held--;
+		this._bucketAt(now).retries++;
+	}
+
+	/** Gives back a retry that was taken and is not sent. */
+	giveBack(): void {
+		this._held--;
+	}
+
+	/** Requests of the window that ends now, and retries that were sent in it or may still be. */
 	counts(now: number): RetryCounts {
 		this._bucketAt(now);
 		let requests = 0;
-		let retries = 0;
+		let retries = this._held;
 		for (const past of this._buckets) {
 			requests += past.requests;
 			retries += past.retries;
--- a/packages/core/src/direct/retry-fleet.testing.ts
+++ b/packages/core/src/direct/retry-fleet.testing.ts
@@ -164,6 +164,7 @@
 		allowance.noteRequest(this._now);
 		this._audit.noteArrival(id, this._now);
 		if (allowance.tryTake(entries, this._now)) {
+			allowance.noteSent(this._now);
 			this._audit.noteArrival(id, this._now);
 		}
 	}
--- a/packages/daemon/src/direct/call-context.ts
+++ b/packages/daemon/src/direct/call-context.ts
@@ -63,7 +63,10 @@
 	readonly proofAgeMs: () => number | undefined;
 	/** Counts requests that begin to run; undefined in a deployment that reports no usage. */
 	readonly usage: Pick<UsageTask, 'countBegun'> | undefined;
-	readonly retries: Pick<ServiceRetries, 'noteRequest' | 'tryTake'>;
+	readonly retries: Pick<
+		ServiceRetries,
+		'noteRequest' | 'tryTake' | 'noteSent' | 'giveBack'
+	>;
 	/** Maximum number of connections from this entry to one server of the service. */
 	readonly maxConnections: (service: string) => number;
 	/** Called when a response says that its server is leaving, which is news. */
--- a/packages/daemon/src/direct/direct-metrics.ts
+++ b/packages/daemon/src/direct/direct-metrics.ts
@@ -136,8 +136,8 @@
 		this._sends.inc({service, outcome});
 	}
 
-	/** @param outcome whether the limit on retries allowed one */
-	noteRetry(service: string, outcome: 'taken' | 'refused'): void {
+	/** @param outcome whether the limit on retries allowed one, or one that was taken is not sent */
+	noteRetry(service: string, outcome: 'taken' | 'refused' | 'returned'): void {
 		this._retries.inc({service, outcome});
 	}
 
--- a/packages/daemon/src/direct/metric-definitions.ts
+++ b/packages/daemon/src/direct/metric-definitions.ts
@@ -15,7 +15,7 @@
 	retries: {
 		kind: 'counter',
 		name: 'balsamtray_retries_total',
-		help: 'Retries of requests that this entry wanted to send, by service and by whether the limit on retries allowed them (`taken`, `refused`).',
+		help: 'Retries of requests that this entry wanted to send, by service and by whether the limit on retries allowed them (`taken`, `refused`), and those that were taken and not sent (`returned`).',
 		labels: ['service', 'outcome'],
 	},
 	wait: {
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -153,8 +153,8 @@
 	private _hasSent = false;
 	/** Whether the end of a server may have interrupted some attempt. */
 	private _wasInterrupted = false;
-	/** Whether the retry budget was charged for a send that has not happened yet. */
-	private _hasPaidRetry = false;
+	/** Service of which a retry was taken that is not sent yet. */
+	private _retryTaken: string | undefined;
 	private _cachedFingerprint: string | undefined;
 	private readonly _attemptedServers = new Set<string>();
 	private readonly _record = CallRecord.create();
@@ -752,17 +752,12 @@
 		if (!this._hasCountedRequest) {
 			this._hasCountedRequest = true;
 			retries.noteRequest(service);
-		} else if (
-			this._hasSent &&
-			!this._hasPaidRetry &&
-			!retries.tryTake(service)
-		) {
+		} else if (this._hasSent && !this._takeRetry(service)) {
 			this._endAttempt('not sent: retry budget exhausted');
 			this._fail(unavailable('retryBudget'));
 			return;
 		}
 
-		this._hasPaidRetry = this._hasSent;
 		this._record.noteDispatch(now);
 		this._noteAdapterVersions(attempt.server, now);
 		this._attemptedServers.add(attempt.server);
@@ -792,6 +787,35 @@
 		);
 	}
 
+	/** Takes a retry of the service, unless the request has one. Returns whether the limit on retries allowed it. */
+	private _takeRetry(service: string): boolean {
+		if (this._retryTaken === service) {
+			return true;
+		}
+
+		this._giveBackRetry();
+		if (!this._context.retries.tryTake(service)) {
+			return false;
+		}
+
+		this._retryTaken = service;
+		return true;
+	}
+
+	private _noteRetrySent(): void {
+		if (this._retryTaken !== undefined) {
+			this._context.retries.noteSent(this._retryTaken);
+			this._retryTaken = undefined;
+		}
+	}
+
+	private _giveBackRetry(): void {
+		if (this._retryTaken !== undefined) {
+			this._context.retries.giveBack(this._retryTaken);
+			this._retryTaken = undefined;
+		}
+	}
+
 	private _noteAdapterVersions(server: string, now: number): void {
 		const {fleet, authority} = this._context;
 		const {model, adapter} = this._metadata;
@@ -896,7 +920,7 @@
 				if (isCurrent() && late === undefined && isTaken && isVersionAccepted) {
 					attempt.isSent = true;
 					this._hasSent = true;
-					this._hasPaidRetry = false;
+					this._noteRetrySent();
 					attempt.sentAt = this._context.clock();
 					fleet.server(attempt.server)?.noteDispatched(clock());
 					this._watchVersion(attempt);
@@ -992,15 +1016,13 @@
 
 	/** Moves the request if it is due, another server takes it and a retry is left. Has its adapter loaded elsewhere. */
 	private _move(attempt: Attempt, isDue: boolean): void {
-		const {clock, retries} = this._context;
-		const now = clock();
+		const now = this._context.clock();
 		const isTaken = this._canGoOn && this._chooseServer(now).kind === 'send';
 		if (!isTaken || !isDue) {
 			return;
 		}
 
-		this._hasPaidRetry ||= retries.tryTake(this._service!);
-		if (this._hasPaidRetry) {
+		if (this._takeRetry(this._service!)) {
 			this._eventSplitter?.takePartialEvent();
 			this._recall(attempt, 'serverDeparting');
 		}
@@ -1432,6 +1454,7 @@
 
 	private _finish(refusal: CallRefusal | undefined): void {
 		this._isEnded = true;
+		this._giveBackRetry();
 		clearTimeout(this._deadlineTimer);
 		if (this._waiter !== undefined) {
 			this._context.waitQueue.remove(this._waiter);
--- a/packages/daemon/src/direct/service-retries.test.ts
+++ b/packages/daemon/src/direct/service-retries.test.ts
@@ -39,11 +39,13 @@
 		}
 
 		retries.tryTake('drafts');
+		retries.giveBack('drafts');
 		assert.deepEqual(counted, [
 			'desk taken',
 			'desk taken',
 			'desk refused',
 			'drafts taken',
+			'drafts returned',
 		]);
 	});
 
@@ -53,6 +55,10 @@
 			retries.tryTake('desk');
 		}
 
+		for (let i = 0; i < 2; i++) {
+			retries.noteSent('desk');
+		}
+
 		now = 20_000;
 		retries.tryTake('desk');
 		retries.tryTake('desk');
--- a/packages/daemon/src/direct/service-retries.ts
+++ b/packages/daemon/src/direct/service-retries.ts
@@ -36,7 +36,7 @@
 		this._service(name).allowance.noteRequest(this._options.clock());
 	}
 
-	/** Takes one retry. Returns whether the limit allowed it. */
+	/** Takes one retry, to be sent or given back. Returns whether the limit allowed it. */
 	tryTake(name: string): boolean {
 		const {clock, metrics} = this._options;
 		const service = this._service(name);
@@ -50,6 +50,16 @@
 		return isTaken;
 	}
 
+	noteSent(name: string): void {
+		this._service(name).allowance.noteSent(this._options.clock());
+	}
+
+	/** Gives back a retry that is not sent. */
+	giveBack(name: string): void {
+		this._service(name).allowance.giveBack();
+		this._options.metrics.noteRetry(name, 'returned');
+	}
+
 	private _logChange(name: string, {allowance, isUsedUp}: Service): void {
 		const {log, clock} = this._options;
 		const entries = this._entryCount;
