Count no requests that are older than the window for retries

The sliding window keeps one bucket more than it has, and counted the requests of that bucket as well. Two bursts of requests a little more than a window apart both earned retries, which were sent within one window (BUDGET).

All retries of the bucket that overlaps the window in part still count, but none of its requests.

--- a/packages/core/src/direct/direct.test.ts
+++ b/packages/core/src/direct/direct.test.ts
@@ -3,6 +3,7 @@
 import {describe, it} from 'node:test';
 import {EventStreamSplitter} from './event-stream-splitter.js';
 import {RetryAllowance} from './retry-allowance.js';
+import {RetryAudit} from './retry-audit.js';
 
 const limit = {windowMs: 10_000, ratio: 0.2, extra: 56};
 const firstStart = {startedAt: 0, isFirstStart: true};
@@ -74,6 +75,33 @@
 		assert.equal(takeAll(27_000), first);
 	});
 
+	// Guards against requests that count for retries though they are older than the window (BUDGET).
+	it('stays within the limit with two bursts of requests that are a little more than a window apart', () => {
+		const allowance = RetryAllowance.create({
+			limit: () => limit,
+			...firstStart,
+		});
+		const audit = RetryAudit.create();
+		let requests = 0;
+		for (let now = 0; now < 25_000; now += 100) {
+			const isBurst = now === 10_000 || now === 20_500;
+			for (let i = 0; i < (isBurst ? 1000 : 0); i++) {
+				allowance.noteRequest(now);
+				audit.noteRequest(now);
+				audit.noteArrival(`request-${requests++}`, now);
+			}
+
+			const tries = now > 10_600 ? 1000 : 0;
+			for (let i = 0; i < tries && allowance.tryTake(8, now); i++) {
+				allowance.noteSent(now);
+				audit.noteArrival('request-0', now);
+			}
+		}
+
+		const worst = audit.worst(limit);
+		assert.ok(worst.excess <= 0, JSON.stringify(worst));
+	});
+
 	it('allows another retry for one that is given back', () => {
 		const allowance = RetryAllowance.create({
 			limit: () => ({...limit, extra: 10}),
--- a/packages/core/src/direct/retry-allowance.ts
+++ b/packages/core/src/direct/retry-allowance.ts
@@ -84,13 +84,17 @@
 		this._held--;
 	}
 
-	/** Requests of the window that ends now, and retries that were sent in it or may still be. */
+	/**
+	 * Requests of the window that ends now, and retries that were sent in it or may still be. Of the bucket that overlaps the
+	 * window only in part, all retries count and no requests.
+	 */
 	counts(now: number): RetryCounts {
 		this._bucketAt(now);
+		const {windowMs} = this._options.limit();
 		let requests = 0;
 		let retries = this._held;
 		for (const past of this._buckets) {
-			requests += past.requests;
+			requests += now - past.startedAt <= windowMs ? past.requests : 0;
 			retries += past.retries;
 		}
 
