Grant no slack of a rate from a process that has just restarted

The class of the retries: a new owner of a customer's rate starts with half of the slack if no level was reported to it, and so does each process of an entry that is killed again and again, as its peers do not notice within a second. While no owner answers, each process has a part of the other half again (QUOTA).

A process that is not of the first start of the fleet uses no slack for the first 10 s, longer than the window of the limit. It grants the rate from its start on, as before.

--- a/packages/core/src/quota/constants.ts
+++ b/packages/core/src/quota/constants.ts
@@ -36,3 +36,9 @@
 
 /** Time for which a reported level of a server's limit is kept, in milliseconds. A level that is too old starts empty. */
 export const limitLevelLifetimeMs = 60_000;
+
+/**
+ * Time from its start in which a process grants nothing of the slack, in milliseconds, as an earlier process of its host may
+ * have granted it. Longer than the window of the platform's limit (8 s).
+ */
+export const slackWindowMs = 10_000;
--- a/packages/core/src/quota/quota-ledger.ts
+++ b/packages/core/src/quota/quota-ledger.ts
@@ -4,6 +4,7 @@
 	limitLevelLifetimeMs,
 	peerLevelLifetimeMs,
 	maxUnreportedAccrualMs,
+	slackWindowMs,
 	unownedRateShare,
 	unownedSlackShare,
 } from './constants.js';
@@ -46,7 +47,7 @@
  * Token buckets of the customers' rates. Each customer's bucket is kept by one owner among the entries, which the other
  * entries ask for units. A new owner continues from the level that the previous owner reported last, and starts empty
  * if that level is too old. Without a reported level it starts with part of the slack, or with the whole burst at the
- * first start of the fleet.
+ * first start of the fleet. A restarted process starts without slack for a time, as the one before it may have granted it.
  */
 export class QuotaLedger {
 	static create(options: QuotaLedgerOptions): QuotaLedger {
@@ -111,7 +112,8 @@
 		};
 		let bucket = this._unowned.get(customer.name);
 		if (bucket === undefined) {
-			bucket = TokenBucket.create(share, share.burst, now);
+			const level = this._mayUseSlack(now) ? share.burst : 0;
+			bucket = TokenBucket.create(share, level, now);
 			this._unowned.set(customer.name, bucket);
 		}
 
@@ -209,15 +211,19 @@
 		const accruesFrom = Math.max(this._startedAt, now - maxUnreportedAccrualMs);
 		return this._isFirstStart
 			? TokenBucket.create(limit, limit.burst, now)
-			: TokenBucket.create(limit, this._unreportedUnits, accruesFrom);
+			: TokenBucket.create(limit, this._unreportedUnits(now), accruesFrom);
 	}
 
 	/** Initial units of a customer without a reported level. */
-	private get _unreportedUnits(): number {
-		return this._hasPaused
+	private _unreportedUnits(now: number): number {
+		return this._hasPaused || !this._mayUseSlack(now)
 			? 0
 			: this._options.slackUnits() * (1 - unownedSlackShare);
 	}
+
+	private _mayUseSlack(now: number): boolean {
+		return this._isFirstStart || now - this._startedAt >= slackWindowMs;
+	}
 }
 
 function bucketLimitOf({
