Own no customer's rate before the members table was read

Entries that are killed together and then can't read the members table each granted the whole rate (QUOTA).

An entry owns a rate only once it has read the members table, from the store or from a peer; until then it asks the entries that it has heard from, and grants nothing by itself. It says for up to 2 s after its start that it is not ready, so that callers go elsewhere in that time. The share without an owner is divided by EntryCensus.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -51,6 +51,7 @@
 export * from './freshness/suspension-detector.js';
 export * from './freshness/freshness-lease.js';
 export {freshnessMarginMs} from './freshness/constants.js';
+export {slackWindowMs} from './quota/constants.js';
 export * from './quota/quota-ledger.js';
 export * from './quota/grantable-part.js';
 export * from './quota/server-limit-rules.js';
--- a/packages/core/src/quota/constants.ts
+++ b/packages/core/src/quota/constants.ts
@@ -42,3 +42,6 @@
  * have granted it. Longer than the window of the platform's limit (8 s).
  */
 export const slackWindowMs = 10_000;
+
+/** Time after which to ask again while an entry does not know its part of a rate, in milliseconds. A round of reads of the store. */
+export const unknownPartRetryMs = 1000;
--- a/packages/core/src/quota/quota-ledger.ts
+++ b/packages/core/src/quota/quota-ledger.ts
@@ -5,6 +5,7 @@
 	peerLevelLifetimeMs,
 	maxUnreportedAccrualMs,
 	slackWindowMs,
+	unknownPartRetryMs,
 	unownedRateShare,
 	unownedSlackShare,
 } from './constants.js';
@@ -98,13 +99,21 @@
 			: grant;
 	}
 
-	/** Spends units while no owner answers, from this entry's part of the share reserved for that. */
+	/**
+	 * Spends units while no owner answers, from this entry's part of the share reserved for that.
+	 *
+	 * @param entryCount number of entries that may spend units in the same way; undefined if it is not known
+	 */
 	takeWithoutOwner(
 		customer: CustomerRule,
 		units: number,
-		entryCount: number,
+		entryCount: number | undefined,
 		now: number,
 	): QuotaGrant {
+		if (entryCount === undefined) {
+			return {kind: 'refused', retryAfterMs: unknownPartRetryMs, level: 0};
+		}
+
 		const limit = bucketLimitOf(customer);
 		const share: BucketLimit = {
 			tokensPerMs: (limit.tokensPerMs * unownedRateShare) / entryCount,
--- a/packages/core/src/topology/entry-census.ts
+++ b/packages/core/src/topology/entry-census.ts
@@ -36,6 +36,11 @@
 		this._hasTable = true;
 	}
 
+	/** Whether the members table was read. */
+	get hasTable(): boolean {
+		return this._hasTable;
+	}
+
 	/**
 	 * Number of entries that were known at some time of the last `withinMs` milliseconds (`maxCensusMs` at most), including this
 	 * one; undefined before the members table was read.
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -25,6 +25,12 @@
 /** Age of the members table from which it is fetched from any entry that has a newer one, in milliseconds. */
 export const staleMembersAgeMs = 15_000;
 
+/**
+ * Time from its start in which an entry that has not read the members table says that it is not ready, in milliseconds: two
+ * timeouts of the store. After it, the entry serves what needs no knowledge of the other entries.
+ */
+export const membersGraceMs = 2000;
+
 /** Maximum time between two checks whether this entry has to read a table itself, in milliseconds. */
 export const readDutyCheckMs = 250;
 
--- a/packages/daemon/src/direct/entry-peers.test.ts
+++ b/packages/daemon/src/direct/entry-peers.test.ts
@@ -131,8 +131,19 @@
 			}
 		});
 
+		// Guards against entries that each grant a whole rate, as they know of no other one (QUOTA).
+		it('own no quota before they have read the members table', async () => {
+			const peers = createPeers('a');
+			assert.equal(ownedCount(peers), 0);
+			const {grant} = await peers.reserve(customers[0]!, 1);
+			assert.equal(grant.kind, 'refused');
+			peers.setMembers([], true);
+			assert.equal(ownedCount(peers), customers.length);
+		});
+
 		it('own no quota while they know another entry and the members table does not list them', () => {
 			const peers = createPeers('a');
+			peers.setMembers([], true);
 			assert.equal(ownedCount(peers), customers.length);
 			peers.setMembers([{id: 'b', endpoint: endpointOf('b')}], true);
 			peers.onHeartbeat(heartbeatOf('b'), endpointOf('b'));
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -4,6 +4,7 @@
 	EntryTopology,
 	grantablePart,
 	reachOf,
+	slackWindowMs,
 	wholeReach,
 	type AuthorityRow,
 	type CustomerRule,
@@ -191,6 +192,11 @@
 		return this._census.count(withinMs, this._options.clock());
 	}
 
+	/** Whether the members table was read, so that the other entries are known. */
+	get hasMembers(): boolean {
+		return this._census.hasTable;
+	}
+
 	/** Known entries that are not lost, this one included. */
 	get liveEntries(): readonly string[] {
 		const others = [...this._peers.keys()].filter(id => !this._isLost(id));
@@ -302,8 +308,9 @@
 			return reservation;
 		}
 
-		const {entryCount} = this;
-		const grant = ledger.takeWithoutOwner(customer, units, entryCount, clock());
+		const now = clock();
+		const entryCount = this._census.count(slackWindowMs, now);
+		const grant = ledger.takeWithoutOwner(customer, units, entryCount, now);
 		return {grant, owner: undefined};
 	}
 
@@ -783,9 +790,12 @@
 		const {hostId} = this._options;
 		const candidates = this._topology.ownerCandidates(customer);
 		const live = candidates.filter(id => id === hostId || !this._isLost(id));
-		// Other entries send no quota queries to an entry that the table does not list.
-		const owners = this._isListed ? live : live.filter(id => id !== hostId);
-		return owners[0] ?? (this._peers.size === 0 ? hostId : undefined);
+		// Other entries send no quota queries to an entry that the table does not list, and may be unknown before it was read.
+		const {hasTable} = this._census;
+		const owners =
+			this._isListed && hasTable ? live : live.filter(id => id !== hostId);
+		const isAlone = this._peers.size === 0 && hasTable;
+		return owners[0] ?? (isAlone ? hostId : undefined);
 	}
 
 	/**
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -34,6 +34,7 @@
 	graceMarginMs,
 	heartbeatIntervalMs,
 	maxRewriteDelayMs,
+	membersGraceMs,
 	membersIntervalMs,
 	membersWaitMs,
 	recallCheckMs,
@@ -159,6 +160,7 @@
 	/** Era in which the store took this entry's row; undefined before the first. */
 	private _listedEra: number | undefined;
 	private _isJoining = false;
+	private readonly _startedAt = clock();
 	private _serversWatch: TableWatch<ServerChange> | undefined;
 	private _membersWatch: TableWatch<MemberRow> | undefined;
 	/** What peers are told of the server list; a change makes a new revision. */
@@ -1145,6 +1147,10 @@
 			return 'no servers';
 		}
 
+		if (!this._peers.hasMembers && clock() - this._startedAt < membersGraceMs) {
+			return 'no members';
+		}
+
 		return this._freshness.isFresh() ? undefined : 'configuration stale';
 	}
 
