Test responses that break off within their head, at each byte

Other operators saw a 200 with an empty or short body, framed as whole, after a server stopped in the middle of its answer's head. Here each of six kinds of heads, cut after each of its bytes, closed or reset, on a new connection and on a kept one, is an error; none becomes a response. The fault can't be shown.

--- a/packages/daemon/src/direct/upstream.test.ts
+++ b/packages/daemon/src/direct/upstream.test.ts
@@ -7,12 +7,14 @@
 
 let server: Server | undefined;
 
-/** Starts a server that calls `respond` at the first data of each connection. Returns its address. */
-async function listen(respond: (socket: Socket) => void): Promise<string> {
+/** Starts a server that calls `respond` with the first data of each connection. Returns its address. */
+async function listen(
+	respond: (socket: Socket, request: string) => void,
+): Promise<string> {
 	server = createServer(socket => {
 		socket.on('error', () => undefined);
-		socket.once('data', () => {
-			respond(socket);
+		socket.once('data', data => {
+			respond(socket, data.toString());
 		});
 	});
 	server.listen(0, '127.0.0.1');
@@ -47,6 +49,7 @@
 	address: string,
 	onChunk?: (call: UpstreamCall) => void,
 	pauseMs = 0,
+	{path = '/', upstream = Upstream.create()} = {},
 ): Promise<Outcome> {
 	const events: string[] = [];
 	return new Promise(resolve => {
@@ -55,13 +58,13 @@
 			resolve({events, call});
 		};
 
-		const call = Upstream.create().send(
+		const call = upstream.send(
 			{
 				server: 's',
 				address,
 				maxConnections: 1,
 				method: 'GET',
-				path: '/',
+				path,
 				headers: [],
 				body: new Uint8Array(0),
 			},
@@ -155,6 +158,68 @@
 		});
 	});
 
+	// Guards against a response that its server broke off within the head and that looks whole (MIXED, ORDER).
+	describe('a response that breaks off within its head', () => {
+		const fields = 'Content-Type: text/event-stream\r\nETag: "a"\r\n';
+		const heads = {
+			'with a length': `${head}${fields}Content-Length: 12\r\n\r\n`,
+			'with a length of zero': `${head}${fields}Content-Length: 0\r\n\r\n`,
+			'in chunks': `${head}${fields}Transfer-Encoding: chunked\r\n\r\n`,
+			'delimited by its connection': `${head}${fields}\r\n`,
+			'of HTTP/1.0': `HTTP/1.0 200 OK\r\n${fields}\r\n`,
+			'after an informational one': `HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n${head}${fields}\r\n`,
+		};
+		const ends = {
+			closed(socket: Socket, data: string) {
+				socket.end(data);
+			},
+			reset(socket: Socket, data: string) {
+				socket.write(data);
+				resetLater(socket);
+			},
+		};
+		for (const [kind, whole] of Object.entries(heads)) {
+			for (const [ending, endWith] of Object.entries(ends)) {
+				it(`${kind} is an error after each of its bytes if its connection is ${ending}`, async () => {
+					const address = await listen((socket, request) => {
+						const length = Number(/^GET \/(?<length>\d+)/v.exec(request)![1]);
+						endWith(socket, whole.slice(0, length));
+					});
+					const lengths = Array.from({length: whole.length}, (_, i) => i);
+					await Promise.all(
+						lengths.map(async length => {
+							const path = `/${length}`;
+							const {events} = await send(address, undefined, 0, {path});
+							const received = JSON.stringify(whole.slice(0, length));
+							assert.deepEqual(events, ['sent', 'error'], received);
+						}),
+					);
+				});
+
+				it(`${kind} is an error on a kept connection that is ${ending}`, async () => {
+					const lengths = Array.from({length: whole.length}, (_, i) => i);
+					const address = await listen((socket, request) => {
+						const length = Number(/^GET \/(?<length>\d+)/v.exec(request)![1]);
+						socket.write(`${head}Content-Length: 2\r\n\r\nok`);
+						socket.once('data', () => {
+							endWith(socket, whole.slice(0, length));
+						});
+					});
+					await Promise.all(
+						lengths.map(async length => {
+							const kept = {path: `/${length}`, upstream: Upstream.create()};
+							const first = await send(address, undefined, 0, kept);
+							assert.equal(first.events.at(-1), 'end');
+							const {events} = await send(address, undefined, 0, kept);
+							const received = JSON.stringify(whole.slice(0, length));
+							assert.deepEqual(events, ['sent', 'error'], received);
+						}),
+					);
+				});
+			}
+		}
+	});
+
 	describe('a paused response', {timeout: 2000}, () => {
 		const eventHead = `${head}Content-Type: text/event-stream\r\n`;
 
