--- a/scripts/rule-mutations.js
+++ b/scripts/rule-mutations.js
@@ -12,6 +12,7 @@
 const codec = 'platform/dist/call-codec.test.js';
 const versionSchedules =
 	'packages/daemon/dist/direct/adapter-version-schedules.test.js';
+const retryLoads = 'packages/core/dist/direct/retry-loads.test.js';
 const planner = 'packages/core/dist/orders/order-planner.test.js';
 const suspectParts = 'packages/core/dist/suspects/part-suspects.test.js';
 const streamDirectory = 'packages/daemon/dist/direct/stream-directory.test.js';
@@ -279,10 +280,42 @@
 		rule: 'BUDGET',
 		what: 'the number of retries is not limited',
 		file: `${core}/direct/retry-allowance.ts`,
-		from: 'bucket.retries++;',
-		to: '',
+		from: 'this._bucketAt(now).retries++;',
+		to: 'this._bucketAt(now);',
 		test: 'packages/core/dist/direct/direct.test.js',
 	},
+	{
+		rule: 'BUDGET',
+		what: 'a restarted entry sends the fixed retries of the process before it again',
+		file: `${core}/direct/retry-allowance.ts`,
+		from: 'now - startedAt >= windowMs;',
+		to: 'now >= startedAt;',
+		test: retryLoads,
+	},
+	{
+		rule: 'BUDGET',
+		what: 'an entry that has not read the members table takes itself for the only one',
+		file: `${core}/topology/entry-census.ts`,
+		from: 'return undefined;',
+		to: 'return 1;',
+		test: retryLoads,
+	},
+	{
+		rule: 'QUOTA',
+		what: 'a restarted entry grants the slack of a rate again',
+		file: `${core}/quota/quota-ledger.ts`,
+		from: 'now - this._startedAt >= slackWindowMs;',
+		to: 'now - this._startedAt >= slackWindowMs * 0;',
+		test: 'packages/core/dist/quota/quota-ledger.test.js',
+	},
+	{
+		rule: 'QUOTA',
+		what: 'an entry that knows no other one owns each rate',
+		file: `${direct}/entry-peers.ts`,
+		from: 'const {hasTable} = this._census;',
+		to: 'const hasTable = true;',
+		test: 'platform/dist/unknown-members.test.js',
+	},
 	{
 		rule: 'BUDGET',
 		what: 'a request suspected of crashing servers is not reported to other entries',
