Divide the requests to a cold server among more entries than requests

The class of the retries: the limit of a cold server is divided by the number of entries, but each entry had at least one request a second. With more entries than requests, all of them together could send more (FAILBACK).

Where the entries outnumber the requests, the first ones in a rendezvous order for the server have one a second each, and the others none. All entries agree on the order, and each server has other ones.

--- a/packages/core/src/topology/entry-topology.ts
+++ b/packages/core/src/topology/entry-topology.ts
@@ -35,6 +35,8 @@
 	/** Server whose relay is asked for, with the relay; cleared when the members or the losses change. */
 	private readonly _relays = new Map<string, string>();
 	private _relaysKey = '';
+	/** Rank of this entry in the order for a key, cleared when the members change. */
+	private readonly _ranks = new Map<string, number>();
 
 	private constructor(private readonly _self: Member) {
 		this._members = [_self];
@@ -158,6 +160,18 @@
 		return relay === this._self.id;
 	}
 
+	/** Number of entries that come before this one in the order for a key, on which all entries agree. */
+	rank(key: string): number {
+		let rank = this._ranks.get(key);
+		if (rank === undefined) {
+			const ids = this._members.map(({id}) => id);
+			rank = topByRendezvous(key, ids, ids.length).indexOf(this._self.id);
+			this._ranks.set(key, rank);
+		}
+
+		return rank;
+	}
+
 	/** Other live entries of this entry's zone. */
 	zonePeers(isLost: IsLost): readonly string[] {
 		return this._liveZone(isLost).filter(id => id !== this._self.id);
@@ -194,6 +208,7 @@
 			extraLinks,
 		);
 		this._relays.clear();
+		this._ranks.clear();
 	}
 }
 
--- a/packages/core/src/work/server-chooser.ts
+++ b/packages/core/src/work/server-chooser.ts
@@ -50,6 +50,8 @@
 	readonly coldBound: (service: ServiceSpec) => number;
 	/** Number of entries that may send to the same servers, including this one. */
 	readonly entryCount: () => number;
+	/** Number of entries that come before this one in an order for the server, on which all agree. Without it, none does. */
+	readonly entryRank?: (server: string) => number;
 	/** Spreads the choices of the entries among engines. Without it, figures count as if they were new. */
 	readonly random?: Random;
 	/**
@@ -154,10 +156,11 @@
 			return Number.POSITIVE_INFINITY;
 		}
 
-		return Math.max(
-			1,
-			Math.floor(this._options.coldBound(spec) / this._options.entryCount()),
-		);
+		const {coldBound, entryCount, entryRank = () => 0} = this._options;
+		const bound = Math.max(1, Math.floor(coldBound(spec)));
+		// Where the entries outnumber the requests, each server has some entries that may send it one.
+		const rank = bound < entryCount() ? entryRank(server.record.id) : 0;
+		return rank < bound ? Math.max(1, Math.floor(bound / entryCount())) : 0;
 	}
 
 	private _choosePlain(
--- a/packages/daemon/src/direct/entry-peers.ts
+++ b/packages/daemon/src/direct/entry-peers.ts
@@ -406,6 +406,11 @@
 		});
 	}
 
+	/** Number of known entries that come before this one in an order for the key, on which all entries agree. */
+	rank(key: string): number {
+		return this._topology.rank(key);
+	}
+
 	/** Number of entries of this entry's zone that are not lost, including this one. */
 	get zoneSize(): number {
 		return this._topology.zonePeers(this._isLostInZone).length + 1;
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -449,6 +449,7 @@
 			serviceOf: name => this._serviceOf(name),
 			coldBound: service => this._bounds.coldBound(service),
 			entryCount: () => this._peers.entryCount,
+			entryRank: server => this._peers.rank(server),
 			loadTimes: this._loadTimes,
 			random: this._options.random,
 			onNewWant: server => {
