--- a/packages/scenarios/src/harness/child.ts
+++ b/packages/scenarios/src/harness/child.ts
@@ -57,6 +57,10 @@
 		});
 	}
 
+	get pid(): number | undefined {
+		return this._process.pid;
+	}
+
 	get isRunning(): boolean {
 		return this._exit === undefined;
 	}
--- a/scripts/check-dependency-direction.js
+++ b/scripts/check-dependency-direction.js
@@ -17,6 +17,9 @@
 	platform: ['core', 'protocol', 'daemon'],
 };
 
+/** Workspace packages that only the tests of a package may import. */
+const allowedTestImports = {platform: ['standins']};
+
 /** Folder of a package. The platform package is at the root, the others are under `packages/`. */
 function folderOf(packageName) {
 	return packageName === 'platform' ? 'platform' : `packages/${packageName}`;
@@ -37,7 +40,11 @@
 function isAllowed(packageName, specifier, isTest) {
 	if (specifier.startsWith('@balsamtray/')) {
 		const target = specifier.split('/')[1];
-		return allowedImports[packageName].includes(target);
+		const allowed = [
+			...allowedImports[packageName],
+			...(isTest ? (allowedTestImports[packageName] ?? []) : []),
+		];
+		return allowed.includes(target);
 	}
 
 	if (packageName === 'core' && !isTest && !specifier.startsWith('.')) {
--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -37,6 +37,9 @@
 		.toSorted();
 }
 
+/** Tests of many clients at once. Each of them runs apart from all other load. */
+const crowdTestPattern = /\.crowd\.test\.js$/v;
+
 /** Names of the tests that may fail: the text between `test:` and the next `;` of each line. */
 function knownRedNames() {
 	if (!existsSync(knownRedFile)) {
@@ -78,14 +81,15 @@
 	);
 }
 
-function runUnitTests(reportFile) {
+function runUnitTests(reportFile, files, options = []) {
 	return run(process.execPath, [
 		'--test',
+		...options,
 		'--test-reporter=spec',
 		'--test-reporter-destination=stdout',
 		'--test-reporter=junit',
 		`--test-reporter-destination=${reportFile}`,
-		...unitTestFiles(),
+		...files,
 	]);
 }
 
@@ -116,11 +120,22 @@
 
 	const directory = mkdtempSync(path.join(tmpdir(), 'balsamtray-tests-'));
 	const unitReport = path.join(directory, 'unit.xml');
+	const crowdReport = path.join(directory, 'crowd.xml');
 	const scenarioReport = path.join(directory, 'scenarios.json');
-	const unitStatus = runUnitTests(unitReport);
+	const files = unitTestFiles();
+	const unitStatus = runUnitTests(
+		unitReport,
+		files.filter(file => !crowdTestPattern.test(file)),
+	);
+	const crowdStatus = runUnitTests(
+		crowdReport,
+		files.filter(file => crowdTestPattern.test(file)),
+		['--test-concurrency=1'],
+	);
 	const scenarioStatus = runScenarios(scenarioReport);
 	const results = [
 		...unitResults(unitReport),
+		...unitResults(crowdReport),
 		...scenarioResults(scenarioReport),
 	];
 	rmSync(directory, {recursive: true});
@@ -134,10 +149,11 @@
 
 	// A runner that fails although its report has no failed test has crashed or was killed.
 	const hasRunnerFailed =
-		failed.length === 0 && (unitStatus !== 0 || scenarioStatus !== 0);
+		failed.length === 0 &&
+		[unitStatus, crowdStatus, scenarioStatus].some(status => status !== 0);
 	if (hasRunnerFailed) {
 		console.log(
-			`a test runner failed without a failed test: exit code ${unitStatus} for unit tests, ${scenarioStatus} for scenarios`,
+			`a test runner failed without a failed test: exit code ${unitStatus} for unit tests, ${crowdStatus} for tests of crowds, ${scenarioStatus} for scenarios`,
 		);
 	}
 
