Copy short chunks of a body into blocks

Callers saw connections closed as the entry ended: one request of 4 MiB in chunks of one byte, inside the limits, used up its heap.

Cause: each chunk that the parser reports is a buffer of its own, of some hundred bytes whatever its length, and all were kept until the body ended.

BodyBuffer copies chunks below 4 KiB into blocks that grow with the body, to 64 KiB at most, and keeps larger ones as they are. A body in one chunk is still passed on without a copy.

--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import {
 	createServer,
 	type IncomingMessage,
@@ -7,6 +6,7 @@
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
 import type {CallerLimits} from '@balsamtray/core';
+import {BodyBuffer} from '../intake/body-buffer.js';
 import type {CallContext} from './call-context.js';
 import {hasCallerLeft, turnsAfterStall} from './caller-presence.js';
 import {ProxiedCall} from './proxied-call.js';
@@ -323,19 +323,19 @@
 	}
 
 	return new Promise(resolve => {
-		const chunks: Uint8Array[] = [];
-		let bytes = 0;
+		const body = BodyBuffer.create();
+		let isTooLarge = false;
 		req.on('data', (chunk: Uint8Array) => {
-			bytes += chunk.length;
-			if (bytes > maxBytes) {
-				chunks.length = 0;
+			isTooLarge ||= body.bytes + chunk.length > maxBytes;
+			if (isTooLarge) {
+				body.clear();
 				resolve('tooLarge');
 			} else {
-				chunks.push(chunk);
+				body.append(chunk);
 			}
 		});
 		req.once('end', () => {
-			resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
+			resolve(body.take());
 		});
 		req.once('close', () => {
 			resolve(undefined);
