Bound the memory for callers over all connections

Callers saw connections closed as the host killed the entry: 150 clients that send a body of 4 MiB and stop before its last byte took 694 MB of a host with 350, 100 whole bodies for a slow server 913 MB, pipelined requests with bodies 764 MB.

Cause: each request was bounded, their number was not. Nothing counted what all connections keep together.

KeptMemory (core) counts the heads, bodies, unread responses and objects of all requests against a limit that is derived from the memory of the host and the heap limit of the process. When it is reached, chooseYielding decides who gives up theirs: each holding weighs its bytes times the time by which it is late, so that small and prompt requests go before large or stalled ones; requests that have arrived count less than those that still arrive, and one that a server may run never yields, since nothing true could be said of it. Those that yield are refused with 503 as not run, and told to come back when about that much memory has become free; a response that is not read is cut. A request whose announced length can't be kept is refused before its body is read. A body is released with its request's end.

Ruled out: a limit on the number of requests, which would refuse small ones that cost little; reserving the announced length, which clients that send nothing could use up.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -92,6 +92,16 @@
 	type UnansweredRequest,
 } from './suspects/unanswered-requests.js';
 export type * from './suspects/types.js';
+export type * from './intake/types.js';
+export {
+	connectionBytes,
+	headerFieldBytes,
+	maxRequestsPerConnection,
+	requestBytes,
+} from './intake/constants.js';
+export * from './intake/intake-limits.js';
+export * from './intake/kept-memory.js';
+export * from './intake/connection-slots.js';
 export * from './direct/entry-drain.js';
 export * from './direct/event-stream-splitter.js';
 export type * from './topology/types.js';
--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -145,6 +145,9 @@
 /** Share of a request's time limit within which prefill on the assigned server must start. */
 export const maxPrefillWaitShare = 0.5;
 
+/** Bytes that wait on the connection to a server whose response is paused: what Node.js reads at once. */
+export const unreadConnectionBytes = 64 * 1024;
+
 /** Default `retry-after` of a refusal, in milliseconds. */
 export const defaultRetryAfterMs = 500;
 
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -26,6 +26,7 @@
 } from '@balsamtray/core';
 import type {GossipMessage} from '@balsamtray/protocol';
 import type {Disposable} from '../common/types.js';
+import {readHostCapacity} from '../intake/host-capacity.js';
 import {AbortiveClose} from '../common/abortive-close.js';
 import type {CallContext} from './call-context.js';
 import {
@@ -275,7 +276,10 @@
 			metrics: this._metrics,
 		});
 		this._usage = this._createUsage();
-		this._ingress = Ingress.create(this._createContext());
+		this._ingress = Ingress.create(
+			this._createContext(),
+			readHostCapacity(settings.capacity),
+		);
 	}
 
 	/** Opens the sockets and starts to watch the store. */
--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -5,9 +5,19 @@
 	type ServerResponse,
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
-import type {CallerLimits} from '@balsamtray/core';
+import {
+	deriveIntakeLimits,
+	headerFieldBytes,
+	requestBytes,
+	type CallerLimits,
+	type HostCapacity,
+	type IntakeLimits,
+} from '@balsamtray/core';
 import {BodyBuffer} from '../intake/body-buffer.js';
+import {CallerMemory} from '../intake/caller-memory.js';
+import {readHostCapacity} from '../intake/host-capacity.js';
 import type {CallContext} from './call-context.js';
+import {unavailable} from './call-refusal.js';
 import {hasCallerLeft, turnsAfterStall} from './caller-presence.js';
 import {ProxiedCall} from './proxied-call.js';
 import {cutResponse, isFramed} from './response-cut.js';
@@ -29,8 +39,12 @@
 
 /** Accepts callers' connections and reads their requests, within the configured limits. */
 export class Ingress {
-	static create(context: CallContext): Ingress {
-		return new Ingress(context);
+	/** @param capacity what this process has on its host, which bounds what it keeps for callers */
+	static create(
+		context: CallContext,
+		capacity: HostCapacity = readHostCapacity(),
+	): Ingress {
+		return new Ingress(context, capacity);
 	}
 
 	private readonly _server: Server;
@@ -49,12 +63,25 @@
 	/** Connections with a response that announced the close. Requests behind it can't get a response either. */
 	private readonly _announced = new WeakSet<Socket>();
 	private readonly _running = new Map<ServerResponse, ProxiedCall>();
+	private readonly _memory: CallerMemory;
 	private _limits = initialLimits;
+	private _intakeLimits: IntakeLimits;
 	private _accepted = 0;
 	/** Resolves when requests are no longer held; undefined if they are not. */
 	private _released: Promise<void> | undefined;
 
-	private constructor(private readonly _context: CallContext) {
+	private constructor(
+		private readonly _context: CallContext,
+		private readonly _capacity: HostCapacity,
+	) {
+		this._intakeLimits = deriveIntakeLimits(
+			_capacity,
+			initialLimits.maxBodyBytes,
+		);
+		this._memory = CallerMemory.create({
+			clock: _context.clock,
+			maxBytes: () => this._intakeLimits.maxBytes,
+		});
 		this._server = createServer(
 			{
 				maxHeaderSize: maxHeadBytes,
@@ -76,6 +103,7 @@
 				for (const [res, call] of this._runningBySocket.get(socket) ?? []) {
 					this._running.delete(res);
 					call.onCallerClosed();
+					call.memory.release();
 				}
 
 				this._runningBySocket.delete(socket);
@@ -114,6 +142,10 @@
 
 	setLimits(limits: CallerLimits): void {
 		this._limits = limits;
+		this._intakeLimits = deriveIntakeLimits(
+			this._capacity,
+			limits.maxBodyBytes,
+		);
 		this._server.headersTimeout = limits.headerTimeoutMs;
 		this._server.requestTimeout = limits.headerTimeoutMs + limits.idleTimeoutMs;
 		this._server.keepAliveTimeout = limits.idleTimeoutMs;
@@ -249,13 +281,18 @@
 			onCloseAnnounced: () => {
 				this._onCloseAnnounced(socket, call);
 			},
+			memory: this._memory,
 		});
 		this._running.set(res, call);
 		this._runningBySocket.get(socket)?.set(res, call);
 		res.once('close', () => {
 			this._running.delete(res);
 			this._runningBySocket.get(socket)?.delete(res);
+			call.memory.release();
 		});
+		const headBytes = headBytesOf(req);
+		const fields = req.rawHeaders.length / 2;
+		call.memory.noteHead(headBytes + fields * headerFieldBytes);
 		if (this._released !== undefined) {
 			await this._released;
 			if (socket.destroyed) {
@@ -268,7 +305,7 @@
 			return;
 		}
 
-		if (headBytesOf(req) > this._limits.maxHeaderBytes) {
+		if (headBytes > this._limits.maxHeaderBytes) {
 			call.refuse({status: 431, reason: 'headTooLarge', isNotRun: true});
 			return;
 		}
@@ -277,8 +314,22 @@
 			return;
 		}
 
+		const declaredBytes = Number(req.headers['content-length'] ?? 0);
+		const {maxBodyBytes} = this._limits;
+		const retryAfterMs =
+			declaredBytes > maxBodyBytes
+				? undefined
+				: this._memory.refusedForMs(requestBytes + declaredBytes);
+		if (retryAfterMs !== undefined) {
+			call.refuse({...unavailable('memoryUsedUp'), retryAfterMs});
+			return;
+		}
+
 		const isLate = this._context.isCatchingUp();
-		const body = await readBody(req, this._limits.maxBodyBytes);
+		const body =
+			declaredBytes > maxBodyBytes
+				? 'tooLarge'
+				: await readBody(req, maxBodyBytes, call);
 		if (isLate && (await hasCallerLeft(socket, turnsAfterStall))) {
 			socket.destroy();
 		} else if (body === 'tooLarge') {
@@ -312,16 +363,12 @@
 	);
 }
 
-/** Reads the complete body. Resolves with undefined if the caller disconnects first. */
+/** Reads the complete body. Resolves with undefined if the caller disconnects first, or the request is refused. */
 async function readBody(
 	req: IncomingMessage,
 	maxBytes: number,
+	call: ProxiedCall,
 ): Promise<Uint8Array | 'tooLarge' | undefined> {
-	const declaredBytes = Number(req.headers['content-length'] ?? 0);
-	if (declaredBytes > maxBytes) {
-		return 'tooLarge';
-	}
-
 	return new Promise(resolve => {
 		const body = BodyBuffer.create();
 		let isTooLarge = false;
@@ -330,12 +377,23 @@
 			if (isTooLarge) {
 				body.clear();
 				resolve('tooLarge');
-			} else {
-				body.append(chunk);
+				return;
+			}
+
+			if (call.isEnded) {
+				body.clear();
+				resolve(undefined);
+				return;
+			}
+
+			const {keptBytes} = body;
+			body.append(chunk);
+			if (body.keptBytes !== keptBytes) {
+				call.memory.noteBody(body.keptBytes);
 			}
 		});
 		req.once('end', () => {
-			resolve(body.take());
+			resolve(call.isEnded ? undefined : body.take());
 		});
 		req.once('close', () => {
 			resolve(undefined);
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -11,6 +11,7 @@
 	hasSoonerEngine,
 	pickShare,
 	type CustomerRule,
+	type Holding,
 	type OutputProgress,
 	type PartVerdict,
 	type RouteRule,
@@ -21,12 +22,15 @@
 } from '@balsamtray/core';
 import {EndlessResponseError} from '../common/endless-response-error.js';
 import type {Disposable} from '../common/types.js';
+import type {CallerMemory, MemoryKeeper} from '../intake/caller-memory.js';
+import {RequestMemory} from '../intake/request-memory.js';
 import {badGateway, unavailable, type CallRefusal} from './call-refusal.js';
 import {
 	maxPrefillWaitShare,
 	maxWaitShare,
 	otherEntryRetryAfterMs,
 	unknownStreamRetryAfterMs,
+	unreadConnectionBytes,
 } from './constants.js';
 import type {CallContext} from './call-context.js';
 import {
@@ -66,6 +70,8 @@
 	readonly sharesConnection: () => boolean;
 	/** Called when the response announces that its connection closes after it. */
 	readonly onCloseAnnounced: () => void;
+	/** Counts what is kept for the request. */
+	readonly memory: CallerMemory;
 };
 
 /** One attempt to serve the request on a server. */
@@ -103,11 +109,13 @@
 
 const staleRefusal = unavailable('configurationStale');
 
+const noBody = new Uint8Array(0);
+
 /** Status that a server sends if it is not the addressed server or lacks the adapter that the request needs. */
 const misdirectedStatus = 421;
 
 /** Proxies one request to a server and relays the response, with queueing, retries and a deadline. */
-export class ProxiedCall {
+export class ProxiedCall implements MemoryKeeper {
 	static create(context: CallContext, exchange: CallExchange): ProxiedCall {
 		return new ProxiedCall(context, exchange);
 	}
@@ -118,12 +126,17 @@
 	private readonly _arrivedAt: number;
 	private readonly _sharesConnection: () => boolean;
 	private readonly _onCloseAnnounced: () => void;
+	private readonly _memory: RequestMemory;
+	/** Time at which the complete body was read; undefined before. */
+	private _readAt: number | undefined;
+	/** Time since which the caller has not read the response that is written. */
+	private _unreadSince = 0;
 	/** Clock epoch at the arrival. */
 	private readonly _epoch: number;
 	private _route: RouteRule | undefined;
 	private _service: string | undefined;
 	private _customer: CustomerRule | undefined;
-	private _body: Uint8Array = new Uint8Array(0);
+	private _body: Uint8Array = noBody;
 	/** Units that were taken from a customer's rate for this request. */
 	private _reserved:
 		{readonly customer: string; readonly units: number} | undefined;
@@ -170,6 +183,7 @@
 			arrivedAt,
 			sharesConnection,
 			onCloseAnnounced,
+			memory,
 		}: CallExchange,
 	) {
 		this._req = req;
@@ -178,6 +192,7 @@
 		this._arrivedAt = arrivedAt;
 		this._sharesConnection = sharesConnection;
 		this._onCloseAnnounced = onCloseAnnounced;
+		this._memory = RequestMemory.create(memory, this);
 		this._epoch = _context.epoch();
 		this._randomShare = _context.random();
 		this._lastEventId = metadata.lastEventId;
@@ -190,6 +205,45 @@
 		});
 	}
 
+	/** Whether its response has begun to end, or its caller has left. */
+	get isEnded(): boolean {
+		return this._isEnded;
+	}
+
+	/** How far the request is, for the decision who yields when the memory for callers is used up. */
+	keptFor(): Pick<Holding, 'stage' | 'since'> {
+		if (this._isEnded || this._isPaused) {
+			return {stage: 'unread', since: this._unreadSince};
+		}
+
+		if (this._readAt === undefined) {
+			return {stage: 'reading', since: this._arrivedAt};
+		}
+
+		const isRunning = this._mayHaveRun || this._attempt?.isSent === true;
+		return {stage: isRunning ? 'running' : 'waiting', since: this._readAt};
+	}
+
+	/** Refuses the request, or cuts its response, which the caller does not read. */
+	yieldMemory(retryAfterMs: number): void {
+		if (this._isEnded) {
+			cutResponse(this._res);
+			return;
+		}
+
+		const {_attempt: attempt} = this;
+		attempt?.call?.abort();
+		attempt?.exposure?.onLeft();
+		this._mayHaveRun ||= attempt?.isSent ?? false;
+		this._endAttempt('memory used up');
+		this._fail({...unavailable('memoryUsedUp'), retryAfterMs});
+	}
+
+	/** Memory that is kept for the request. */
+	get memory(): RequestMemory {
+		return this._memory;
+	}
+
 	/**
 	 * Resolves the route and the customer and starts the deadline, before the body is read.
 	 *
@@ -226,6 +280,12 @@
 	/** Takes the customer's quota and assigns a server, once the complete body is read. */
 	async run(body: Uint8Array): Promise<void> {
 		this._body = body;
+		this._readAt = this._context.clock();
+		this._memory.noteBody(body.length);
+		if (this._isEnded) {
+			return;
+		}
+
 		const customer = this._customer;
 		if (customer !== undefined) {
 			const units = this._unitsOf(customer);
@@ -286,6 +346,7 @@
 		}
 
 		this._res.end(JSON.stringify({error: {code: reason, not_run: isNotRun}}));
+		this._noteUnread();
 	}
 
 	/** Ends the request, since the process exits. One that no server has got is refused as not run. */
@@ -1270,14 +1331,23 @@
 				// A caller that reads fast drains each write in the same turn of the event loop, and would take all of it.
 				setImmediate(() => {
 					this._isPaused = false;
+					this._memory.noteUnread(0);
 					this._attempt?.call?.resume();
 				});
 			});
+			this._noteUnread();
 		}
 
 		return false;
 	}
 
+	/** Counts what the caller has not read of the response, and what waits behind it on the connection to the server. */
+	private _noteUnread(): void {
+		this._unreadSince = this._context.clock();
+		const behind = this._isPaused ? unreadConnectionBytes : 0;
+		this._memory.noteUnread(this._res.writableLength + behind);
+	}
+
 	private _onEnd(attempt: Attempt): void {
 		if (attempt.framing === undefined) {
 			this._onAttemptFailed(
@@ -1302,6 +1372,7 @@
 
 		this._finish(undefined);
 		this._res.end();
+		this._noteUnread();
 	}
 
 	/** Describes for the log where a response ended that its connection delimits. */
@@ -1454,6 +1525,8 @@
 
 	private _finish(refusal: CallRefusal | undefined): void {
 		this._isEnded = true;
+		this._body = noBody;
+		this._memory.noteBody(0);
 		this._giveBackRetry();
 		clearTimeout(this._deadlineTimer);
 		if (this._waiter !== undefined) {
--- a/packages/daemon/src/direct/types.ts
+++ b/packages/daemon/src/direct/types.ts
@@ -237,6 +237,11 @@
 	readonly bounds: EntryBounds;
 	/** Undefined in a deployment without duties. */
 	readonly duties?: DutySettings;
+	/** What the platform gives the process. What it does not state is read from the system. */
+	readonly capacity?: {
+		readonly memoryBytes?: number | undefined;
+		readonly descriptors?: number | undefined;
+	};
 };
 
 export type AgentSettings = {
--- a/packages/daemon/src/intake/body-buffer.ts
+++ b/packages/daemon/src/intake/body-buffer.ts
@@ -61,7 +61,8 @@
 	private _copy(chunk: Uint8Array): void {
 		let from = 0;
 		while (from < chunk.length) {
-			const block = (this._block ??= this._openBlock());
+			this._block ??= this._openBlock();
+			const {_block: block} = this;
 			const bytes = Math.min(
 				chunk.length - from,
 				block.length - this._blockUsed,
--- a/packages/daemon/src/intake/constants.ts
+++ b/packages/daemon/src/intake/constants.ts
@@ -3,4 +3,3 @@
 
 /** Sizes of the blocks that short chunks are copied into, in bytes. A block is as large as the body until then. */
 export const blockBytes = {min: 1024, max: 64 * 1024} as const;
-
