Read callers' connections in parts, and count what they keep unparsed

Callers saw connections reset as the host killed the entry: 2,500 heads, or trailers, that stop short of their end took 274 and 280 MB of a host with 250. Requests in a row on one connection were all begun at once: one connection could hold the event loop and take the places of all servers.

Cause: Node.js gives its parser up to 64 KB of a connection at once, which handles all requests and chunks in it in one turn and keeps up to 64 KB of a head, while the configuration allows 16. What a parser keeps was counted nowhere.

PacedReader gives the parser parts of 4 KiB, and no more than the 256th request or chunk of a connection in a turn. It reads on only while fewer than 32 requests of the connection run or wait; what is behind them waits unparsed, one read at most, and later in the system. CallerConnection counts what waits and what the parser holds of a head or of trailers, with the objects of its fields, in the memory for callers, and yields like a request. The parser's own limit is now the configured one. Once a response has announced the close of its connection, the rest is dropped unparsed.

Errors of the parser and the time limits are answered by the entry: with the request's own refusal, or with one of the same form. A connection whose earlier requests still run gets their responses first; before, the error of a request behind them was written as if it were their response.

Ruled out: a Duplex between socket and parser, since much of the entry relies on the sockets themselves (resets, half closes, order of events).

--- a/packages/daemon/src/direct/direct-metrics.ts
+++ b/packages/daemon/src/direct/direct-metrics.ts
@@ -8,6 +8,9 @@
 
 /** Values that an entry or an agent shows as gauges. */
 export type DirectGauges = {
+	/** Memory that is kept for callers, in bytes, and their connections. */
+	readonly callerMemory?: () => number;
+	readonly callerConnections?: () => number;
 	/** Number of waiting requests. */
 	readonly waiting?: () => number;
 	/** Number of quarantined parts of prompts. */
@@ -43,6 +46,10 @@
 		metricDefinitions.endlessResponses,
 	);
 
+	private readonly _closedConnections = this._counter(
+		metricDefinitions.closedConnections,
+	);
+
 	private readonly _usageWindows = this._counter(
 		metricDefinitions.usageWindows,
 	);
@@ -63,6 +70,8 @@
 	private readonly _proofAge = this._histogram(metricDefinitions.proofAge);
 
 	private constructor({
+		callerMemory,
+		callerConnections,
 		waiting,
 		quarantinedParts,
 		waitingPrompts,
@@ -72,6 +81,14 @@
 	}: DirectGauges) {
 		const delays = monitorEventLoopDelay();
 		delays.enable();
+		if (callerMemory !== undefined) {
+			this._gauge(metricDefinitions.callerMemory, callerMemory);
+		}
+
+		if (callerConnections !== undefined) {
+			this._gauge(metricDefinitions.callerConnections, callerConnections);
+		}
+
 		if (waiting !== undefined) {
 			this._gauge(metricDefinitions.waiting, waiting);
 		}
@@ -150,6 +167,11 @@
 		this._limitAsks.inc({outcome});
 	}
 
+	/** @param reason one of a fixed set of words */
+	noteClosedConnection(reason: string): void {
+		this._closedConnections.inc({reason});
+	}
+
 	noteEndlessResponse(): void {
 		this._endlessResponses.inc();
 	}
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -143,6 +143,8 @@
 	private readonly _shutdown: EntryShutdown;
 	private readonly _serverLog: ServerLog;
 	private readonly _metrics = DirectMetrics.create({
+		callerMemory: () => this._ingress.keptBytes,
+		callerConnections: () => this._ingress.connections,
 		waiting: () => this._waitQueue.size,
 		quarantinedParts: () => this._partQuarantine.count(clock()),
 		dutiesHeld: () => this._duties.heldCount,
--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -4,8 +4,9 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import {Server as NetServer, type Socket} from 'node:net';
+import {Server as NetServer, Socket} from 'node:net';
 import {
+	connectionBytes,
 	deriveIntakeLimits,
 	headerFieldBytes,
 	requestBytes,
@@ -17,15 +18,14 @@
 import {CallerMemory} from '../intake/caller-memory.js';
 import {readHostCapacity} from '../intake/host-capacity.js';
 import type {CallContext} from './call-context.js';
-import {unavailable} from './call-refusal.js';
+import {unavailable, type CallRefusal} from './call-refusal.js';
+import {CallerConnection} from './caller-connection.js';
 import {hasCallerLeft, turnsAfterStall} from './caller-presence.js';
 import {ProxiedCall} from './proxied-call.js';
+import {ClosedConnections} from './closed-connections.js';
 import {cutResponse, isFramed} from './response-cut.js';
 import type {Endpoint} from './types.js';
 
-/** Maximum size of request headers for the HTTP parser, in bytes. The lower configured limit is checked afterwards. */
-const maxHeadBytes = 64 * 1024;
-
 /** Interval between checks for requests that exceed the receive timeouts, in milliseconds. */
 const timeoutCheckMs = 500;
 
@@ -48,20 +48,8 @@
 	}
 
 	private readonly _server: Server;
-	/** Open connections, each with its running requests in order of arrival. */
-	private readonly _runningBySocket = new Map<
-		Socket,
-		Map<ServerResponse, ProxiedCall>
-	>();
-
-	private readonly _openedAt = new WeakMap<Socket, number>();
-	/**
-	 * Connections that this side has closed. A request that the caller sent before it noticed the close can't get a
-	 * response, so it must not run.
-	 */
-	private readonly _closing = new WeakSet<Socket>();
-	/** Connections with a response that announced the close. Requests behind it can't get a response either. */
-	private readonly _announced = new WeakSet<Socket>();
+	private readonly _connections = new Map<Socket, CallerConnection>();
+	private readonly _closed: ClosedConnections;
 	private readonly _running = new Map<ServerResponse, ProxiedCall>();
 	private readonly _memory: CallerMemory;
 	private _limits = initialLimits;
@@ -80,11 +68,12 @@
 		);
 		this._memory = CallerMemory.create({
 			clock: _context.clock,
-			maxBytes: () => this._intakeLimits.maxBytes,
+			maxBytes: () =>
+				this._intakeLimits.maxBytes - this._connections.size * connectionBytes,
 		});
+		this._closed = ClosedConnections.create(_context.log, _context.metrics);
 		this._server = createServer(
 			{
-				maxHeaderSize: maxHeadBytes,
 				connectionsCheckingInterval: timeoutCheckMs,
 				noDelay: true,
 			},
@@ -95,19 +84,12 @@
 			},
 		);
 		this._server.on('connection', socket => {
-			this._accepted++;
-			this._openedAt.set(socket, this._context.clock());
-			this._runningBySocket.set(socket, new Map());
-			socket.once('close', () => {
-				// Node.js reports the close only to the response whose turn it is.
-				for (const [res, call] of this._runningBySocket.get(socket) ?? []) {
-					this._running.delete(res);
-					call.onCallerClosed();
-					call.memory.release();
-				}
-
-				this._runningBySocket.delete(socket);
-			});
+			this._onConnection(socket);
+		});
+		this._server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+			if (socket instanceof Socket) {
+				this._onClientError(err, socket);
+			}
 		});
 		this.setLimits(initialLimits);
 	}
@@ -124,9 +106,13 @@
 
 	/** Number of connections that this side has not closed. Callers may keep theirs half open after a close. */
 	get connections(): number {
-		return [...this._runningBySocket.keys()].filter(
-			socket => !this._closing.has(socket),
-		).length;
+		return [...this._connections.values()].filter(({isClosing}) => !isClosing)
+			.length;
+	}
+
+	/** Memory that is kept for callers, in bytes. */
+	get keptBytes(): number {
+		return this._memory.bytes + this._connections.size * connectionBytes;
 	}
 
 	get isListening(): boolean {
@@ -149,6 +135,8 @@
 		this._server.headersTimeout = limits.headerTimeoutMs;
 		this._server.requestTimeout = limits.headerTimeoutMs + limits.idleTimeoutMs;
 		this._server.keepAliveTimeout = limits.idleTimeoutMs;
+		// The parser counts less of a head than this class, so that it ends no request inside the limit.
+		Object.assign(this._server, {maxHeaderSize: limits.maxHeaderBytes});
 	}
 
 	/** Stops accepting connections. Existing connections continue. */
@@ -182,25 +170,24 @@
 	 * @param minAgeMs time since its start in which a connection is not idle, since its first request may be under way
 	 */
 	closeIdle(minAgeMs = 0): void {
-		for (const [socket, running] of this._runningBySocket) {
+		for (const connection of this._connections.values()) {
 			if (
-				running.size === 0 &&
-				this._openMs(socket) >= minAgeMs &&
-				!this._closing.has(socket)
+				connection.calls.size === 0 &&
+				this._openMs(connection) >= minAgeMs &&
+				!connection.isClosing
 			) {
-				this._closing.add(socket);
-				socket.end();
+				connection.end();
 			}
 		}
 	}
 
 	/** Whether some connection without a running request was opened so recently that its first one may be under way. */
 	hasUnused(maxAgeMs: number): boolean {
-		return [...this._runningBySocket].some(
-			([socket, running]) =>
-				running.size === 0 &&
-				this._openMs(socket) < maxAgeMs &&
-				!this._closing.has(socket),
+		return [...this._connections.values()].some(
+			connection =>
+				connection.calls.size === 0 &&
+				this._openMs(connection) < maxAgeMs &&
+				!connection.isClosing,
 		);
 	}
 
@@ -239,18 +226,45 @@
 		}
 	}
 
-	/** Ends the requests behind one whose response announces the close, since theirs can't be delivered. */
-	private _onCloseAnnounced(socket: Socket, announcing: ProxiedCall): void {
-		this._announced.add(socket);
-		const running = [...(this._runningBySocket.get(socket)?.values() ?? [])];
-		for (const call of running.slice(running.indexOf(announcing) + 1)) {
-			call.onCallerClosed();
-		}
+	/** Time since a connection was opened, in milliseconds. */
+	private _openMs({openedAt}: CallerConnection): number {
+		return this._context.clock() - openedAt;
 	}
 
-	/** Time since a connection was opened, in milliseconds. */
-	private _openMs(socket: Socket): number {
-		return this._context.clock() - (this._openedAt.get(socket) ?? 0);
+	private _onConnection(socket: Socket): void {
+		this._accepted++;
+		const connection = CallerConnection.create(socket, {
+			clock: this._context.clock,
+			memory: this._memory,
+			onClosed: reason => {
+				this._closed.note(reason);
+			},
+		});
+		this._connections.set(socket, connection);
+		socket.once('close', () => {
+			// Node.js reports the close only to the response whose turn it is.
+			for (const [res, call] of connection.calls) {
+				this._running.delete(res);
+				call.onCallerClosed();
+				call.memory.release();
+			}
+
+			connection.release();
+			this._connections.delete(socket);
+		});
+	}
+
+	/** Answers what the parser can't read, or what takes too long to arrive. */
+	private _onClientError(
+		{code = ''}: NodeJS.ErrnoException,
+		socket: Socket,
+	): void {
+		const connection = this._connections.get(socket);
+		if (connection === undefined || connection.isClosing || !socket.writable) {
+			socket.destroy();
+		} else {
+			connection.refuse(clientErrors[code] ?? malformedRefusal);
+		}
 	}
 
 	private async _onRequest(
@@ -259,13 +273,14 @@
 	): Promise<void> {
 		const {clock, codec} = this._context;
 		const {socket} = req;
-		if (this._closing.has(socket)) {
+		const connection = this._connections.get(socket);
+		if (connection === undefined || connection.isClosing) {
 			socket.destroy();
 			return;
 		}
 
-		if (this._announced.has(socket)) {
-			// What follows is read until the close, so that a caller that leaves is noticed.
+		connection.noteRequest();
+		if (connection.isAnnounced) {
 			req.resume();
 			return;
 		}
@@ -276,18 +291,19 @@
 			res,
 			metadata: metadata ?? malformedCallMetadata,
 			arrivedAt: clock(),
-			sharesConnection: () =>
-				(this._runningBySocket.get(socket)?.size ?? 0) > 1,
-			onCloseAnnounced: () => {
-				this._onCloseAnnounced(socket, call);
+			sharesConnection: () => connection.calls.size > 1,
+			onCloseAnnounced() {
+				for (const behind of connection.announceClose(call)) {
+					behind.onCallerClosed();
+				}
 			},
 			memory: this._memory,
 		});
 		this._running.set(res, call);
-		this._runningBySocket.get(socket)?.set(res, call);
+		connection.add(res, call);
 		res.once('close', () => {
 			this._running.delete(res);
-			this._runningBySocket.get(socket)?.delete(res);
+			connection.remove(res);
 			call.memory.release();
 		});
 		const headBytes = headBytesOf(req);
@@ -301,12 +317,12 @@
 		}
 
 		if (metadata === undefined) {
-			call.refuse({status: 400, reason: 'malformed', isNotRun: true});
+			call.refuse(malformedRefusal);
 			return;
 		}
 
 		if (headBytes > this._limits.maxHeaderBytes) {
-			call.refuse({status: 431, reason: 'headTooLarge', isNotRun: true});
+			call.refuse(headTooLargeRefusal);
 			return;
 		}
 
@@ -329,17 +345,44 @@
 		const body =
 			declaredBytes > maxBodyBytes
 				? 'tooLarge'
-				: await readBody(req, maxBodyBytes, call);
+				: await readBody(req, maxBodyBytes, call, bytes => {
+						connection.noteBody(declaredBytes - bytes);
+					});
 		if (isLate && (await hasCallerLeft(socket, turnsAfterStall))) {
 			socket.destroy();
 		} else if (body === 'tooLarge') {
-			call.refuse({status: 413, reason: 'bodyTooLarge', isNotRun: true});
-		} else if (body !== undefined) {
+			call.refuse(bodyTooLargeRefusal);
+		} else if (body !== undefined && !call.isEnded) {
 			await call.run(body);
 		}
 	}
 }
 
+const malformedRefusal: CallRefusal = {
+	status: 400,
+	reason: 'malformed',
+	isNotRun: true,
+};
+
+const headTooLargeRefusal: CallRefusal = {
+	status: 431,
+	reason: 'headTooLarge',
+	isNotRun: true,
+};
+
+const bodyTooLargeRefusal: CallRefusal = {
+	status: 413,
+	reason: 'bodyTooLarge',
+	isNotRun: true,
+};
+
+/** Refusals by the error of the parser or the server. */
+const clientErrors: Readonly<Record<string, CallRefusal>> = {
+	HPE_HEADER_OVERFLOW: headTooLargeRefusal,
+	HPE_CHUNK_EXTENSIONS_OVERFLOW: bodyTooLargeRefusal,
+	ERR_HTTP_REQUEST_TIMEOUT: {status: 408, reason: 'tooSlow', isNotRun: true},
+};
+
 /** Metadata of a request whose headers are malformed. */
 const malformedCallMetadata = {
 	callId: undefined,
@@ -368,11 +411,13 @@
 	req: IncomingMessage,
 	maxBytes: number,
 	call: ProxiedCall,
+	onBytes: (bytes: number) => void,
 ): Promise<Uint8Array | 'tooLarge' | undefined> {
 	return new Promise(resolve => {
 		const body = BodyBuffer.create();
 		let isTooLarge = false;
 		req.on('data', (chunk: Uint8Array) => {
+			onBytes(body.bytes + chunk.length);
 			isTooLarge ||= body.bytes + chunk.length > maxBytes;
 			if (isTooLarge) {
 				body.clear();
--- a/packages/daemon/src/direct/log-events.ts
+++ b/packages/daemon/src/direct/log-events.ts
@@ -176,6 +176,16 @@
 			readonly server: string;
 			readonly error: string;
 	  }
+	/**
+	 * Callers' connections were closed without a complete request in the last second: the memory (`memoryUsedUp`) or the
+	 * connections for callers (`connectionsUsedUp`) were used up, or what they sent was `headTooLarge`, `bodyTooLarge`,
+	 * `tooSlow` or `malformed`.
+	 */
+	| {
+			readonly event: 'connectionsClosed';
+			readonly reason: string;
+			readonly connections: number;
+	  }
 	/** A store row is invalid and was ignored. */
 	| {
 			readonly event: 'rowIgnored';
--- a/packages/daemon/src/direct/metric-definitions.ts
+++ b/packages/daemon/src/direct/metric-definitions.ts
@@ -84,6 +84,24 @@
 		help: 'Connections to servers that were closed, since a part of what the server sent did not end.',
 		labels: [],
 	},
+	closedConnections: {
+		kind: 'counter',
+		name: 'balsamtray_closed_connections_total',
+		help: "Callers' connections that the entry closed without a complete request, by reason: `memoryUsedUp`, `connectionsUsedUp`, `headTooLarge`, `tooSlow`, `malformed`, `bodyTooLarge`.",
+		labels: ['reason'],
+	},
+	callerMemory: {
+		kind: 'gauge',
+		name: 'balsamtray_caller_memory_bytes',
+		help: 'Memory that is kept for callers: heads, bodies, unread responses and their objects.',
+		labels: [],
+	},
+	callerConnections: {
+		kind: 'gauge',
+		name: 'balsamtray_caller_connections',
+		help: "Callers' open connections.",
+		labels: [],
+	},
 	quarantinedParts: {
 		kind: 'gauge',
 		name: 'balsamtray_quarantined_parts',
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -38,10 +38,11 @@
 	isCallerGone,
 	turnsBeforeSend,
 } from './caller-presence.js';
+import {createAttempt, type Attempt} from './call-attempt.js';
 import {CallRecord} from './call-record.js';
 import {createTurnNeed, EngineTurn} from './engine-turn.js';
 import type {Reservation} from './entry-peers.js';
-import type {PartExposure} from './part-exposures.js';
+import {refusalBody, retryAfterOf} from './raw-refusal.js';
 import {recallOutcomes} from './recall-outcomes.js';
 import {reserveUnits} from './reserve-units.js';
 import {
@@ -74,33 +75,6 @@
 	readonly memory: CallerMemory;
 };
 
-/** One attempt to serve the request on a server. */
-type Attempt = {
-	readonly server: string;
-	/** Adapter version that the request expects at the server, once dispatched; undefined if any is accepted. */
-	expectedVersion: number | undefined;
-	/** Turn of its prompt at the engine; undefined without one. */
-	turn: EngineTurn | undefined;
-	/** Prompt tokens that the engine prefills before this one; undefined if its agent did not reply. */
-	tokensAhead: number | undefined;
-	/** Time at which the request was sent. */
-	sentAt: number | undefined;
-	/** Undefined until the attempt is dispatched. */
-	call: UpstreamCall | undefined;
-	/** Whether a connection was assigned to the request. From then on the server may run it. */
-	isSent: boolean;
-	/** Ends the registration with `SentCalls`; undefined before the request is sent. */
-	sent: Disposable | undefined;
-	/** Ends the registration with `DepartingCalls`; undefined before the request is sent, or if it may not move. */
-	departing: Disposable | undefined;
-	/** What becomes of the parts of its prompt at the server; undefined before the request is sent. */
-	exposure: PartExposure | undefined;
-	/** Undefined until the response headers arrive. */
-	framing: ResponseFraming | undefined;
-	/** Whether a complete event of the stream has arrived. */
-	hasEvents: boolean;
-};
-
 /** Refusal of a request that another entry can serve, as this one stops. */
 const stoppingRefusal: CallRefusal = {
 	...unavailable('stopping'),
@@ -210,6 +184,11 @@
 		return this._isEnded;
 	}
 
+	/** Whether its body is not read completely. */
+	get isReading(): boolean {
+		return !this._isEnded && this._readAt === undefined;
+	}
+
 	/** How far the request is, for the decision who yields when the memory for callers is used up. */
 	keptFor(): Pick<Holding, 'stage' | 'since'> {
 		if (this._isEnded || this._isPaused) {
@@ -323,7 +302,7 @@
 			return;
 		}
 
-		const {status, reason, isNotRun} = refusal;
+		const {status} = refusal;
 		if (this._res.headersSent) {
 			this._finish(refusal);
 			cutResponse(this._res);
@@ -334,10 +313,7 @@
 		this._res.statusCode = status;
 		this._res.setHeader('content-type', 'application/json');
 		if (refusal.retryAfterMs !== undefined) {
-			this._res.setHeader(
-				'retry-after',
-				(Math.ceil(refusal.retryAfterMs) / 1000).toString(),
-			);
+			this._res.setHeader('retry-after', retryAfterOf(refusal.retryAfterMs));
 		}
 
 		if (!this._req.complete || this._isLastOnConnection) {
@@ -345,7 +321,7 @@
 			this._onCloseAnnounced();
 		}
 
-		this._res.end(JSON.stringify({error: {code: reason, not_run: isNotRun}}));
+		this._res.end(refusalBody(refusal));
 		this._noteUnread();
 	}
 
@@ -641,20 +617,7 @@
 			fleet.noteSession(this._metadata.session, server);
 		}
 
-		const attempt: Attempt = {
-			server,
-			expectedVersion: undefined,
-			call: undefined,
-			turn: undefined,
-			tokensAhead: undefined,
-			sentAt: undefined,
-			isSent: false,
-			sent: undefined,
-			departing: undefined,
-			exposure: undefined,
-			framing: undefined,
-			hasEvents: false,
-		};
+		const attempt = createAttempt(server);
 		this._attempt = attempt;
 		clearTimeout(this._deadlineTimer);
 		this._deadlineTimer = setTimeout(() => {
