Keep descriptors free while callers hold all that they can get

Ordinary callers got resets and 503 while 600 clients kept begun heads open in a process with 400 descriptors: the entry accepted until the system refused, and had none left for servers, the store and other entries.

ConnectionSlots (core) bounds the connections of callers: three quarters of the descriptors beyond the 200 that the platform sets aside for files, and no more than half of the memory for callers can hold idle. For a new connection beyond that, the one is closed that has been without a whole request for the longest time, since an ordinary caller sends its request soon after it has connected. If requests run on all others, the new one is refused with 503.

--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -7,6 +7,7 @@
 import {Server as NetServer, Socket} from 'node:net';
 import {
 	connectionBytes,
+	ConnectionSlots,
 	deriveIntakeLimits,
 	headerFieldBytes,
 	requestBytes,
@@ -49,6 +50,7 @@
 
 	private readonly _server: Server;
 	private readonly _connections = new Map<Socket, CallerConnection>();
+	private readonly _slots: ConnectionSlots<CallerConnection>;
 	private readonly _closed: ClosedConnections;
 	private readonly _running = new Map<ServerResponse, ProxiedCall>();
 	private readonly _memory: CallerMemory;
@@ -66,10 +68,13 @@
 			_capacity,
 			initialLimits.maxBodyBytes,
 		);
+		this._slots = ConnectionSlots.create(
+			() => this._intakeLimits.maxConnections,
+		);
 		this._memory = CallerMemory.create({
 			clock: _context.clock,
 			maxBytes: () =>
-				this._intakeLimits.maxBytes - this._connections.size * connectionBytes,
+				this._intakeLimits.maxBytes - this._slots.size * connectionBytes,
 		});
 		this._closed = ClosedConnections.create(_context.log, _context.metrics);
 		this._server = createServer(
@@ -112,7 +117,7 @@
 
 	/** Memory that is kept for callers, in bytes. */
 	get keptBytes(): number {
-		return this._memory.bytes + this._connections.size * connectionBytes;
+		return this._memory.bytes + this._slots.size * connectionBytes;
 	}
 
 	get isListening(): boolean {
@@ -250,8 +255,15 @@
 			}
 
 			connection.release();
+			this._slots.close(connection);
 			this._connections.delete(socket);
 		});
+		const decision = this._slots.open(connection);
+		if (decision.kind !== 'free') {
+			const yielding =
+				decision.kind === 'replaces' ? decision.connection : connection;
+			yielding.refuse(unavailable('connectionsUsedUp'));
+		}
 	}
 
 	/** Answers what the parser can't read, or what takes too long to arrive. */
@@ -297,6 +309,9 @@
 					behind.onCallerClosed();
 				}
 			},
+			onEnded: () => {
+				this._slots.noteEnd(connection);
+			},
 			memory: this._memory,
 		});
 		this._running.set(res, call);
@@ -353,6 +368,7 @@
 		} else if (body === 'tooLarge') {
 			call.refuse(bodyTooLargeRefusal);
 		} else if (body !== undefined && !call.isEnded) {
+			this._slots.noteRequest(connection);
 			await call.run(body);
 		}
 	}
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -71,6 +71,8 @@
 	readonly sharesConnection: () => boolean;
 	/** Called when the response announces that its connection closes after it. */
 	readonly onCloseAnnounced: () => void;
+	/** Called once, when the response has begun to end or the caller has left. */
+	readonly onEnded: () => void;
 	/** Counts what is kept for the request. */
 	readonly memory: CallerMemory;
 };
@@ -100,6 +102,7 @@
 	private readonly _arrivedAt: number;
 	private readonly _sharesConnection: () => boolean;
 	private readonly _onCloseAnnounced: () => void;
+	private readonly _onEnded: () => void;
 	private readonly _memory: RequestMemory;
 	/** Time at which the complete body was read; undefined before. */
 	private _readAt: number | undefined;
@@ -157,6 +160,7 @@
 			arrivedAt,
 			sharesConnection,
 			onCloseAnnounced,
+			onEnded,
 			memory,
 		}: CallExchange,
 	) {
@@ -166,6 +170,7 @@
 		this._arrivedAt = arrivedAt;
 		this._sharesConnection = sharesConnection;
 		this._onCloseAnnounced = onCloseAnnounced;
+		this._onEnded = onEnded;
 		this._memory = RequestMemory.create(memory, this);
 		this._epoch = _context.epoch();
 		this._randomShare = _context.random();
@@ -1490,6 +1495,10 @@
 		this._isEnded = true;
 		this._body = noBody;
 		this._memory.noteBody(0);
+		if (this._readAt !== undefined) {
+			this._onEnded();
+		}
+
 		this._giveBackRetry();
 		clearTimeout(this._deadlineTimer);
 		if (this._waiter !== undefined) {
