Share the bounds on callers between listeners

Moves the callers' connections, their memory and their number from the ingress of the platform's path into CallerIntake, which the stand-alone entry is to use too. A connection that yields is closed at once if its callers don't read what is left of its responses; before, it was closed only after the last of them, which frees no descriptor.

--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -6,24 +6,22 @@
 } from 'node:http';
 import {Server as NetServer, Socket} from 'node:net';
 import {
-	connectionBytes,
-	ConnectionSlots,
-	deriveIntakeLimits,
 	headerFieldBytes,
 	requestBytes,
 	type CallerLimits,
 	type HostCapacity,
-	type IntakeLimits,
 } from '@balsamtray/core';
 import {BodyBuffer} from '../intake/body-buffer.js';
-import {CallerMemory} from '../intake/caller-memory.js';
+import type {CallerConnection} from '../intake/caller-connection.js';
+import {CallerIntake} from '../intake/caller-intake.js';
 import {readHostCapacity} from '../intake/host-capacity.js';
+import {memoryUsedUp} from '../intake/types.js';
 import type {CallContext} from './call-context.js';
-import {unavailable, type CallRefusal} from './call-refusal.js';
-import {CallerConnection} from './caller-connection.js';
+import type {CallRefusal} from './call-refusal.js';
 import {hasCallerLeft, turnsAfterStall} from './caller-presence.js';
 import {ProxiedCall} from './proxied-call.js';
 import {ClosedConnections} from './closed-connections.js';
+import {formatRefusal} from './raw-refusal.js';
 import {cutResponse, isFramed} from './response-cut.js';
 import type {Endpoint} from './types.js';
 
@@ -49,34 +47,26 @@
 	}
 
 	private readonly _server: Server;
-	private readonly _connections = new Map<Socket, CallerConnection>();
-	private readonly _slots: ConnectionSlots<CallerConnection>;
-	private readonly _closed: ClosedConnections;
+	private readonly _intake: CallerIntake<ProxiedCall>;
 	private readonly _running = new Map<ServerResponse, ProxiedCall>();
-	private readonly _memory: CallerMemory;
 	private _limits = initialLimits;
-	private _intakeLimits: IntakeLimits;
 	private _accepted = 0;
 	/** Resolves when requests are no longer held; undefined if they are not. */
 	private _released: Promise<void> | undefined;
 
 	private constructor(
 		private readonly _context: CallContext,
-		private readonly _capacity: HostCapacity,
+		capacity: HostCapacity,
 	) {
-		this._intakeLimits = deriveIntakeLimits(
-			_capacity,
-			initialLimits.maxBodyBytes,
-		);
-		this._slots = ConnectionSlots.create(
-			() => this._intakeLimits.maxConnections,
-		);
-		this._memory = CallerMemory.create({
+		const closed = ClosedConnections.create(_context.log, _context.metrics);
+		this._intake = CallerIntake.create({
 			clock: _context.clock,
-			maxBytes: () =>
-				this._intakeLimits.maxBytes - this._slots.size * connectionBytes,
+			capacity,
+			maxBodyBytes: initialLimits.maxBodyBytes,
+			onClosed(reason) {
+				closed.note(reason);
+			},
 		});
-		this._closed = ClosedConnections.create(_context.log, _context.metrics);
 		this._server = createServer(
 			{
 				connectionsCheckingInterval: timeoutCheckMs,
@@ -111,13 +101,13 @@
 
 	/** Number of connections that this side has not closed. Callers may keep theirs half open after a close. */
 	get connections(): number {
-		return [...this._connections.values()].filter(({isClosing}) => !isClosing)
+		return [...this._intake.connections].filter(({isClosing}) => !isClosing)
 			.length;
 	}
 
 	/** Memory that is kept for callers, in bytes. */
 	get keptBytes(): number {
-		return this._memory.bytes + this._slots.size * connectionBytes;
+		return this._intake.keptBytes;
 	}
 
 	get isListening(): boolean {
@@ -133,10 +123,7 @@
 
 	setLimits(limits: CallerLimits): void {
 		this._limits = limits;
-		this._intakeLimits = deriveIntakeLimits(
-			this._capacity,
-			limits.maxBodyBytes,
-		);
+		this._intake.setMaxBodyBytes(limits.maxBodyBytes);
 		this._server.headersTimeout = limits.headerTimeoutMs;
 		this._server.requestTimeout = limits.headerTimeoutMs + limits.idleTimeoutMs;
 		this._server.keepAliveTimeout = limits.idleTimeoutMs;
@@ -175,9 +162,9 @@
 	 * @param minAgeMs time since its start in which a connection is not idle, since its first request may be under way
 	 */
 	closeIdle(minAgeMs = 0): void {
-		for (const connection of this._connections.values()) {
+		for (const connection of this._intake.connections) {
 			if (
-				connection.calls.size === 0 &&
+				connection.requests.size === 0 &&
 				this._openMs(connection) >= minAgeMs &&
 				!connection.isClosing
 			) {
@@ -188,9 +175,9 @@
 
 	/** Whether some connection without a running request was opened so recently that its first one may be under way. */
 	hasUnused(maxAgeMs: number): boolean {
-		return [...this._connections.values()].some(
+		return [...this._intake.connections].some(
 			connection =>
-				connection.calls.size === 0 &&
+				connection.requests.size === 0 &&
 				this._openMs(connection) < maxAgeMs &&
 				!connection.isClosing,
 		);
@@ -232,38 +219,20 @@
 	}
 
 	/** Time since a connection was opened, in milliseconds. */
-	private _openMs({openedAt}: CallerConnection): number {
+	private _openMs({openedAt}: CallerConnection<ProxiedCall>): number {
 		return this._context.clock() - openedAt;
 	}
 
 	private _onConnection(socket: Socket): void {
 		this._accepted++;
-		const connection = CallerConnection.create(socket, {
-			clock: this._context.clock,
-			memory: this._memory,
-			onClosed: reason => {
-				this._closed.note(reason);
-			},
-		});
-		this._connections.set(socket, connection);
-		socket.once('close', () => {
+		this._intake.accept(socket, {format: formatRefusal}, ({requests}) => {
 			// Node.js reports the close only to the response whose turn it is.
-			for (const [res, call] of connection.calls) {
+			for (const [res, call] of requests) {
 				this._running.delete(res);
 				call.onCallerClosed();
 				call.memory.release();
 			}
-
-			connection.release();
-			this._slots.close(connection);
-			this._connections.delete(socket);
 		});
-		const decision = this._slots.open(connection);
-		if (decision.kind !== 'free') {
-			const yielding =
-				decision.kind === 'replaces' ? decision.connection : connection;
-			yielding.refuse(unavailable('connectionsUsedUp'));
-		}
 	}
 
 	/** Answers what the parser can't read, or what takes too long to arrive. */
@@ -271,7 +240,7 @@
 		{code = ''}: NodeJS.ErrnoException,
 		socket: Socket,
 	): void {
-		const connection = this._connections.get(socket);
+		const connection = this._intake.connectionOf(socket);
 		if (connection === undefined || connection.isClosing || !socket.writable) {
 			socket.destroy();
 		} else {
@@ -285,7 +254,7 @@
 	): Promise<void> {
 		const {clock, codec} = this._context;
 		const {socket} = req;
-		const connection = this._connections.get(socket);
+		const connection = this._intake.connectionOf(socket);
 		if (connection === undefined || connection.isClosing) {
 			socket.destroy();
 			return;
@@ -303,16 +272,16 @@
 			res,
 			metadata: metadata ?? malformedCallMetadata,
 			arrivedAt: clock(),
-			sharesConnection: () => connection.calls.size > 1,
+			sharesConnection: () => connection.requests.size > 1,
 			onCloseAnnounced() {
 				for (const behind of connection.announceClose(call)) {
 					behind.onCallerClosed();
 				}
 			},
 			onEnded: () => {
-				this._slots.noteEnd(connection);
+				this._intake.noteRequestEnd(connection);
 			},
-			memory: this._memory,
+			memory: this._intake.memory,
 		});
 		this._running.set(res, call);
 		connection.add(res, call);
@@ -350,9 +319,9 @@
 		const retryAfterMs =
 			declaredBytes > maxBodyBytes
 				? undefined
-				: this._memory.refusedForMs(requestBytes + declaredBytes);
+				: this._intake.memory.refusedForMs(requestBytes + declaredBytes);
 		if (retryAfterMs !== undefined) {
-			call.refuse({...unavailable('memoryUsedUp'), retryAfterMs});
+			call.refuse(memoryUsedUp(retryAfterMs));
 			return;
 		}
 
@@ -368,7 +337,7 @@
 		} else if (body === 'tooLarge') {
 			call.refuse(bodyTooLargeRefusal);
 		} else if (body !== undefined && !call.isEnded) {
-			this._slots.noteRequest(connection);
+			this._intake.noteWholeRequest(connection);
 			await call.run(body);
 		}
 	}
--- a/packages/daemon/src/direct/proxied-call.ts
+++ b/packages/daemon/src/direct/proxied-call.ts
@@ -24,6 +24,7 @@
 import type {Disposable} from '../common/types.js';
 import type {CallerMemory, MemoryKeeper} from '../intake/caller-memory.js';
 import {RequestMemory} from '../intake/request-memory.js';
+import {memoryUsedUp} from '../intake/types.js';
 import {badGateway, unavailable, type CallRefusal} from './call-refusal.js';
 import {
 	maxPrefillWaitShare,
@@ -220,7 +221,7 @@
 		attempt?.exposure?.onLeft();
 		this._mayHaveRun ||= attempt?.isSent ?? false;
 		this._endAttempt('memory used up');
-		this._fail({...unavailable('memoryUsedUp'), retryAfterMs});
+		this._fail(memoryUsedUp(retryAfterMs));
 	}
 
 	/** Memory that is kept for the request. */
--- a/packages/daemon/src/direct/caller-connection.ts
+++ b/packages/daemon/src/intake/caller-connection.ts
@@ -5,16 +5,20 @@
 	maxRequestsPerConnection,
 	type Holding,
 } from '@balsamtray/core';
-import type {CallerMemory, MemoryKeeper} from '../intake/caller-memory.js';
-import {PacedReader} from '../intake/paced-reader.js';
-import {unavailable, type CallRefusal} from './call-refusal.js';
-import type {ProxiedCall} from './proxied-call.js';
-import {formatRefusal} from './raw-refusal.js';
+import type {CallerMemory, MemoryKeeper} from './caller-memory.js';
+import {PacedReader} from './paced-reader.js';
+import {
+	memoryUsedUp,
+	type ConnectionRequest,
+	type IntakeRefusal,
+} from './types.js';
 
 /** Options of `CallerConnection`. */
 export type CallerConnectionOptions = {
 	readonly clock: () => number;
 	readonly memory: CallerMemory;
+	/** Formats the response to a request whose headers were not read completely. */
+	readonly format: (refusal: IntakeRefusal) => string;
 	/** Called when this side closes the connection, with the reason, if it has no request that is logged for itself. */
 	readonly onClosed: (reason: string) => void;
 };
@@ -22,17 +26,19 @@
 const newline = 0x0a;
 
 /** A caller's connection, with its requests in order of arrival. Reads no more than the requests that it may have at once. */
-export class CallerConnection implements MemoryKeeper {
-	static create(
+export class CallerConnection<
+	Request extends ConnectionRequest,
+> implements MemoryKeeper {
+	static create<Request extends ConnectionRequest>(
 		socket: Socket,
 		options: CallerConnectionOptions,
-	): CallerConnection {
+	): CallerConnection<Request> {
 		return new CallerConnection(socket, options);
 	}
 
 	/** Time at which it was opened, in milliseconds. */
 	readonly openedAt: number;
-	private readonly _calls = new Map<ServerResponse, ProxiedCall>();
+	private readonly _requests = new Map<ServerResponse, Request>();
 	private readonly _reader: PacedReader;
 	private _isClosing = false;
 	private _isAnnounced = false;
@@ -52,7 +58,7 @@
 	) {
 		this.openedAt = _options.clock();
 		this._reader = PacedReader.create(_socket, {
-			mayParse: () => this._calls.size < maxRequestsPerConnection,
+			mayParse: () => this._requests.size < maxRequestsPerConnection,
 			bodyBytesLeft: () => this._bodyBytesLeft,
 			onParsed: part => {
 				this._onParsed(part);
@@ -65,8 +71,8 @@
 	}
 
 	/** Requests whose responses are not written completely. */
-	get calls(): ReadonlyMap<ServerResponse, ProxiedCall> {
-		return this._calls;
+	get requests(): ReadonlyMap<ServerResponse, Request> {
+		return this._requests;
 	}
 
 	/**
@@ -82,12 +88,12 @@
 		return this._isAnnounced;
 	}
 
-	add(res: ServerResponse, call: ProxiedCall): void {
-		this._calls.set(res, call);
+	add(res: ServerResponse, request: Request): void {
+		this._requests.set(res, request);
 	}
 
 	remove(res: ServerResponse): void {
-		this._calls.delete(res);
+		this._requests.delete(res);
 		if (this._heldBytes > 0) {
 			this._reader.resume();
 		}
@@ -108,11 +114,11 @@
 	}
 
 	/** A response announces the close: what follows on the connection is not read any more. Returns the requests behind it. */
-	announceClose(announcing: ProxiedCall): readonly ProxiedCall[] {
+	announceClose(announcing: Request): readonly Request[] {
 		this._isAnnounced = true;
 		this._reader.discard();
-		const calls = [...this._calls.values()];
-		return calls.slice(calls.indexOf(announcing) + 1);
+		const requests = [...this._requests.values()];
+		return requests.slice(requests.indexOf(announcing) + 1);
 	}
 
 	/** Closes it in order, as it has no request. */
@@ -125,27 +131,30 @@
 	 * Refuses what the caller is sending, and closes the connection. Requests that are read completely still get their
 	 * responses, since nothing that is written now would be the response to what is refused.
 	 */
-	refuse(refusal: CallRefusal): void {
-		const calls = [...this._calls.values()];
-		const reading = calls.find(call => call.isReading);
-		if (reading !== undefined) {
+	refuse(refusal: IntakeRefusal): void {
+		const requests = [...this._requests.values()];
+		const reading = requests.find(({isReading}) => isReading);
+		const others = requests.filter(request => request !== reading);
+		if (reading === undefined) {
+			this._options.onClosed(refusal.reason);
+			this._reader.discard();
+		} else {
 			reading.refuse(refusal);
-			return;
-		}
-
-		this._options.onClosed(refusal.reason);
-		this._reader.discard();
-		if (calls.length > 0) {
-			this._endAfter(calls);
-			return;
 		}
 
-		this._isClosing = true;
-		if (this._socket.writable && !this._isAnnounced) {
-			this._socket.write(formatRefusal(refusal));
+		if (others.some(({isEnded}) => !isEnded)) {
+			this._endAfter(others);
+		} else if (others.length > 0) {
+			// Their caller does not read.
+			this._socket.destroy();
+		} else if (reading === undefined) {
+			this._isClosing = true;
+			if (this._socket.writable && !this._isAnnounced) {
+				this._socket.write(this._options.format(refusal));
+			}
+
+			this._socket.destroy();
 		}
-
-		this._socket.destroy();
 	}
 
 	keptFor(): Pick<Holding, 'stage' | 'since'> {
@@ -153,7 +162,7 @@
 	}
 
 	yieldMemory(retryAfterMs: number): void {
-		this.refuse({...unavailable('memoryUsedUp'), retryAfterMs});
+		this.refuse(memoryUsedUp(retryAfterMs));
 	}
 
 	/** Nothing is kept any more, as it has closed. */
@@ -162,9 +171,15 @@
 		this._keptBytes = 0;
 	}
 
-	private _endAfter(calls: readonly ProxiedCall[]): void {
+	private _endAfter(requests: readonly Request[]): void {
+		if (this._isAnnounced) {
+			return;
+		}
+
 		this._isAnnounced = true;
-		const last = [...this._calls].find(([, call]) => call === calls.at(-1));
+		const last = [...this._requests].find(
+			([, request]) => request === requests.at(-1),
+		);
 		last?.[0].once('close', () => {
 			this.end();
 		});
--- a/packages/daemon/src/intake/constants.ts
+++ b/packages/daemon/src/intake/constants.ts
@@ -12,3 +12,6 @@
 
 /** Requests and chunks of bodies of one connection that are handled in one turn of the event loop. */
 export const maxEventsPerTurn = 256;
+
+/** `retry-after` of a connection that is closed for another one, in milliseconds. */
+export const connectionRetryAfterMs = 1000;
--- a/packages/daemon/src/intake/host-capacity.ts
+++ b/packages/daemon/src/intake/host-capacity.ts
@@ -26,8 +26,10 @@
 function readDescriptorLimit(): number {
 	try {
 		const text = readFileSync('/proc/self/limits', 'utf8');
-		const soft = /^Max open files\s+(?<soft>\d+)/mv.exec(text)?.groups?.soft;
-		return soft === undefined ? defaultDescriptors : Number(soft);
+		const soft = /^Max open files\s+(?<soft>\S+)/mv.exec(text)?.groups?.soft;
+		const limit =
+			soft === 'unlimited' ? Number.POSITIVE_INFINITY : Number(soft);
+		return Number.isNaN(limit) ? defaultDescriptors : limit;
 	} catch {
 		return defaultDescriptors;
 	}
