Take the descriptors and the memory as the platform states them

Cause: the smaller one of the stated descriptors and of the process's own limit counted. Where connections take no descriptors of the system, that limit is small and says nothing.

What the platform states now counts, and the system's limits only without it. A process with few descriptors sets aside a quarter of them for files, not all. The heap limit, which stands in for an unknown host in the stand-alone entry, now gives callers 0.35 of it, not half.

--- a/packages/core/src/intake/constants.ts
+++ b/packages/core/src/intake/constants.ts
@@ -4,12 +4,18 @@
  */
 export const memoryShare = 0.25;
 
-/** Share of the JavaScript heap for callers, as the objects of requests and connections are on it. */
-export const heapShare = 0.5;
+/**
+ * Share of the JavaScript heap for callers: the objects of requests and connections are on it, and its limit tells how large
+ * a process may be whose host is not known.
+ */
+export const heapShare = 0.35;
 
 /** Descriptors that the platform sets aside for files. */
 export const fileDescriptors = 200;
 
+/** Largest share of the descriptors that is set aside for files. */
+export const maxFileShare = 0.25;
+
 /** Share of the other descriptors for callers' connections. The store, other processes and servers need the rest. */
 export const callerDescriptorShare = 0.75;
 
--- a/packages/core/src/intake/intake-limits.test.ts
+++ b/packages/core/src/intake/intake-limits.test.ts
@@ -24,6 +24,11 @@
 		assert.ok(maxConnections * connectionBytes < maxBytes);
 	});
 
+	it('leaves callers most descriptors of a process that has few', () => {
+		const host = {...sheet, descriptors: 256};
+		assert.ok(deriveIntakeLimits(host, mebibyte).maxConnections >= 128);
+	});
+
 	it('is bounded by a small heap', () => {
 		const host = {...sheet, heapBytes: 50 * mebibyte};
 		assert.ok(deriveIntakeLimits(host, mebibyte).maxBytes <= 25 * mebibyte);
--- a/packages/core/src/intake/intake-limits.ts
+++ b/packages/core/src/intake/intake-limits.ts
@@ -5,6 +5,7 @@
 	connectionMemoryShare,
 	fileDescriptors,
 	heapShare,
+	maxFileShare,
 	memoryShare,
 } from './constants.js';
 import type {HostCapacity, IntakeLimits} from './types.js';
@@ -22,8 +23,8 @@
 		Math.floor(Math.min(memoryBytes * memoryShare, heapBytes * heapShare)),
 		maxBodyBytes * bodyShares,
 	);
-	const byDescriptors =
-		Math.max(0, descriptors - fileDescriptors) * callerDescriptorShare;
+	const forFiles = Math.min(fileDescriptors, descriptors * maxFileShare);
+	const byDescriptors = (descriptors - forFiles) * callerDescriptorShare;
 	const byMemory = (maxBytes * connectionMemoryShare) / connectionBytes;
 	return {
 		maxBytes,
--- a/packages/daemon/src/intake/host-capacity.ts
+++ b/packages/daemon/src/intake/host-capacity.ts
@@ -6,7 +6,7 @@
 /** Descriptors of a process if the system does not tell a limit. */
 const defaultDescriptors = 1024;
 
-/** Reads what this process has. What the platform states is used as far as the system does not grant less. */
+/** Returns what this process has: what the platform states, or what the system says. */
 export function readHostCapacity(
 	stated: {
 		readonly memoryBytes?: number | undefined;
@@ -14,12 +14,9 @@
 	} = {},
 ): HostCapacity {
 	return {
-		memoryBytes: Math.min(stated.memoryBytes ?? totalmem(), totalmem()),
+		memoryBytes: stated.memoryBytes ?? totalmem(),
 		heapBytes: getHeapStatistics().heap_size_limit,
-		descriptors: Math.min(
-			stated.descriptors ?? Number.POSITIVE_INFINITY,
-			readDescriptorLimit(),
-		),
+		descriptors: stated.descriptors ?? readDescriptorLimit(),
 	};
 }
 
