Bound what callers and operators make a stand-alone entry keep

Callers and operators saw connections closed as the entry ran out of memory: one request in chunks of one byte ended it, with and without a key, at the operators' address too; 150 clients without a key took 748 MB, 10 at the operators' address 794 MB.

Cause: Fastify keeps each chunk of a body until it is whole, and reads the whole body before the key is looked at. Nothing counted what all keep.

ServerGuard reads bodies for Fastify into BodyBuffer, and counts them, the heads and the connections of both listeners in one CallerIntake, so that the same decisions apply as on the platform's path. Bodies are not read without a valid key, but for open routes: a call to a service without one is refused by its route, a model call at once unless some open route serves a model, and an operator's call by the router as before. The new setting BALSAMTRAY_HOST_MEMORY_BYTES states the memory; without it, that of the host and the heap limit count.

A connection's parser gets nothing more of a body until somebody reads it, since its chunks would be kept as they come.

--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -14,13 +14,14 @@
 import {BodyBuffer} from '../intake/body-buffer.js';
 import type {CallerConnection} from '../intake/caller-connection.js';
 import {CallerIntake} from '../intake/caller-intake.js';
+import {ClosedConnections} from '../intake/closed-connections.js';
+import {hasBody} from '../intake/has-body.js';
 import {readHostCapacity} from '../intake/host-capacity.js';
 import {memoryUsedUp} from '../intake/types.js';
 import type {CallContext} from './call-context.js';
 import type {CallRefusal} from './call-refusal.js';
 import {hasCallerLeft, turnsAfterStall} from './caller-presence.js';
 import {ProxiedCall} from './proxied-call.js';
-import {ClosedConnections} from './closed-connections.js';
 import {formatRefusal} from './raw-refusal.js';
 import {cutResponse, isFramed} from './response-cut.js';
 import type {Endpoint} from './types.js';
@@ -58,7 +59,14 @@
 		private readonly _context: CallContext,
 		capacity: HostCapacity,
 	) {
-		const closed = ClosedConnections.create(_context.log, _context.metrics);
+		const closed = ClosedConnections.create({
+			onClosed(reason) {
+				_context.metrics.noteClosedConnection(reason);
+			},
+			onSummary(reason, connections) {
+				_context.log.write({event: 'connectionsClosed', reason, connections});
+			},
+		});
 		this._intake = CallerIntake.create({
 			clock: _context.clock,
 			capacity,
@@ -260,7 +268,7 @@
 			return;
 		}
 
-		connection.noteRequest();
+		connection.noteRequest(hasBody(req));
 		if (connection.isAnnounced) {
 			req.resume();
 			return;
@@ -329,9 +337,7 @@
 		const body =
 			declaredBytes > maxBodyBytes
 				? 'tooLarge'
-				: await readBody(req, maxBodyBytes, call, bytes => {
-						connection.noteBody(declaredBytes - bytes);
-					});
+				: await readBody(req, maxBodyBytes, call, connection);
 		if (isLate && (await hasCallerLeft(socket, turnsAfterStall))) {
 			socket.destroy();
 		} else if (body === 'tooLarge') {
@@ -396,13 +402,14 @@
 	req: IncomingMessage,
 	maxBytes: number,
 	call: ProxiedCall,
-	onBytes: (bytes: number) => void,
+	connection: CallerConnection<ProxiedCall>,
 ): Promise<Uint8Array | 'tooLarge' | undefined> {
+	const declaredBytes = Number(req.headers['content-length'] ?? 0);
 	return new Promise(resolve => {
 		const body = BodyBuffer.create();
 		let isTooLarge = false;
 		req.on('data', (chunk: Uint8Array) => {
-			onBytes(body.bytes + chunk.length);
+			connection.noteBody(declaredBytes - body.bytes - chunk.length);
 			isTooLarge ||= body.bytes + chunk.length > maxBytes;
 			if (isTooLarge) {
 				body.clear();
@@ -422,6 +429,7 @@
 				call.memory.noteBody(body.keptBytes);
 			}
 		});
+		connection.startBody();
 		req.once('end', () => {
 			resolve(call.isEnded ? undefined : body.take());
 		});
--- a/packages/daemon/src/entry/callers-routes.ts
+++ b/packages/daemon/src/entry/callers-routes.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {
 	refuseNotRun,
+	type ConfigView,
 	type Credential,
 	type Refusal,
 	type RefusalCode,
@@ -12,6 +13,7 @@
 	FastifyReply,
 	FastifyRequest,
 } from 'fastify';
+import {IntakeError} from '../intake/server-guard.js';
 import {CallerResponse} from './caller-response.js';
 import {requestTimeoutMs} from './constants.js';
 import type {EntryTask} from './entry-task.js';
@@ -48,6 +50,19 @@
 
 	private constructor(private readonly _options: CallersRoutesOptions) {}
 
+	/** Whether the body of a request is read. It is not if the request is refused whatever it holds. */
+	readsBody(req: FastifyRequest): boolean {
+		const {entry, config} = this._options;
+		if (!entry.isServing) {
+			return false;
+		}
+
+		const credential = this._credentialOf(req);
+		return credential.kind === 'none'
+			? isOpen(req.raw.url ?? '', config.view())
+			: credential.kind === 'key';
+	}
+
 	register(app: FastifyInstance): void {
 		app.server.requestTimeout = requestTimeoutMs;
 		this._setUpParsing(app);
@@ -98,6 +113,10 @@
 		);
 		app.setErrorHandler<FastifyError>(async (err, req, reply) => {
 			const status = err.statusCode ?? 500;
+			if (err instanceof IntakeError && status === 503) {
+				return this._refuse(req, reply, 'overloaded');
+			}
+
 			if (status === 413) {
 				return this._refuse(req, reply, 'body_too_large');
 			}
@@ -159,6 +178,10 @@
 		req: FastifyRequest,
 		reply: FastifyReply,
 	): Promise<unknown> {
+		if (this._options.entry.isServing && !this.readsBody(req)) {
+			return this._refuse(req, reply, 'unauthorized');
+		}
+
 		const result = parseModelCall(kind, bodyOf(req));
 		if (result.kind === 'malformed') {
 			return this._refuse(req, reply, 'invalid_request', result.message);
@@ -293,6 +316,19 @@
 	return req.body instanceof Uint8Array ? req.body : new Uint8Array();
 }
 
+/** Whether a call without a key may be allowed: that of an open route. The route of a model call is named in its body. */
+function isOpen(url: string, view: ConfigView): boolean {
+	const name = /^\/services\/(?<name>[^\/?]+)/v.exec(url)?.groups?.name;
+	if (name !== undefined) {
+		return view.route(name)?.openCustomer !== undefined;
+	}
+
+	return [...view.routes()].some(
+		({target, openCustomer}) =>
+			target.kind === 'adapter' && openCustomer !== undefined,
+	);
+}
+
 /** Path and query that the service receives: the part after `/services/{route}`. */
 function servicePathOf(url: string): string {
 	const rest = url.replace(/^\/services\/[^\/?]*/v, '');
--- a/packages/daemon/src/intake/caller-connection.ts
+++ b/packages/daemon/src/intake/caller-connection.ts
@@ -42,6 +42,8 @@
 	private readonly _reader: PacedReader;
 	private _isClosing = false;
 	private _isAnnounced = false;
+	/** Whether a request has a body that nobody reads yet, so that its chunks would be kept as they come. */
+	private _isBodyAwaited = false;
 	/** Bytes that are left of the body that is being read; 0 if its caller announced no length. */
 	private _bodyBytesLeft = 0;
 	/** Bytes that the parser got since the last request or part of a body, and the lines among them. */
@@ -58,7 +60,8 @@
 	) {
 		this.openedAt = _options.clock();
 		this._reader = PacedReader.create(_socket, {
-			mayParse: () => this._requests.size < maxRequestsPerConnection,
+			mayParse: () =>
+				!this._isBodyAwaited && this._requests.size < maxRequestsPerConnection,
 			bodyBytesLeft: () => this._bodyBytesLeft,
 			onParsed: part => {
 				this._onParsed(part);
@@ -94,18 +97,29 @@
 
 	remove(res: ServerResponse): void {
 		this._requests.delete(res);
+		this._isBodyAwaited = false;
 		if (this._heldBytes > 0) {
 			this._reader.resume();
 		}
 	}
 
-	/** Notes that a request's headers were read. */
-	noteRequest(): void {
+	/** Notes that a request's headers were read. One with a body waits until `startBody`. */
+	noteRequest(hasBody: boolean): void {
 		this._wasUsed = true;
 		this._bodyBytesLeft = 0;
+		this._isBodyAwaited = hasBody;
 		this._reader.noteEvent();
 	}
 
+	/** Notes that the body of the last request is read from the next turn of the event loop on. */
+	startBody(): void {
+		this._isBodyAwaited = false;
+		this._reader.endTurn();
+		if (this._heldBytes > 0) {
+			this._reader.resume();
+		}
+	}
+
 	/** Notes that a part of a body was read. */
 	noteBody(bytesLeft: number): void {
 		this._wasUsed = true;
--- a/packages/daemon/src/intake/paced-reader.ts
+++ b/packages/daemon/src/intake/paced-reader.ts
@@ -71,6 +71,11 @@
 		this._eventsInTurn++;
 	}
 
+	/** Gives the parser nothing more in this turn of the event loop. */
+	endTurn(): void {
+		this._eventsInTurn = maxEventsPerTurn;
+	}
+
 	/** Goes on in the next turn of the event loop. */
 	resume(): void {
 		if (this._isScheduled) {
--- a/packages/daemon/src/main/entry-process.ts
+++ b/packages/daemon/src/main/entry-process.ts
@@ -1,10 +1,16 @@
+import {randomUUID} from 'node:crypto';
 import {readFileSync} from 'node:fs';
 import {performance} from 'node:perf_hooks';
-import {checkKey} from '@balsamtray/core';
-import type {FastifyInstance} from 'fastify';
+import {checkKey, refuseNotRun} from '@balsamtray/core';
+import type {FastifyInstance, FastifyRequest} from 'fastify';
 import {ClaimTask} from '../claims/claim-task.js';
 import {CallersRoutes} from '../entry/callers-routes.js';
 import {EntryTask} from '../entry/entry-task.js';
+import {errorResponse} from '../entry/error-body.js';
+import {CallerIntake} from '../intake/caller-intake.js';
+import {ClosedConnections} from '../intake/closed-connections.js';
+import {readHostCapacity} from '../intake/host-capacity.js';
+import {ServerGuard, type GuardedRequest} from '../intake/server-guard.js';
 import {ConfigAuthor} from '../operators/config-author.js';
 import {OperatorsApi} from '../operators/operators-api.js';
 import {RateTask} from '../rate/rate-task.js';
@@ -38,6 +44,7 @@
 	private readonly _claims: ClaimTask;
 	private readonly _entry: EntryTask;
 	private readonly _operatorKeys: readonly OperatorKey[];
+	private readonly _intake: CallerIntake<GuardedRequest>;
 
 	private constructor(private readonly _settings: EntryProcessSettings) {
 		this._operatorKeys = readOperatorKeys(_settings);
@@ -45,6 +52,7 @@
 		this._rate = this._createRate();
 		this._claims = this._createClaims();
 		this._entry = this._createEntry();
+		this._intake = this._createIntake();
 	}
 
 	/** Runs until a signal stops the process. */
@@ -150,6 +158,57 @@
 		});
 	}
 
+	/** Bounds what callers and operators together make this process keep. */
+	private _createIntake(): CallerIntake<GuardedRequest> {
+		const {telemetry} = this._base;
+		const {hostMemoryBytes, bodyLimitBytes} = this._settings;
+		const closed = ClosedConnections.create({
+			onClosed(reason) {
+				telemetry.metrics.increment('entry.connection_closed', {reason});
+			},
+			onSummary(reason, connections) {
+				telemetry.logger.warn('entry.connections_closed', {
+					reason,
+					connections,
+				});
+			},
+		});
+		return CallerIntake.create({
+			clock: () => performance.now(),
+			capacity: readHostCapacity({memoryBytes: hostMemoryBytes}),
+			maxBodyBytes: bodyLimitBytes,
+			onClosed(reason) {
+				closed.note(reason);
+			},
+		});
+	}
+
+	private _guard(
+		app: FastifyInstance,
+		readsBody: (req: FastifyRequest) => boolean,
+	): void {
+		const {telemetry} = this._base;
+		ServerGuard.attach(app, {
+			intake: this._intake,
+			clock: () => performance.now(),
+			readsBody,
+			response: ({retryAfterMs}) => {
+				telemetry.metrics.increment('entry.refused', {
+					code: 'overloaded',
+					step: 'accept',
+				});
+				const refusal = refuseNotRun('overloaded', {
+					step: 'accept',
+					peer: this._settings.hostId,
+					message: 'This host keeps too much for its callers.',
+					retryAfterMs,
+				});
+				const {headers, body} = errorResponse(refusal, randomUUID());
+				return {headers, body: JSON.stringify(body)};
+			},
+		});
+	}
+
 	private async _createPeerServer(): Promise<FastifyInstance> {
 		const {config, transport, incarnation} = this._base;
 		const {hostId, zone} = this._settings;
@@ -194,20 +253,24 @@
 			telemetry,
 		});
 		const keys = this._operatorKeys;
-		await OperatorsApi.create({keys, service, telemetry}).register(app);
+		const api = OperatorsApi.create({keys, service, telemetry});
+		this._guard(app, req => api.readsBody(req));
+		await api.register(app);
 		return app;
 	}
 
 	private _createCallersServer(): FastifyInstance {
 		const {config, telemetry, transport} = this._base;
 		const app = transport.createServer('public', this._settings);
-		CallersRoutes.create({
+		const routes = CallersRoutes.create({
 			hostId: this._settings.hostId,
 			config,
 			checkKey,
 			telemetry,
 			entry: this._entry,
-		}).register(app);
+		});
+		this._guard(app, req => routes.readsBody(req));
+		routes.register(app);
 		return app;
 	}
 }
--- a/packages/daemon/src/operators/operators-api.ts
+++ b/packages/daemon/src/operators/operators-api.ts
@@ -10,7 +10,7 @@
 	fastifyTRPCPlugin,
 	type FastifyTRPCPluginOptions,
 } from '@trpc/server/adapters/fastify';
-import type {FastifyInstance} from 'fastify';
+import type {FastifyInstance, FastifyRequest} from 'fastify';
 import type {Telemetry} from '../common/types.js';
 
 /** Maximum body of an operator's call, in bytes. A document of several hundred thousand adapters fits. */
@@ -39,6 +39,11 @@
 
 	private constructor(private readonly _options: OperatorsApiOptions) {}
 
+	/** Whether the body of a call is read: that of an operator's. */
+	readsBody({headers}: FastifyRequest): boolean {
+		return this._authenticate(headers.authorization) !== undefined;
+	}
+
 	/** Registers the calls in their own scope, which has its own body limit. */
 	async register(app: FastifyInstance): Promise<void> {
 		await app.register(async scope => {
--- a/packages/daemon/src/settings/definitions.ts
+++ b/packages/daemon/src/settings/definitions.ts
@@ -7,6 +7,7 @@
 	operatorKeys,
 	socketAddress,
 	integerInRange,
+	optionalIntegerFrom,
 } from './schemas.js';
 import type {SettingDefinition} from './types.js';
 
@@ -145,6 +146,12 @@
 		form: 'NUMBER',
 		schema: integerInRange(1024, 256 * mebibyte, 4 * mebibyte),
 	},
+	hostMemoryBytes: {
+		description:
+			'Memory that this process may take, in bytes, from which the bounds on what it keeps for callers are derived; that of the host without it',
+		form: 'NUMBER',
+		schema: optionalIntegerFrom(64 * mebibyte),
+	},
 	deadlineMs: {
 		description:
 			'Deadline for the start of a response if the caller sets none, in milliseconds',
--- a/packages/daemon/src/settings/schemas.ts
+++ b/packages/daemon/src/settings/schemas.ts
@@ -63,6 +63,20 @@
 		);
 }
 
+/** An integer that may be left out. */
+export function optionalIntegerFrom(min: number) {
+	return z
+		.string()
+		.transform(Number)
+		.pipe(
+			z
+				.number({error: 'must be an integer'})
+				.int('must be an integer')
+				.min(min, `must be at least ${min}`),
+		)
+		.optional();
+}
+
 /** One of the given words, with a default. */
 export function oneOf<const T extends readonly [string, ...string[]]>(
 	words: T,
