Bound the small listeners and what a process reads of its own calls

The addresses for readiness, metrics and other entries took any number of connections, and began all requests in a row on one at once. What the process reads of the store, of servers' reports and of other entries was kept as one object for each chunk, as callers' bodies were.

ListenerGuard reads one request of a connection at a time and bounds the connections: 64 for load balancers, operators and tools, 512 for other entries; beyond that, the one is closed that has had no request for the longest time. HttpClient collects bodies in BodyBuffer.

--- a/packages/daemon/src/direct/constants.ts
+++ b/packages/daemon/src/direct/constants.ts
@@ -148,6 +148,12 @@
 /** Bytes that wait on the connection to a server whose response is paused: what Node.js reads at once. */
 export const unreadConnectionBytes = 64 * 1024;
 
+/** Maximum connections of load balancers, operators and tools to one address of a process. */
+export const maxToolConnections = 64;
+
+/** Maximum connections of other entries to an entry. Each has some connections to the entries that it is linked with. */
+export const maxPeerConnections = 512;
+
 /** Default `retry-after` of a refusal, in milliseconds. */
 export const defaultRetryAfterMs = 500;
 
--- a/packages/daemon/src/direct/entry-runtime.ts
+++ b/packages/daemon/src/direct/entry-runtime.ts
@@ -34,6 +34,7 @@
 	exposureCheckMs,
 	graceMarginMs,
 	heartbeatIntervalMs,
+	maxPeerConnections,
 	maxRewriteDelayMs,
 	membersGraceMs,
 	membersIntervalMs,
@@ -298,8 +299,10 @@
 			},
 		);
 		await TextServer.listen(settings.ready, () => this._readinessResponse());
-		await TextServer.listen(settings.peer, path =>
-			this._exchange.responseFor(path),
+		await TextServer.listen(
+			settings.peer,
+			path => this._exchange.responseFor(path),
+			maxPeerConnections,
 		);
 		await TextServer.listen(settings.metrics, async (path, method) =>
 			this._operatorsResponse(path, method),
--- a/packages/daemon/src/direct/http-client.ts
+++ b/packages/daemon/src/direct/http-client.ts
@@ -6,6 +6,7 @@
 	type IncomingHttpHeaders,
 } from 'node:http';
 import {EndlessResponseError} from '../common/endless-response-error.js';
+import {BodyBuffer} from '../intake/body-buffer.js';
 import {NotWrittenError} from './not-written-error.js';
 import type {Endpoint} from './types.js';
 
@@ -88,23 +89,27 @@
 			}, timeoutMs);
 			req.on('error', fail);
 			req.once('response', res => {
-				const chunks: Uint8Array[] = [];
-				let bytes = 0;
+				const received = BodyBuffer.create();
 				res.on('data', (chunk: Uint8Array) => {
-					bytes += chunk.length;
+					const bytes = received.bytes + chunk.length;
 					if (bytes > maxBodyBytes) {
 						req.destroy(EndlessResponseError.create('body', bytes));
 					} else {
-						chunks.push(chunk);
+						received.append(chunk);
 					}
 				});
 				res.once('error', fail);
 				res.once('end', () => {
 					clearTimeout(timer);
+					const whole = received.take();
 					resolve({
 						status: res.statusCode ?? 0,
 						headers: res.headers,
-						body: Buffer.concat(chunks).toString(),
+						body: Buffer.from(
+							whole.buffer,
+							whole.byteOffset,
+							whole.length,
+						).toString(),
 					});
 				});
 			});
--- a/packages/daemon/src/direct/text-server.ts
+++ b/packages/daemon/src/direct/text-server.ts
@@ -1,4 +1,6 @@
 import {createServer, type Server, type ServerResponse} from 'node:http';
+import {ListenerGuard} from '../intake/listener-guard.js';
+import {maxToolConnections} from './constants.js';
 import type {Endpoint} from './types.js';
 
 /** A complete response with a text body. */
@@ -16,10 +18,12 @@
 			path: string,
 			method: string,
 		) => TextResponse | Promise<TextResponse>,
+		maxConnections = maxToolConnections,
 	): Promise<TextServer> {
 		const server = createServer((req, res) => {
 			void respond(handle(req.url ?? '/', req.method ?? 'GET'), res);
 		});
+		ListenerGuard.attach(server, maxConnections);
 		await new Promise<void>((resolve, reject) => {
 			server.once('error', reject);
 			server.listen(port, host, resolve);
