Leave a part of the callers' memory to small requests

While servers run large requests that fill the memory for callers, small ones would be refused, since nothing that may run yields.

Also, found by reading the code again: - A request that yields is told so only once. What is kept for its refusal could make it yield a second time in the same call, which cut the refusal. - Retry-After follows what the refused request needs, not the one for which it yields. - An idle connection that is closed for another one gets no response, as nothing was asked on it.

--- a/packages/core/src/intake/constants.ts
+++ b/packages/core/src/intake/constants.ts
@@ -34,6 +34,12 @@
 /** Multiple of the largest body that fits in any case: its parts, and the whole that is put together from them. */
 export const bodyShares = 2;
 
+/** Memory of a small request at most, in bytes: several times a prompt of some thousand tokens. */
+export const smallBytes = 128 * 1024;
+
+/** Share of the callers' memory that larger requests may take together, so that small ones are still served. */
+export const largeShare = 0.75;
+
 /** Requests of one connection that may run or wait at once. Those behind them are read when one has ended. */
 export const maxRequestsPerConnection = 32;
 
--- a/packages/core/src/intake/kept-memory.ts
+++ b/packages/core/src/intake/kept-memory.ts
@@ -1,5 +1,11 @@
 import {chooseYielding} from './choose-yielding.js';
-import {freedShare, overloadRetryMs, releaseWindowMs} from './constants.js';
+import {
+	freedShare,
+	largeShare,
+	overloadRetryMs,
+	releaseWindowMs,
+	smallBytes,
+} from './constants.js';
 import type {Holding} from './types.js';
 
 /** Options of `KeptMemory`. */
@@ -17,6 +23,8 @@
 
 	private readonly _bytesOf = new Map<Owner, number>();
 	private _bytes = 0;
+	/** Bytes of the owners for which more is kept than for a small request. */
+	private _largeBytes = 0;
 	/** Bytes that became free, decayed over time. */
 	private _released = 0;
 	private _releasedAt = 0;
@@ -28,14 +36,19 @@
 		return this._bytes;
 	}
 
+	bytesOf(owner: Owner): number {
+		return this._bytesOf.get(owner) ?? 0;
+	}
+
 	/**
 	 * Sets what is kept for an owner, zero for nothing.
 	 *
 	 * @returns the owners that have to give up theirs; the owner itself may be one of them
 	 */
 	set(owner: Owner, bytes: number, now: number): readonly Owner[] {
-		const before = this._bytesOf.get(owner) ?? 0;
+		const before = this.bytesOf(owner);
 		this._bytes += bytes - before;
+		this._largeBytes += largePart(bytes) - largePart(before);
 		if (bytes === 0) {
 			this._bytesOf.delete(owner);
 		} else {
@@ -46,15 +59,7 @@
 			this._noteReleased(before - bytes, now);
 		}
 
-		const maxBytes = this._options.maxBytes();
-		if (bytes <= before || this._bytes <= maxBytes) {
-			return [];
-		}
-
-		const excess = this._bytes - maxBytes * (1 - freedShare);
-		return chooseYielding(this._holdings(), excess, now).map(
-			({owner: yielding}) => yielding,
-		);
+		return bytes > before ? this._chooseYielding(now) : [];
 	}
 
 	/**
@@ -63,16 +68,24 @@
 	 * @param bytes size that its caller has announced
 	 */
 	isRefused(bytes: number): boolean {
-		const free = this._options.maxBytes() - this._bytes;
+		const maxBytes = this._options.maxBytes();
+		const free = Math.min(
+			maxBytes - this._bytes,
+			isLarge(bytes)
+				? maxBytes * largeShare - this._largeBytes
+				: Number.POSITIVE_INFINITY,
+		);
 		if (bytes <= free) {
 			return false;
 		}
 
 		let yielding = 0;
-		for (const {stage, bytes: kept} of this._holdings()) {
-			if (stage === 'reading' || stage === 'unread' || kept > bytes) {
-				yielding += stage === 'running' ? 0 : kept;
-			}
+		for (const {stage, bytes: kept} of this._holdings(isLarge(bytes))) {
+			const isYielding =
+				stage === 'reading' ||
+				stage === 'unread' ||
+				(stage === 'waiting' && kept > bytes);
+			yielding += isYielding ? kept : 0;
 		}
 
 		return bytes > free + yielding;
@@ -85,9 +98,39 @@
 		return Math.min(max, Math.max(min, perMs === 0 ? max : bytes / perMs));
 	}
 
-	private *_holdings(): Iterable<Holding & {readonly owner: Owner}> {
+	/** Large requests yield to each other before they take what is left for small ones. */
+	private _chooseYielding(now: number): readonly Owner[] {
+		const maxBytes = this._options.maxBytes();
+		const maxLargeBytes = maxBytes * largeShare;
+		const yielding = new Set<Owner>();
+		const choose = (excess: number, areLarge: boolean) => {
+			for (const {owner} of chooseYielding(
+				this._holdings(areLarge),
+				excess,
+				now,
+			)) {
+				yielding.add(owner);
+			}
+		};
+
+		if (this._largeBytes > maxLargeBytes) {
+			choose(this._largeBytes - maxLargeBytes * (1 - freedShare), true);
+		}
+
+		if (this._bytes > maxBytes) {
+			choose(this._bytes - maxBytes * (1 - freedShare), false);
+		}
+
+		return [...yielding];
+	}
+
+	private *_holdings(
+		areLarge: boolean,
+	): Iterable<Holding & {readonly owner: Owner}> {
 		for (const [owner, bytes] of this._bytesOf) {
-			yield {owner, bytes, ...this._options.stateOf(owner)};
+			if (!areLarge || isLarge(bytes)) {
+				yield {owner, bytes, ...this._options.stateOf(owner)};
+			}
 		}
 	}
 
@@ -101,3 +144,11 @@
 		return this._released * Math.exp(-elapsedMs / releaseWindowMs);
 	}
 }
+
+function isLarge(bytes: number): boolean {
+	return bytes > smallBytes;
+}
+
+function largePart(bytes: number): number {
+	return isLarge(bytes) ? bytes : 0;
+}
--- a/packages/daemon/src/intake/caller-connection.ts
+++ b/packages/daemon/src/intake/caller-connection.ts
@@ -162,13 +162,20 @@
 			// Their caller does not read.
 			this._socket.destroy();
 		} else if (reading === undefined) {
-			this._isClosing = true;
-			if (this._socket.writable && !this._isAnnounced) {
-				this._socket.write(this._options.format(refusal));
-			}
+			this._closeAnswered(refusal);
+		}
+	}
 
-			this._socket.destroy();
+	/** Closes the connection for others. Without a part of a request, there is nothing to refuse. */
+	giveUp(refusal: IntakeRefusal): void {
+		if (this._requests.size > 0 || this._unusedBytes + this._heldBytes > 0) {
+			this.refuse(refusal);
+			return;
 		}
+
+		this._options.onClosed(refusal.reason);
+		this._isClosing = true;
+		this._socket.destroy();
 	}
 
 	keptFor(): Pick<Holding, 'stage' | 'since'> {
@@ -176,7 +183,7 @@
 	}
 
 	yieldMemory(retryAfterMs: number): void {
-		this.refuse(memoryUsedUp(retryAfterMs));
+		this.giveUp(memoryUsedUp(retryAfterMs));
 	}
 
 	/** Nothing is kept any more, as it has closed. */
@@ -185,6 +192,15 @@
 		this._keptBytes = 0;
 	}
 
+	private _closeAnswered(refusal: IntakeRefusal): void {
+		this._isClosing = true;
+		if (this._socket.writable && !this._isAnnounced) {
+			this._socket.write(this._options.format(refusal));
+		}
+
+		this._socket.destroy();
+	}
+
 	private _endAfter(requests: readonly Request[]): void {
 		if (this._isAnnounced) {
 			return;
--- a/packages/daemon/src/intake/caller-intake.ts
+++ b/packages/daemon/src/intake/caller-intake.ts
@@ -103,7 +103,7 @@
 		if (decision.kind !== 'free') {
 			const yielding =
 				decision.kind === 'replaces' ? decision.connection : connection;
-			yielding.refuse(connectionsUsedUp(connectionRetryAfterMs));
+			yielding.giveUp(connectionsUsedUp(connectionRetryAfterMs));
 		}
 	}
 
--- a/packages/daemon/src/intake/caller-memory.ts
+++ b/packages/daemon/src/intake/caller-memory.ts
@@ -20,6 +20,7 @@
 	}
 
 	private readonly _kept: KeptMemory<MemoryKeeper>;
+	private _isYielding = false;
 
 	private constructor(private readonly _options: CallerMemoryOptions) {
 		this._kept = KeptMemory.create({
@@ -35,10 +36,19 @@
 	/** Sets what is kept for a keeper, in bytes. It may have to yield in this call. */
 	set(keeper: MemoryKeeper, bytes: number): void {
 		const now = this._options.clock();
-		for (const yielding of this._kept.set(keeper, bytes, now)) {
-			yielding.yieldMemory(this._kept.retryAfterMs(bytes, now));
-			this._kept.set(yielding, 0, now);
+		const yielding = this._kept.set(keeper, bytes, now);
+		if (this._isYielding) {
+			// A keeper that yields has to be told only once. The next call sees whether that was enough.
+			return;
 		}
+
+		this._isYielding = true;
+		for (const one of yielding) {
+			one.yieldMemory(this._kept.retryAfterMs(this._kept.bytesOf(one), now));
+			this._kept.set(one, 0, now);
+		}
+
+		this._isYielding = false;
 	}
 
 	/** Time after which a request of an announced size may come back; undefined if it is taken now. */
