Let refusals end in order when their callers half close

A caller that had been refused while it still sent, and that closed its side then, could get a reset instead of the refusal: what was dropped of its request made the end of the connection an error of the parser, which closed the connection at once. Found by reading; such a connection is now ended in order. A caller that closes its side inside a request while others of its connection run counts as gone, as before the errors of the parser were answered here.

Tests: one response for a request that runs before an error behind it, a refusal for a part of a request, and none for an idle connection.

--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -249,7 +249,17 @@
 		socket: Socket,
 	): void {
 		const connection = this._intake.connectionOf(socket);
-		if (connection === undefined || connection.isClosing || !socket.writable) {
+		const isEnd = code === 'HPE_INVALID_EOF_STATE';
+		if (connection?.isAnnounced === true && isEnd) {
+			// What is missing of the request was dropped, and its response may still be on the way.
+			socket.end();
+		} else if (
+			connection === undefined ||
+			connection.isClosing ||
+			connection.isAnnounced ||
+			!socket.writable ||
+			(isEnd && connection.requests.size > 0)
+		) {
 			socket.destroy();
 		} else {
 			connection.refuse(clientErrors[code] ?? malformedRefusal);
