Read no clock and add no listener for each request of a caller

Accounting asked the clock four times for each request, and each read passed a second listener.

KeptMemory takes the time only where it decides; the pace at which memory becomes free is sampled when somebody is told to come back. PacedReader counts parts as it hands them over. The tests of crowds with heads, trailers, pipelined requests and chunks of one byte pass.

--- a/packages/core/src/intake/constants.ts
+++ b/packages/core/src/intake/constants.ts
@@ -55,8 +55,8 @@
 /** Share of the limit that is freed beyond what is needed, so that not each further byte needs a decision. */
 export const freedShare = 1 / 16;
 
-/** Time over which the pace is averaged at which memory becomes free, in milliseconds. */
-export const releaseWindowMs = 5000;
+/** Least time over which the pace is measured at which memory becomes free, in milliseconds. */
+export const releaseSampleMs = 1000;
 
 /** Bounds of `retry-after` when memory is used up, in milliseconds. */
 export const overloadRetryMs = {min: 500, max: 10_000} as const;
--- a/packages/core/src/intake/kept-memory.test.ts
+++ b/packages/core/src/intake/kept-memory.test.ts
@@ -24,6 +24,7 @@
 class Load {
 	readonly memory = KeptMemory.create<Request>({
 		maxBytes: () => maxBytes,
+		now: 0,
 		stateOf: ({stage, since}) => ({stage, since}),
 	});
 
@@ -31,10 +32,14 @@
 
 	keep(request: Request, bytes: number, now: number): void {
 		request.bytes = bytes;
-		for (const yielding of this.memory.set(request, bytes, now)) {
+		if (!this.memory.set(request, bytes)) {
+			return;
+		}
+
+		for (const yielding of this.memory.chooseYielding(now)) {
 			this.yielded.push(yielding);
 			yielding.bytes = 0;
-			this.memory.set(yielding, 0, now);
+			this.memory.set(yielding, 0);
 		}
 	}
 
--- a/packages/core/src/intake/kept-memory.ts
+++ b/packages/core/src/intake/kept-memory.ts
@@ -3,7 +3,7 @@
 	freedShare,
 	largeShare,
 	overloadRetryMs,
-	releaseWindowMs,
+	releaseSampleMs,
 	smallBytes,
 } from './constants.js';
 import type {Holding} from './types.js';
@@ -11,6 +11,8 @@
 /** Options of `KeptMemory`. */
 export type KeptMemoryOptions<Owner> = {
 	readonly maxBytes: () => number;
+	/** The present time, in milliseconds. */
+	readonly now: number;
 	/** How far an owner's request is. */
 	readonly stateOf: (owner: Owner) => Pick<Holding, 'stage' | 'since'>;
 };
@@ -25,11 +27,15 @@
 	private _bytes = 0;
 	/** Bytes of the owners for which more is kept than for a small request. */
 	private _largeBytes = 0;
-	/** Bytes that became free, decayed over time. */
+	/** Bytes that became free since the start, and at the last sample of their pace. */
 	private _released = 0;
-	private _releasedAt = 0;
+	private _sampledReleased = 0;
+	private _sampledAt: number;
+	private _releasedPerMs = 0;
 
-	private constructor(private readonly _options: KeptMemoryOptions<Owner>) {}
+	private constructor(private readonly _options: KeptMemoryOptions<Owner>) {
+		this._sampledAt = _options.now;
+	}
 
 	/** Bytes that are kept for all owners. */
 	get bytes(): number {
@@ -43,23 +49,50 @@
 	/**
 	 * Sets what is kept for an owner, zero for nothing.
 	 *
-	 * @returns the owners that have to give up theirs; the owner itself may be one of them
+	 * @returns whether some owners have to yield for it
 	 */
-	set(owner: Owner, bytes: number, now: number): readonly Owner[] {
+	set(owner: Owner, bytes: number): boolean {
 		const before = this.bytesOf(owner);
 		this._bytes += bytes - before;
 		this._largeBytes += largePart(bytes) - largePart(before);
+		this._released += Math.max(0, before - bytes);
 		if (bytes === 0) {
 			this._bytesOf.delete(owner);
 		} else {
 			this._bytesOf.set(owner, bytes);
 		}
 
-		if (bytes < before) {
-			this._noteReleased(before - bytes, now);
+		const maxBytes = this._options.maxBytes();
+		return (
+			bytes > before &&
+			(this._bytes > maxBytes || this._largeBytes > maxBytes * largeShare)
+		);
+	}
+
+	/**
+	 * Chooses the owners that have to give up theirs until the limit is kept. Large requests yield to each other before they
+	 * take what is left for small ones.
+	 */
+	chooseYielding(now: number): readonly Owner[] {
+		const maxBytes = this._options.maxBytes();
+		const maxLargeBytes = maxBytes * largeShare;
+		const yielding = new Set<Owner>();
+		const choose = (excess: number, areLarge: boolean) => {
+			const chosen = chooseYielding(this._holdings(areLarge), excess, now);
+			for (const {owner} of chosen) {
+				yielding.add(owner);
+			}
+		};
+
+		if (this._largeBytes > maxLargeBytes) {
+			choose(this._largeBytes - maxLargeBytes * (1 - freedShare), true);
 		}
 
-		return bytes > before ? this._chooseYielding(now) : [];
+		if (this._bytes > maxBytes) {
+			choose(this._bytes - maxBytes * (1 - freedShare), false);
+		}
+
+		return [...yielding];
 	}
 
 	/**
@@ -91,37 +124,20 @@
 		return bytes > free + yielding;
 	}
 
-	/** Time until about that much memory has become free, at the present pace, in milliseconds. */
+	/** Time until about that much memory has become free, at the pace since the last sample, in milliseconds. */
 	retryAfterMs(bytes: number, now: number): number {
-		const perMs = this._releasedUntil(now) / releaseWindowMs;
-		const {min, max} = overloadRetryMs;
-		return Math.min(max, Math.max(min, perMs === 0 ? max : bytes / perMs));
-	}
-
-	/** Large requests yield to each other before they take what is left for small ones. */
-	private _chooseYielding(now: number): readonly Owner[] {
-		const maxBytes = this._options.maxBytes();
-		const maxLargeBytes = maxBytes * largeShare;
-		const yielding = new Set<Owner>();
-		const choose = (excess: number, areLarge: boolean) => {
-			for (const {owner} of chooseYielding(
-				this._holdings(areLarge),
-				excess,
-				now,
-			)) {
-				yielding.add(owner);
-			}
-		};
-
-		if (this._largeBytes > maxLargeBytes) {
-			choose(this._largeBytes - maxLargeBytes * (1 - freedShare), true);
-		}
-
-		if (this._bytes > maxBytes) {
-			choose(this._bytes - maxBytes * (1 - freedShare), false);
+		const elapsedMs = now - this._sampledAt;
+		if (elapsedMs >= releaseSampleMs) {
+			const released = this._released - this._sampledReleased;
+			this._releasedPerMs = released / elapsedMs;
+			this._sampledReleased = this._released;
+			this._sampledAt = now;
 		}
 
-		return [...yielding];
+		const {min, max} = overloadRetryMs;
+		const untilFreeMs =
+			this._releasedPerMs === 0 ? max : bytes / this._releasedPerMs;
+		return Math.min(max, Math.max(min, untilFreeMs));
 	}
 
 	private *_holdings(
@@ -133,16 +149,6 @@
 			}
 		}
 	}
-
-	private _noteReleased(bytes: number, now: number): void {
-		this._released = this._releasedUntil(now) + bytes;
-		this._releasedAt = now;
-	}
-
-	private _releasedUntil(now: number): number {
-		const elapsedMs = Math.max(0, now - this._releasedAt);
-		return this._released * Math.exp(-elapsedMs / releaseWindowMs);
-	}
 }
 
 function isLarge(bytes: number): boolean {
--- a/packages/daemon/src/intake/caller-memory.ts
+++ b/packages/daemon/src/intake/caller-memory.ts
@@ -25,6 +25,7 @@
 	private constructor(private readonly _options: CallerMemoryOptions) {
 		this._kept = KeptMemory.create({
 			maxBytes: _options.maxBytes,
+			now: _options.clock(),
 			stateOf: keeper => keeper.keptFor(),
 		});
 	}
@@ -35,17 +36,17 @@
 
 	/** Sets what is kept for a keeper, in bytes. It may have to yield in this call. */
 	set(keeper: MemoryKeeper, bytes: number): void {
-		const now = this._options.clock();
-		const yielding = this._kept.set(keeper, bytes, now);
-		if (this._isYielding) {
-			// A keeper that yields has to be told only once. The next call sees whether that was enough.
+		const isOver = this._kept.set(keeper, bytes);
+		// A keeper that yields has to be told only once. The next call sees whether that was enough.
+		if (!isOver || this._isYielding) {
 			return;
 		}
 
+		const now = this._options.clock();
 		this._isYielding = true;
-		for (const one of yielding) {
+		for (const one of this._kept.chooseYielding(now)) {
 			one.yieldMemory(this._kept.retryAfterMs(this._kept.bytesOf(one), now));
-			this._kept.set(one, 0, now);
+			this._kept.set(one, 0);
 		}
 
 		this._isYielding = false;
--- a/packages/daemon/src/intake/paced-reader.ts
+++ b/packages/daemon/src/intake/paced-reader.ts
@@ -51,10 +51,7 @@
 			}
 		};
 
-		// Such a listener also makes Node.js pass what it reads through the socket, and not directly to the parser.
-		_socket.on('data', (part: Uint8Array) => {
-			_options.onParsed(part);
-		});
+		passThroughSocket(_socket);
 		_socket.on('resume', () => {
 			if (this._isFull) {
 				this._stopReading();
@@ -124,7 +121,7 @@
 			!this._socket.isPaused() &&
 			this._options.mayParse()
 		) {
-			return this._push(chunk);
+			return this._parse(chunk);
 		}
 
 		this._held.push(chunk);
@@ -136,6 +133,12 @@
 		return !this._isFull;
 	}
 
+	private _parse(part: Uint8Array): boolean {
+		const isReadOn = this._push(part);
+		this._options.onParsed(part);
+		return isReadOn;
+	}
+
 	private _feed(): void {
 		const before = this._heldBytes;
 		this._isFeeding = true;
@@ -146,8 +149,7 @@
 			}
 
 			const bodyBytes = this._options.bodyBytesLeft();
-			const part = this._take(Math.max(partBytes, bodyBytes));
-			this._push(part);
+			this._parse(this._take(Math.max(partBytes, bodyBytes)));
 		}
 
 		this._isFeeding = false;
@@ -200,3 +202,10 @@
 		}
 	}
 }
+
+/** Makes Node.js pass what it reads through the socket from now on, and not directly to the parser. */
+function passThroughSocket(socket: Socket): void {
+	const ignore = () => undefined;
+	socket.on('data', ignore);
+	socket.off('data', ignore);
+}
