Read a connection on whose rest is dropped

A caller that left while 64 KiB of it waited unparsed was not noticed once the rest of its connection was dropped, so that its running requests went on: reading had stopped and was not begun again. The new test failed without this. Found by reading, as was a scan of all holdings on each change of a small one while large ones fill their share.

--- a/packages/core/src/intake/kept-memory.ts
+++ b/packages/core/src/intake/kept-memory.ts
@@ -65,7 +65,8 @@
 		const maxBytes = this._options.maxBytes();
 		return (
 			bytes > before &&
-			(this._bytes > maxBytes || this._largeBytes > maxBytes * largeShare)
+			(this._bytes > maxBytes ||
+				(isLarge(bytes) && this._largeBytes > maxBytes * largeShare))
 		);
 	}
 
--- a/packages/daemon/src/intake/paced-reader.test.ts
+++ b/packages/daemon/src/intake/paced-reader.test.ts
@@ -101,6 +101,15 @@
 		assert.equal(held, 0);
 	});
 
+	it('notices the end of a connection that it had stopped to read', async () => {
+		client.write(request.repeat(100_000));
+		await delay(100);
+		reader.discard();
+		client.destroy();
+		await delay(100);
+		assert.ok(responses.every(({req}) => req.socket.destroyed));
+	});
+
 	it('drops what follows once it is not needed', async () => {
 		client.write(request.repeat(1000));
 		await delay(50);
--- a/packages/daemon/src/intake/paced-reader.ts
+++ b/packages/daemon/src/intake/paced-reader.ts
@@ -89,8 +89,12 @@
 
 	/** Drops all that has not been parsed and all that follows. The end of the connection is still noticed. */
 	discard(): void {
+		const isStopped = this._isFull;
 		this._isDiscarding = true;
 		this._drop();
+		if (isStopped && !this._socket.destroyed) {
+			this._read(0);
+		}
 	}
 
 	private get _isFull(): boolean {
