--- a/packages/core/src/intake/constants.ts
+++ b/packages/core/src/intake/constants.ts
@@ -34,7 +34,7 @@
 /** Multiple of the largest body that fits in any case: its parts, and the whole that is put together from them. */
 export const bodyShares = 2;
 
-/** Memory of a small request at most, in bytes: several times a prompt of some thousand tokens. */
+/** Memory of a small request at most, in bytes. A prompt of some thousand tokens takes a fraction of it. */
 export const smallBytes = 128 * 1024;
 
 /** Share of the callers' memory that larger requests may take together, so that small ones are still served. */
--- a/packages/daemon/src/intake/types.ts
+++ b/packages/daemon/src/intake/types.ts
@@ -17,12 +17,12 @@
 	readonly refuse: (refusal: IntakeRefusal) => void;
 };
 
-/** Ends the request that takes most, since the memory for callers is used up. */
+/** Refusal of a request or connection that yields, since the memory for callers is used up. */
 export function memoryUsedUp(retryAfterMs: number): IntakeRefusal {
 	return {status: 503, reason: 'memoryUsedUp', isNotRun: true, retryAfterMs};
 }
 
-/** Closes a connection, since there are as many as may be. */
+/** Refusal of a connection that yields, since as many are open as may be. */
 export function connectionsUsedUp(retryAfterMs: number): IntakeRefusal {
 	return {
 		status: 503,
