Start no duty's call before its time

Cause: the time until a call's turn has a fraction, which a timer drops, and timers count from a time that the event loop has rounded. Of 400 timers of 5 to 8 ms here, 280 fired early, by 1.7 ms at most. The wait was not checked again, so that two calls could start closer to each other than the platform allows.

A call waits until the clock has reached its turn. The test alone failed 1 of 60 times before and 0 of 90 after.

--- a/packages/daemon/src/direct/duty-task.ts
+++ b/packages/daemon/src/direct/duty-task.ts
@@ -134,8 +134,11 @@
 		const now = clock();
 		const startAt = Math.max(now, this._nextCallAt);
 		this._nextCallAt = startAt + callIntervalMs;
-		if (startAt > now) {
-			await delay(startAt - now);
+		// A timer may fire up to a millisecond early.
+		for (let waitMs = startAt - now; waitMs > 0; waitMs = startAt - clock()) {
+			// Each wait follows from the one before.
+			// eslint-disable-next-line no-await-in-loop
+			await delay(Math.ceil(waitMs));
 		}
 	}
 
