--- a/packages/scenarios/src/crowds/client-limits.crowd.test.ts
+++ b/packages/scenarios/src/crowds/client-limits.crowd.test.ts
@@ -122,7 +122,7 @@
 		const servicePath = '/services/stock-checks/crowd';
 		const operatorPath = '/trpc/applyDocument';
 
-		beforeEach(async () => {
+		const start = async (serviceFlags: readonly string[]) => {
 			fleet = await Fleet.create({
 				entries: [
 					{
@@ -141,6 +141,7 @@
 						id: 'service-1',
 						zone: 'z1',
 						backend: {kind: 'service', service: scenarioService},
+						flags: serviceFlags,
 					},
 				],
 			});
@@ -148,6 +149,10 @@
 			await fleet.applyDocument(createScenarioDocument());
 			({secret: key} = await fleet.issueKey('lakeshore'));
 			await serveOrdinary();
+		};
+
+		beforeEach(async () => {
+			await start([]);
 		});
 
 		afterEach(async () => {
@@ -215,6 +220,36 @@
 			});
 		});
 
+		it('stand-alone: bears bodies in chunks of one byte behind a request that runs, with an unknown expectation', async () => {
+			await fleet.stop();
+			await start(['--service-ms', '3000']);
+			await playCrowd(entry.url, 100, function* () {
+				yield head(servicePath, [keyField(), 'Content-Length: 0']);
+				yield head(servicePath, [keyField(), 'Expect: tea', chunkedField]);
+				yield* chunkedBody(maxBodyBytes - 16, 1);
+			});
+		});
+
+		it('stand-alone: bears bodies in chunks of one byte behind a request that runs, without a host', async () => {
+			await fleet.stop();
+			await start(['--service-ms', '3000']);
+			await playCrowd(entry.url, 100, function* () {
+				yield head(servicePath, [keyField(), 'Content-Length: 0']);
+				yield Buffer.from(`POST / HTTP/1.1\r\n${chunkedField}\r\n\r\n`);
+				yield* chunkedBody(maxBodyBytes - 16, 1);
+			});
+		});
+
+		it('stand-alone: bears bodies in chunks of one byte behind a request that runs, for a malformed path', async () => {
+			await fleet.stop();
+			await start(['--service-ms', '3000']);
+			await playCrowd(entry.url, 100, function* () {
+				yield head(servicePath, [keyField(), 'Content-Length: 0']);
+				yield head('/services/%', [keyField(), chunkedField]);
+				yield* chunkedBody(maxBodyBytes - 16, 1);
+			});
+		});
+
 		it('stand-alone: bears heads that do not end', async () => {
 			await playCrowd(entry.url, 2500, function* () {
 				yield head(servicePath, ['X-Long: ']).subarray(0, -4);
