Count requests that are answered before any route gets them

Callers saw connections closed as the entry ran out of memory: 100 of them sent a request that runs for 3 s and behind it one in chunks of one byte, with an unknown expectation or without a host. The platform's entry ended; the stand-alone entry ended without a host, and had 471 and 478 MB with an unknown expectation and a malformed path.

Cause: Node.js itself answers the first two and Fastify the third, without the listeners by which what a request keeps is counted. Such a response waits for those before it, and until then 16 KB of the body are kept, one object for each chunk: 3 MB a connection.

The entry takes these requests itself: a missing host is refused with 400, an unknown expectation with 417, as before, but like all other refusals, so that the rest of the connection is dropped. ServerGuard notes each request before Fastify sees it. The parser gets nothing of a body until that request's own response has ended; before, the end of any earlier response of the connection let it go on.

--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -79,13 +79,16 @@
 			{
 				connectionsCheckingInterval: timeoutCheckMs,
 				noDelay: true,
+				// A request without a host is refused here, as what its caller sends has to be counted.
+				requireHostHeader: false,
 			},
 			(req, res) => {
-				void this._onRequest(req, res).catch((error: unknown) => {
-					this._onInternalError(req, res, error);
-				});
+				this._take(req, res);
 			},
 		);
+		this._server.on('checkExpectation', (req, res) => {
+			this._take(req, res, expectationRefusal);
+		});
 		this._server.on('connection', socket => {
 			this._onConnection(socket);
 		});
@@ -212,6 +215,17 @@
 		this._server.closeAllConnections();
 	}
 
+	/** @param refusal refusal whatever the request is; undefined without one */
+	private _take(
+		req: IncomingMessage,
+		res: ServerResponse,
+		refusal?: CallRefusal,
+	): void {
+		void this._onRequest(req, res, refusal).catch((error: unknown) => {
+			this._onInternalError(req, res, error);
+		});
+	}
+
 	/** Ends one request whose handling failed. Without this, the error would end the process, and all others with it. */
 	private _onInternalError(
 		req: IncomingMessage,
@@ -269,6 +283,7 @@
 	private async _onRequest(
 		req: IncomingMessage,
 		res: ServerResponse,
+		refusal: CallRefusal | undefined,
 	): Promise<void> {
 		const {clock, codec} = this._context;
 		const {socket} = req;
@@ -278,7 +293,7 @@
 			return;
 		}
 
-		connection.noteRequest(hasBody(req));
+		connection.noteRequest(res, hasBody(req));
 		if (connection.isAnnounced) {
 			req.resume();
 			return;
@@ -318,8 +333,8 @@
 			}
 		}
 
-		if (metadata === undefined) {
-			call.refuse(malformedRefusal);
+		if (refusal !== undefined || metadata === undefined) {
+			call.refuse(refusal ?? malformedRefusal);
 			return;
 		}
 
@@ -371,6 +386,13 @@
 	isNotRun: true,
 };
 
+/** Refusal of a request whose `expect` header names something else than `100-continue`. */
+const expectationRefusal: CallRefusal = {
+	status: 417,
+	reason: 'expectationUnknown',
+	isNotRun: true,
+};
+
 const bodyTooLargeRefusal: CallRefusal = {
 	status: 413,
 	reason: 'bodyTooLarge',
--- a/packages/daemon/src/intake/caller-connection.test.ts
+++ b/packages/daemon/src/intake/caller-connection.test.ts
@@ -25,7 +25,7 @@
 		const clock = () => 0;
 		const memory = CallerMemory.create({clock, maxBytes: () => 1e6});
 		server = createServer((_req, res) => {
-			connection.noteRequest(false);
+			connection.noteRequest(res, false);
 			connection.add(res, {
 				isReading: false,
 				get isEnded() {
--- a/packages/daemon/src/intake/caller-connection.ts
+++ b/packages/daemon/src/intake/caller-connection.ts
@@ -42,8 +42,8 @@
 	private readonly _reader: PacedReader;
 	private _isClosing = false;
 	private _isAnnounced = false;
-	/** Whether a request has a body that nobody reads yet, so that its chunks would be kept as they come. */
-	private _isBodyAwaited = false;
+	/** Response to the request whose body nobody reads yet, so that its chunks would be kept as they come. */
+	private _awaitsBody: ServerResponse | undefined;
 	/** Bytes that are left of the body that is being read; 0 if its caller announced no length. */
 	private _bodyBytesLeft = 0;
 	/** Bytes that the parser got since the last request or part of a body, and the lines among them. */
@@ -61,7 +61,8 @@
 		this.openedAt = _options.clock();
 		this._reader = PacedReader.create(_socket, {
 			mayParse: () =>
-				!this._isBodyAwaited && this._requests.size < maxRequestsPerConnection,
+				this._awaitsBody === undefined &&
+				this._requests.size < maxRequestsPerConnection,
 			bodyBytesLeft: () => this._bodyBytesLeft,
 			onParsed: part => {
 				this._onParsed(part);
@@ -97,23 +98,26 @@
 
 	remove(res: ServerResponse): void {
 		this._requests.delete(res);
-		this._isBodyAwaited = false;
+		if (this._awaitsBody === res) {
+			this._awaitsBody = undefined;
+		}
+
 		if (this._heldBytes > 0) {
 			this._reader.resume();
 		}
 	}
 
 	/** Notes that a request's headers were read. One with a body waits until `startBody`. */
-	noteRequest(hasBody: boolean): void {
+	noteRequest(res: ServerResponse, hasBody: boolean): void {
 		this._wasUsed = true;
 		this._bodyBytesLeft = 0;
-		this._isBodyAwaited = hasBody;
+		this._awaitsBody = hasBody ? res : undefined;
 		this._reader.noteEvent();
 	}
 
 	/** Notes that the body of the last request is read from the next turn of the event loop on. */
 	startBody(): void {
-		this._isBodyAwaited = false;
+		this._awaitsBody = undefined;
 		this._reader.endTurn();
 		if (this._heldBytes > 0) {
 			this._reader.resume();
--- a/packages/daemon/src/intake/server-guard.ts
+++ b/packages/daemon/src/intake/server-guard.ts
@@ -32,6 +32,9 @@
 /** Status of a body that is larger than the limit of its route. */
 const tooLargeStatus = 413;
 
+/** Status for an `expect` header that names something else than `100-continue`. */
+const expectationFailedStatus = 417;
+
 /**
  * Bounds what a Fastify server keeps for its callers. Alone, the server keeps each chunk of a body as an object, begins all
  * requests in a row on a connection at once, and reads bodies of callers that it refuses.
@@ -65,8 +68,19 @@
 			'setSecureContext' in app.server ? 'secureConnection' : 'connection',
 			accept,
 		);
-		app.addHook('onRequest', async ({raw}, reply) => {
-			this._onRequest(raw, reply.raw);
+		// Some requests are answered before the first hook.
+		app.server.prependListener('request', (raw, res) => {
+			this._onRequest(raw, res);
+		});
+		app.server.on('checkExpectation', (raw, res) => {
+			this._onRequest(raw, res);
+			this._requests.get(raw)?.end(expectationFailedStatus);
+		});
+		app.addHook('onRequest', async ({raw}) => {
+			if (raw.headers.host === undefined && raw.httpVersion === '1.1') {
+				this._requests.get(raw)?.announceClose();
+				throw new IntakeError(400, 'host missing');
+			}
 		});
 		app.addHook('preParsing', async (req, _reply, payload) =>
 			hasBody(req.raw) ? this._readBody(req) : payload,
@@ -80,7 +94,7 @@
 			return;
 		}
 
-		connection.noteRequest(hasBody(raw));
+		connection.noteRequest(res, hasBody(raw));
 		if (connection.isClosing || connection.isAnnounced) {
 			raw.resume();
 			return;
@@ -193,10 +207,23 @@
 			return;
 		}
 
-		this._isRefused = true;
 		const {headers, body} = response(refusal);
-		res.writeHead(refusal.status, {
-			'content-type': 'application/json; charset=utf-8',
+		this.end(
+			refusal.status,
+			{'content-type': 'application/json; charset=utf-8', ...headers},
+			body,
+		);
+	}
+
+	/** Responds without a route, and closes the connection after that. */
+	end(
+		status: number,
+		headers: Readonly<Record<string, string>> = {},
+		body = '',
+	): void {
+		const {res} = this._options;
+		this._isRefused = true;
+		res.writeHead(status, {
 			...headers,
 			'content-length': Buffer.byteLength(body),
 			connection: 'close',
--- a/packages/daemon/src/transport/transport.ts
+++ b/packages/daemon/src/transport/transport.ts
@@ -61,12 +61,17 @@
 
 	/** Creates an HTTP or HTTPS server that does not listen yet. */
 	createServer(kind: ServerKind, limits: ServerLimits): FastifyInstance {
+		const http = {
+			headersTimeout: limits.headerTimeoutMs,
+			// `ServerGuard` refuses requests without a host, as what their callers send has to be counted.
+			requireHostHeader: kind === 'peer',
+		};
 		const options = {
 			bodyLimit: limits.bodyLimitBytes,
 			keepAliveTimeout: limits.idleTimeoutMs,
 			connectionTimeout: 0,
 			forceCloseConnections: 'idle' as const,
-			http: {headersTimeout: limits.headerTimeoutMs},
+			http,
 		};
 		if (this._tls === undefined) {
 			return fastify(options);
@@ -76,7 +81,7 @@
 			...options,
 			https: {
 				...serverCredentials(this._tls.credentials(), kind),
-				headersTimeout: limits.headerTimeoutMs,
+				...http,
 			},
 		});
 		this._subscriptions.push(
