Read callers' connections into one buffer, a part of each in a turn

Callers saw what a host does that runs out of memory: 600 clients that send bodies in large chunks and stop short of their end took 372 to 503 MB of 350, 300 clients 318 to 404.

Cause: each read allocated 64 KB, and the system read up to 32 times from a connection in one turn of the event loop. All of that was garbage at once, which no limit counts and which is collected late: 170 MB of buffers were alive where 87 are allowed, and what they left behind in the allocator stayed resident. Parts of 4 KiB were then kept as an object each.

All connections read into one buffer of 16 KiB, of which what can't be parsed at once is copied; a connection that fills it is read on in the next turn. The parser gets its parts directly and not through the stream. What is left of a chunk when most of it is parsed is copied, so that few bytes don't keep all of it.

Ruled out: a lower limit, which would refuse ordinary callers for garbage that is avoidable.

--- a/packages/daemon/src/intake/paced-reader.ts
+++ b/packages/daemon/src/intake/paced-reader.ts
@@ -1,5 +1,16 @@
+import {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
-import {maxEventsPerTurn, maxHeldBytes, partBytes} from './constants.js';
+import {Readable} from 'node:stream';
+import {
+	maxEventsPerTurn,
+	maxHeldBytes,
+	partBytes,
+	readBytes,
+} from './constants.js';
+import {readInto} from './read-into.js';
+
+/** All connections read into it, as each read is parsed or copied before the next one. */
+const readBuffer = Buffer.allocUnsafeSlow(readBytes);
 
 /** Options of `PacedReader`. */
 export type PacedReaderOptions = {
@@ -33,6 +44,7 @@
 	/** Received chunks that the parser has not got. */
 	private _held: Uint8Array[] = [];
 	private _heldBytes = 0;
+	private _notedBytes = 0;
 	private _eventsInTurn = 0;
 	private _isScheduled = false;
 	private _isFeeding = false;
@@ -44,14 +56,25 @@
 	) {
 		this._push = _socket.push.bind(_socket);
 		this._read = _socket._read.bind(_socket);
-		_socket.push = (chunk: Uint8Array | null) => this._onReceived(chunk); // eslint-disable-line @typescript-eslint/no-restricted-types
+		_socket.push = (chunk: Uint8Array | null) =>
+			// eslint-disable-line @typescript-eslint/no-restricted-types
+			chunk === null ? this._onEnd() : this._onReceived(chunk);
 		_socket._read = size => {
 			if (!this._isFull) {
 				this._read(size);
 			}
 		};
 
+		// A socket that reads into a buffer stops to read when it is paused, so that the close of its caller is not noticed.
+		_socket.pause = () => {
+			Readable.prototype.pause.call(_socket);
+			return _socket;
+		};
+
 		passThroughSocket(_socket);
+		readInto(_socket, readBuffer, bytes =>
+			this._onReceived(readBuffer.subarray(0, bytes)),
+		);
 		_socket.on('resume', () => {
 			if (this._isFull) {
 				this._stopReading();
@@ -84,6 +107,9 @@
 			this._isScheduled = false;
 			this._eventsInTurn = 0;
 			this._feed();
+			if (!this._isFull && !this._socket.destroyed) {
+				this._read(0);
+			}
 		});
 	}
 
@@ -101,15 +127,17 @@
 		return this._heldBytes >= maxHeldBytes;
 	}
 
-	/** Returns whether the system may read more of the connection. */
-	// eslint-disable-next-line @typescript-eslint/no-restricted-types
-	private _onReceived(chunk: Uint8Array | null): boolean {
-		if (chunk === null) {
-			// The caller has gone, so that nobody waits for the rest.
-			this._drop();
-			return this._push(null);
-		}
+	/** The caller has gone, so that nobody waits for the rest. */
+	private _onEnd(): boolean {
+		this._drop();
+		return this._push(null);
+	}
 
+	/**
+	 * @param chunk valid only during the call
+	 * @returns whether the system may read more of the connection
+	 */
+	private _onReceived(chunk: Uint8Array): boolean {
 		if (this._isDiscarding) {
 			return true;
 		}
@@ -118,29 +146,25 @@
 			this._eventsInTurn = 0;
 		}
 
-		if (
-			chunk.length <= partBytes &&
-			this._heldBytes === 0 &&
-			!this._isScheduled &&
-			!this._socket.isPaused() &&
-			this._options.mayParse()
-		) {
-			return this._parse(chunk);
-		}
-
 		this._held.push(chunk);
 		this._heldBytes += chunk.length;
 		if (!this._isFeeding) {
 			this._feed();
 		}
 
-		return !this._isFull;
+		this._copyRest();
+		if (chunk.length < readBuffer.length) {
+			return !this._isFull;
+		}
+
+		// The system reads on in this turn of the event loop as long as it fills the buffer.
+		this.resume();
+		return false;
 	}
 
-	private _parse(part: Uint8Array): boolean {
-		const isReadOn = this._push(part);
+	private _parse(part: Uint8Array): void {
+		this._socket.emit('data', part);
 		this._options.onParsed(part);
-		return isReadOn;
 	}
 
 	private _feed(): void {
@@ -157,10 +181,7 @@
 		}
 
 		this._isFeeding = false;
-		if (this._heldBytes > 0 || before > 0) {
-			this._options.onHeld(this._heldBytes);
-		}
-
+		this._noteHeld();
 		if (before >= maxHeldBytes && !this._isFull && !this._socket.destroyed) {
 			this._read(0);
 		}
@@ -182,18 +203,31 @@
 		if (part.length === first.length) {
 			this._held.shift();
 		} else {
-			this._held[0] = first.subarray(maxBytes);
+			this._held[0] = withoutUnused(first.subarray(maxBytes));
 		}
 
 		this._heldBytes -= part.length;
 		return part;
 	}
 
+	/** The next read of any connection overwrites the read buffer. */
+	private _copyRest(): void {
+		const last = this._held.at(-1);
+		if (last?.buffer === readBuffer.buffer) {
+			this._held[this._held.length - 1] = new Uint8Array(last);
+		}
+	}
+
 	private _drop(): void {
 		this._held = [];
-		if (this._heldBytes > 0) {
-			this._heldBytes = 0;
-			this._options.onHeld(0);
+		this._heldBytes = 0;
+		this._noteHeld();
+	}
+
+	private _noteHeld(): void {
+		if (this._notedBytes !== this._heldBytes) {
+			this._notedBytes = this._heldBytes;
+			this._options.onHeld(this._heldBytes);
 		}
 	}
 
@@ -207,6 +241,14 @@
 	}
 }
 
+/** Copies the rest of a received chunk if most of the chunk is parsed, so that a few bytes don't keep all of its memory. */
+function withoutUnused(rest: Uint8Array): Uint8Array {
+	const {buffer} = rest;
+	return buffer !== readBuffer.buffer && rest.length < buffer.byteLength / 2
+		? new Uint8Array(rest)
+		: rest;
+}
+
 /** Makes Node.js pass what it reads through the socket from now on, and not directly to the parser. */
 function passThroughSocket(socket: Socket): void {
 	const ignore = () => undefined;
