Look at few waiting requests for each place and each arrival

An ordinary caller got no response for over ten seconds while 2,000 connections sent 30 requests in a row each: the event loop stood still, and readiness checks weren't answered either.

Cause: thousands of requests waited for a plain service. Each that arrived behind others woke its group by itself, and each wake, and each place that became free, compared all that waited. A profile of the standing process shows these comparisons.

The arrivals of a turn wake each group once. A group keeps its requests by customer and priority, in order of arrival, so that the first is found without a look at the others; only a line in which some are late and others aren't is searched. The order is the same (its tests are unchanged).

--- a/packages/core/src/contention/wait-group.ts
+++ b/packages/core/src/contention/wait-group.ts
@@ -1,3 +1,4 @@
+import {WaitLine} from './wait-line.js';
 import type {WaitingRequest} from './waiting-request.js';
 
 /** Bound on the requests of a group that are still worth a try. */
@@ -12,7 +13,9 @@
 		return new WaitGroup<R>(key, service, adapter);
 	}
 
-	readonly requests = new Set<R>();
+	/** By customer and priority. */
+	private readonly _lines = new Map<string, WaitLine<R>>();
+	private readonly _requests = new Set<R>();
 
 	private constructor(
 		readonly key: string,
@@ -20,23 +23,95 @@
 		readonly adapter: string | undefined,
 	) {}
 
-	/** Returns the first request by the comparison among those that are worth a try. */
+	get requests(): ReadonlySet<R> {
+		return this._requests;
+	}
+
+	add(request: R): void {
+		this._requests.add(request);
+		const key = lineKey(request);
+		const line = this._lines.get(key) ?? WaitLine.create<R>();
+		line.add(request);
+		this._lines.set(key, line);
+	}
+
+	/** Removes a request and returns whether it was in the group. */
+	delete(request: R): boolean {
+		if (!this._requests.delete(request)) {
+			return false;
+		}
+
+		const key = lineKey(request);
+		const line = this._lines.get(key)!;
+		line.delete(request);
+		if (line.size === 0) {
+			this._lines.delete(key);
+		}
+
+		return true;
+	}
+
+	/**
+	 * Returns the first request among those that are worth a try.
+	 *
+	 * @param compare the order of requests of different customers or priorities
+	 */
 	first(
 		isWorthTry: GroupBound<R>,
 		compare: (a: R, b: R) => number,
+		now: number,
 	): R | undefined {
 		let first: R | undefined;
-		for (const request of this.requests) {
+		for (const line of this._lines.values()) {
+			const next = line.first(isWorthTry, now);
 			if (
-				isWorthTry(request) &&
-				(first === undefined || compare(request, first) < 0)
+				next !== undefined &&
+				(first === undefined || compare(next, first) < 0)
 			) {
-				first = request;
+				first = next;
 			}
 		}
 
 		return first;
 	}
+
+	/** Returns the request that has waited longest among those that are worth a try. */
+	oldest(isWorthTry: GroupBound<R>): R | undefined {
+		let oldest: R | undefined;
+		for (const line of this._lines.values()) {
+			const next = line.oldest(isWorthTry);
+			if (
+				next !== undefined &&
+				(oldest === undefined || next.arrivedAt < oldest.arrivedAt)
+			) {
+				oldest = next;
+			}
+		}
+
+		return oldest;
+	}
+
+	/** Returns the request with the most ease among those that are worth a try. */
+	easiest(
+		isWorthTry: GroupBound<R>,
+		ease: (request: R) => number,
+	): R | undefined {
+		let easiest: R | undefined;
+		for (const request of this._requests) {
+			if (
+				isWorthTry(request) &&
+				(easiest === undefined || ease(request) > ease(easiest))
+			) {
+				easiest = request;
+			}
+		}
+
+		return easiest;
+	}
+}
+
+function lineKey({priority, customer}: WaitingRequest): string {
+	return `${priority}|${customer}`;
 }
 
 export function groupKey({
--- a/packages/core/src/contention/waiting-load.testing.ts
+++ b/packages/core/src/contention/waiting-load.testing.ts
@@ -156,7 +156,7 @@
 			this._waiting.add(waiting);
 			this._groups.add(waiting, this._at);
 			this._groups.wake(
-				{kind: 'arrival', request: waiting},
+				{kind: 'arrivals', requests: [waiting]},
 				this._retry,
 				this._at,
 			);
--- a/packages/core/src/contention/waiting-request.ts
+++ b/packages/core/src/contention/waiting-request.ts
@@ -49,8 +49,8 @@
 /** What may help waiting requests. */
 export type WaitEvent<R extends WaitingRequest> =
 	| {readonly kind: 'offer'; readonly offer: ServerOffer}
-	/** A request was added behind others that wait for the same. */
-	| {readonly kind: 'arrival'; readonly request: R}
+	/** Requests were added behind others that wait for the same. */
+	| {readonly kind: 'arrivals'; readonly requests: readonly R[]}
 	/** The servers have changed. */
 	| {readonly kind: 'all'}
 	/** The time of some groups has come. */
--- a/packages/core/src/contention/waiting-requests.test.ts
+++ b/packages/core/src/contention/waiting-requests.test.ts
@@ -59,6 +59,68 @@
 });
 
 describe('WaitingRequests', () => {
+	// The pattern of thousands of requests in a row on many connections: each wake looked at all that wait.
+	describe('with thousands of requests for the same', () => {
+		const count = 5000;
+		let reads = 0;
+		const countingReads = (arrivedAt: number): WaitingRequest => ({
+			...waiting({arrivedAt, targetAt: 500}),
+			get deadlineAt() {
+				reads++;
+				return 100_000;
+			},
+		});
+		const requests = Array.from({length: count}, (_, i) => countingReads(i));
+
+		const assertFewReads = (now: number) => {
+			const queue = WaitingRequests.create<WaitingRequest>();
+			for (const request of requests) {
+				queue.add(request, 0);
+			}
+
+			reads = 0;
+			const order: WaitingRequest[] = [];
+			const tryRequest = (request: WaitingRequest) => {
+				order.push(request);
+				return undefined;
+			};
+
+			for (let i = 0; i < count; i++) {
+				queue.wake(offer(1), tryRequest, now);
+			}
+
+			assert.deepEqual(order, requests);
+			assert.ok(reads < 10 * count);
+		};
+
+		it('looks at few of them for each place', () => {
+			assertFewReads(0);
+		});
+
+		it('looks at few of them for each place if all are late for their target', () => {
+			assertFewReads(50_000);
+		});
+
+		it('tries a few of them once for all arrivals of a turn', () => {
+			const queue = WaitingRequests.create<WaitingRequest>();
+			for (const request of requests) {
+				queue.add(request, 0);
+			}
+
+			reads = 0;
+			const tries = queue.wake(
+				{kind: 'arrivals', requests},
+				request => {
+					queue.add(request, 0);
+					return request;
+				},
+				0,
+			);
+			assert.ok(tries <= 4);
+			assert.ok(reads < 10 * count);
+		});
+	});
+
 	describe('the order', () => {
 		it('is priority, what can be in time, shares of the customers, arrival', () => {
 			assert.deepEqual(
--- a/packages/core/src/contention/waiting-requests.ts
+++ b/packages/core/src/contention/waiting-requests.ts
@@ -94,7 +94,7 @@
 		const key = groupKey(request);
 		const group = this._groups.get(key) ?? this._addGroup(key, request, now);
 		if (!group.requests.has(request)) {
-			group.requests.add(request);
+			group.add(request);
 			this._size++;
 			this._counters.enter(request.customer, request.weight);
 		}
@@ -103,7 +103,7 @@
 	/** Removes a request and returns whether it was waiting. */
 	remove(request: R): boolean {
 		const group = this._groups.get(groupKey(request));
-		if (!group?.requests.delete(request)) {
+		if (!group?.delete(request)) {
 			return false;
 		}
 
@@ -171,9 +171,11 @@
 
 	private _groupsOf(event: WaitEvent<R>, now: number): Array<WaitGroup<R>> {
 		switch (event.kind) {
-			case 'arrival': {
-				const group = this._groups.get(groupKey(event.request));
-				return group === undefined ? [] : [group];
+			case 'arrivals': {
+				const groups = event.requests.map(request =>
+					this._groups.get(groupKey(request)),
+				);
+				return [...new Set(groups)].filter(group => group !== undefined);
 			}
 
 			case 'offer': {
@@ -287,10 +289,7 @@
 
 		let oldest: {readonly index: number; readonly first: R} | undefined;
 		for (const [index, {group, isWorthTry}] of candidates.entries()) {
-			const first = group.first(
-				isWorthTry,
-				(a, b) => a.arrivedAt - b.arrivedAt,
-			);
+			const first = group.oldest(isWorthTry);
 			if (
 				first !== undefined &&
 				(oldest === undefined || first.arrivedAt < oldest.first.arrivedAt)
@@ -327,7 +326,11 @@
 		failures: number,
 		now: number,
 	): Candidate<R> | undefined {
-		const first = group.first(isWorthTry, (a, b) => this._compare(a, b, now));
+		const first = group.first(
+			isWorthTry,
+			(a, b) => this._compare(a, b, now),
+			now,
+		);
 		return first && {group, isWorthTry, first, failures};
 	}
 
@@ -350,7 +353,7 @@
 			return this._candidate(group, isWorthTry, failures + 1, now);
 		}
 
-		const first = group.first(isWorthTry, (a, b) => ease(b) - ease(a));
+		const first = group.easiest(isWorthTry, ease);
 		return first && {group, isWorthTry, first, failures: maxOrderedTries + 1};
 	}
 
--- a/packages/daemon/src/direct/ingress.ts
+++ b/packages/daemon/src/direct/ingress.ts
@@ -347,22 +347,8 @@
 			return;
 		}
 
-		const declaredBytes = Number(req.headers['content-length'] ?? 0);
-		const {maxBodyBytes} = this._limits;
-		const retryAfterMs =
-			declaredBytes > maxBodyBytes
-				? undefined
-				: this._intake.memory.refusedForMs(requestBytes + declaredBytes);
-		if (retryAfterMs !== undefined) {
-			call.refuse(memoryUsedUp(retryAfterMs));
-			return;
-		}
-
 		const isLate = this._context.isCatchingUp();
-		const body =
-			declaredBytes > maxBodyBytes
-				? 'tooLarge'
-				: await readBody(req, maxBodyBytes, call, connection);
+		const body = await this._readBody(req, call, connection);
 		if (isLate && (await hasCallerLeft(socket, turnsAfterStall))) {
 			socket.destroy();
 		} else if (body === 'tooLarge') {
@@ -372,6 +358,29 @@
 			await call.run(body);
 		}
 	}
+
+	/** Reads the body, unless it is too large or there is no memory for it. Refuses the request in the latter case. */
+	private async _readBody(
+		req: IncomingMessage,
+		call: ProxiedCall,
+		connection: CallerConnection<ProxiedCall>,
+	): Promise<Uint8Array | 'tooLarge' | undefined> {
+		const {maxBodyBytes} = this._limits;
+		const declaredBytes = Number(req.headers['content-length'] ?? 0);
+		if (declaredBytes > maxBodyBytes) {
+			return 'tooLarge';
+		}
+
+		const retryAfterMs = this._intake.memory.refusedForMs(
+			requestBytes + declaredBytes,
+		);
+		if (retryAfterMs !== undefined) {
+			call.refuse(memoryUsedUp(retryAfterMs));
+			return undefined;
+		}
+
+		return readBody(req, maxBodyBytes, call, connection);
+	}
 }
 
 const malformedRefusal: CallRefusal = {
--- a/packages/daemon/src/direct/wait-queue.ts
+++ b/packages/daemon/src/direct/wait-queue.ts
@@ -160,8 +160,8 @@
 			}
 		}
 
-		for (const request of arrivals) {
-			this._waiting.wake({kind: 'arrival', request}, retry, now);
+		if (arrivals.length > 0) {
+			this._waiting.wake({kind: 'arrivals', requests: arrivals}, retry, now);
 		}
 
 		this._schedule();
--- a/packages/daemon/src/intake/paced-reader.ts
+++ b/packages/daemon/src/intake/paced-reader.ts
@@ -56,8 +56,8 @@
 	) {
 		this._push = _socket.push.bind(_socket);
 		this._read = _socket._read.bind(_socket);
+		// eslint-disable-next-line @typescript-eslint/no-restricted-types
 		_socket.push = (chunk: Uint8Array | null) =>
-			// eslint-disable-line @typescript-eslint/no-restricted-types
 			chunk === null ? this._onEnd() : this._onReceived(chunk);
 		_socket._read = size => {
 			if (!this._isFull) {
