Wake the groups of arrivals one after another

Requests that arrived for different servers in one turn were tried in one order, for which all their groups are looked at again after each place. They don't compete, so that each group is woken by itself, as before.

--- a/packages/core/src/contention/waiting-requests.ts
+++ b/packages/core/src/contention/waiting-requests.ts
@@ -152,6 +152,16 @@
 	/** Wakes the requests that the event can help, and returns the number of tries. */
 	wake(event: WaitEvent<R>, tryRequest: Try<R>, now: number): number {
 		const groups = this._groupsOf(event, now);
+		if (event.kind === 'arrivals') {
+			// Those that arrived for different servers don't compete.
+			return groups.reduce(
+				(tries, group) =>
+					tries +
+					this._tryInOrder([group], Number.POSITIVE_INFINITY, tryRequest, now),
+				0,
+			);
+		}
+
 		const room =
 			event.kind === 'offer' ? event.offer.room : Number.POSITIVE_INFINITY;
 		return this._tryInOrder(groups, room, tryRequest, now);
